--- /dev/null
+++ b/cluster/invariant/doc.go
@@ -0,0 +1,2 @@
+// Package invariant records violations of the properties that always hold.
+package invariant
--- /dev/null
+++ b/cluster/paidlink/doc.go
@@ -0,0 +1,2 @@
+// Package paidlink counts the bytes that cross the link between regions, by cause.
+package paidlink
--- /dev/null
+++ b/cluster/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer connects the daemons of a cell with framed msgpack messages over TCP.
+package peer
--- /dev/null
+++ b/goldcrestd/doc.go
@@ -0,0 +1,2 @@
+// Goldcrestd is the daemon that runs on every entry VM.
+package main
--- /dev/null
+++ b/platformd/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
