--- /dev/null
+++ b/cluster/api/status.go
@@ -0,0 +1,197 @@
+package api
+
+import (
+	"fmt"
+	"time"
+)
+
+// Headers of the API.
+const (
+	// HeaderNoteID carries an identifier of one apply, so that its repeat counts as one note.
+	HeaderNoteID = "Goldcrest-Note-Id"
+	// HeaderAuthor names the operator who applies a note.
+	HeaderAuthor = "Goldcrest-Author"
+	// HeaderIdempotencyKey names a request to a service that runs at most once.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// ContentTypeProblem is the media type of a Problem (RFC 9457).
+	ContentTypeProblem = "application/problem+json"
+	// ContentTypeNote is the media type of a release note.
+	ContentTypeNote = "application/yaml"
+)
+
+// Values of Problem.Run.
+const (
+	// RunNo says that the refused work did not run and will not.
+	RunNo = "no"
+	// RunUnknown says that the work may have run.
+	RunUnknown = "unknown"
+)
+
+// Problem is the body of a refusal (RFC 9457).
+type Problem struct {
+	Type   string `json:"type,omitempty"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// Run is RunNo or RunUnknown.
+	Run string `json:"run,omitempty"`
+	// Errors has one line per wrong field or line of the request.
+	Errors []string `json:"errors,omitempty"`
+}
+
+// Error formats the status, the title and the detail.
+func (p *Problem) Error() string {
+	s := fmt.Sprintf("%d %s", p.Status, p.Title)
+	if p.Detail != "" {
+		s += ": " + p.Detail
+	}
+	return s
+}
+
+// TaskCounts is the number of tasks of a job in each state.
+type TaskCounts struct {
+	Pending  int `json:"pending,omitempty"`
+	Starting int `json:"starting,omitempty"`
+	Running  int `json:"running,omitempty"`
+	Finished int `json:"finished,omitempty"`
+	Failed   int `json:"failed,omitempty"`
+	Unknown  int `json:"unknown,omitempty"`
+	Stopped  int `json:"stopped,omitempty"`
+}
+
+// JobStatus is the state of a job.
+type JobStatus struct {
+	ID    string `json:"id"`
+	Team  string `json:"team"`
+	Queue string `json:"queue"`
+	State string `json:"state"`
+	// Workload is batch, gang or service.
+	Workload  string     `json:"workload,omitempty"`
+	Tasks     TaskCounts `json:"tasks"`
+	Submitted time.Time  `json:"submitted,omitzero"`
+	// Reason says why the job waits or how it ended.
+	Reason string `json:"reason,omitempty"`
+}
+
+// JobList is the answer of a listing of jobs.
+type JobList struct {
+	Jobs []JobStatus `json:"jobs"`
+}
+
+// Explanation says why the tasks of a job wait.
+type Explanation struct {
+	Job JobStatus `json:"job"`
+	// Reasons has one entry per cause, the most frequent first.
+	Reasons []Reason `json:"reasons"`
+}
+
+// Reason is a cause of waiting and the number of tasks that it holds up.
+type Reason struct {
+	Rack   string `json:"rack,omitempty"`
+	Tasks  int    `json:"tasks"`
+	Reason string `json:"reason"`
+}
+
+// Cancellation is the body of a cancellation of several jobs of one queue.
+type Cancellation struct {
+	IDs []string `json:"ids"`
+}
+
+// DecodeCancellation decodes a cancellation; unknown fields and trailing data are refused.
+func DecodeCancellation(data []byte) (Cancellation, error) {
+	var c Cancellation
+	return c, decodeStrict("decode cancellation", data, &c)
+}
+
+// WorkerStatus is the state of a worker.
+type WorkerStatus struct {
+	ID          string    `json:"id"`
+	Rack        string    `json:"rack"`
+	Zone        string    `json:"zone"`
+	Region      string    `json:"region"`
+	Owner       string    `json:"owner,omitempty"`
+	Reachable   bool      `json:"reachable"`
+	Fenced      bool      `json:"fenced,omitempty"`
+	Quarantined bool      `json:"quarantined,omitempty"`
+	Leaving     bool      `json:"leaving,omitempty"`
+	Capacity    Resources `json:"capacity"`
+	Used        Resources `json:"used"`
+	Running     int       `json:"running"`
+}
+
+// WorkerList is the answer of a listing of workers.
+type WorkerList struct {
+	Workers []WorkerStatus `json:"workers"`
+}
+
+// TeamStatus is the use of the fleet by a team.
+type TeamStatus struct {
+	Name  string    `json:"name"`
+	Share int       `json:"share"`
+	Limit Resources `json:"limit"`
+	Used  Resources `json:"used"`
+	// DominantShare is the used part of the fleet, from 0 to 1, in the resource that the team uses most.
+	DominantShare float64 `json:"dominantShare"`
+	Running       int     `json:"running"`
+	Pending       int     `json:"pending"`
+}
+
+// TeamList is the answer of a listing of teams.
+type TeamList struct {
+	Teams []TeamStatus `json:"teams"`
+}
+
+// Status is the state of a daemon and of the cell as the daemon sees it.
+type Status struct {
+	Daemon        string   `json:"daemon"`
+	Zone          string   `json:"zone"`
+	Region        string   `json:"region"`
+	Version       string   `json:"version,omitempty"`
+	Ready         bool     `json:"ready"`
+	Draining      bool     `json:"draining,omitempty"`
+	ConfigVersion uint64   `json:"configVersion"`
+	ConfigFresh   bool     `json:"configFresh"`
+	StoreVisible  bool     `json:"storeVisible"`
+	Members       []string `json:"members"`
+	Racks         []string `json:"racks"`
+	Running       int      `json:"running"`
+	Pending       int      `json:"pending"`
+	// Violations is the number of invariant violations since the start.
+	Violations int64 `json:"violations"`
+}
+
+// NoteStatus is an accepted release note.
+type NoteStatus struct {
+	Version uint64    `json:"version"`
+	ID      string    `json:"id,omitempty"`
+	Author  string    `json:"author,omitempty"`
+	At      time.Time `json:"at,omitzero"`
+	Digest  string    `json:"digest,omitempty"`
+	Changes []Change  `json:"changes,omitempty"`
+	// Text is the note's YAML; listings leave it out.
+	Text string `json:"text,omitempty"`
+}
+
+// NoteList is the answer of a listing of notes, the latest first.
+type NoteList struct {
+	Notes []NoteStatus `json:"notes"`
+}
+
+// Change is what a note does to one entity.
+type Change struct {
+	// Action is add, change or withdraw.
+	Action string `json:"action"`
+	// Entity is kind/name.
+	Entity string `json:"entity"`
+	// Detail lists the changed fields.
+	Detail string `json:"detail,omitempty"`
+}
+
+// Plan is the answer to a check or a plan of a note.
+type Plan struct {
+	// Base is the version of the configuration that the plan was made against.
+	Base    uint64   `json:"base"`
+	Changes []Change `json:"changes"`
+	// Warnings has remarks that don't keep the note from being applied.
+	Warnings []string `json:"warnings,omitempty"`
+}
