--- a/cluster/api/size.go
+++ b/cluster/api/size.go
@@ -55,3 +55,12 @@
 func FromResources(r cluster.Resources) Resources {
 	return Resources{CPUs: float64(r.CPU) / float64(cluster.Core), Memory: FormatBytes(r.Memory), Accelerators: r.Accelerators}
 }
+
+// ToResources returns the amounts of a body; a memory that does not parse counts as zero.
+func (r Resources) ToResources() cluster.Resources {
+	memory, err := ParseBytes(r.Memory)
+	if err != nil {
+		memory = 0
+	}
+	return cluster.Resources{CPU: cluster.CPU(math.Round(r.CPUs * float64(cluster.Core))), Memory: memory, Accelerators: r.Accelerators}
+}
--- a/cluster/api/status.go
+++ b/cluster/api/status.go
@@ -76,6 +76,8 @@
 // JobList is the answer of a listing of jobs.
 type JobList struct {
 	Jobs []JobStatus `json:"jobs"`
+	// Missing names the daemons that did not answer; their parts are not in the list.
+	Missing []string `json:"missing,omitempty"`
 }
 
 // Explanation says why the tasks of a job wait.
@@ -105,23 +107,27 @@
 
 // WorkerStatus is the state of a worker.
 type WorkerStatus struct {
-	ID          string    `json:"id"`
-	Rack        string    `json:"rack"`
-	Zone        string    `json:"zone"`
-	Region      string    `json:"region"`
-	Owner       string    `json:"owner,omitempty"`
-	Reachable   bool      `json:"reachable"`
-	Fenced      bool      `json:"fenced,omitempty"`
-	Quarantined bool      `json:"quarantined,omitempty"`
-	Leaving     bool      `json:"leaving,omitempty"`
-	Capacity    Resources `json:"capacity"`
-	Used        Resources `json:"used"`
-	Running     int       `json:"running"`
+	ID          string `json:"id"`
+	Rack        string `json:"rack"`
+	Zone        string `json:"zone"`
+	Region      string `json:"region"`
+	Owner       string `json:"owner,omitempty"`
+	Reachable   bool   `json:"reachable"`
+	Fenced      bool   `json:"fenced,omitempty"`
+	Quarantined bool   `json:"quarantined,omitempty"`
+	Leaving     bool   `json:"leaving,omitempty"`
+	// Closed says why the worker takes no new tasks; empty if it does.
+	Closed   string    `json:"closed,omitempty"`
+	Capacity Resources `json:"capacity"`
+	Used     Resources `json:"used"`
+	Running  int       `json:"running"`
 }
 
 // WorkerList is the answer of a listing of workers.
 type WorkerList struct {
 	Workers []WorkerStatus `json:"workers"`
+	// Missing names the daemons that did not answer; their parts are not in the list.
+	Missing []string `json:"missing,omitempty"`
 }
 
 // TeamStatus is the use of the fleet by a team.
@@ -139,6 +145,8 @@
 // TeamList is the answer of a listing of teams.
 type TeamList struct {
 	Teams []TeamStatus `json:"teams"`
+	// Missing names the daemons that did not answer; their parts are not in the list.
+	Missing []string `json:"missing,omitempty"`
 }
 
 // Status is the state of a daemon and of the cell as the daemon sees it.
--- /dev/null
+++ b/cluster/daemon/jobs.go
@@ -0,0 +1,228 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+	"github.com/goldcrestshift/goldcrestshift/cluster/rack"
+)
+
+const (
+	// maxJobBody limits a submission or a cancellation.
+	maxJobBody = 1 << 20
+	// maxCancellations limits the jobs of one cancellation.
+	maxCancellations = 10_000
+	// submitTimeout limits how long a caller waits for durable acceptance.
+	submitTimeout = 10 * time.Second
+	// storeRetryAfter is suggested to callers while the store is down.
+	storeRetryAfter = 2 * time.Second
+)
+
+// submitJob handles POST /v1/queues/{queue}/jobs.
+func (d *Daemon) submitJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	queue := cluster.QueueName(p.ByName("queue"))
+	team, ok := d.authorize(w, r, queue)
+	if !ok {
+		return
+	}
+	body, ok := readBody(w, r, maxJobBody)
+	if !ok {
+		return
+	}
+	request, err := api.DecodeJobRequest(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if request.Priority == "" {
+		if q := d.rollout.Snapshot().Queues[queue]; q != nil {
+			request.Priority = api.PriorityName(q.Priority)
+		}
+	}
+	spec, err := request.Spec(team, queue)
+	if err != nil {
+		var invalid *api.Error
+		errors.As(err, &invalid)
+		refuse(w, http.StatusUnprocessableEntity, "the job has invalid fields", invalid.Fields...)
+		return
+	}
+	d.submit(w, r, spec)
+}
+
+func (d *Daemon) submit(w http.ResponseWriter, r *http.Request, spec *cluster.JobSpec) {
+	now := d.now()
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout+time.Second)
+	defer cancel()
+	effect, answered := d.loop.ask(ctx, func(token rack.Token) rack.Event {
+		return &rack.Submit{Token: token, Spec: spec, Submitted: now, Deadline: now.Add(submitTimeout)}
+	})
+	result, isResult := effect.(*rack.SubmitResult)
+	if !answered || !isResult {
+		writeProblem(w, api.Problem{
+			Status: http.StatusGatewayTimeout, Run: api.RunUnknown,
+			Detail: "the submission may have been recorded; repeat it with the same id",
+		}, storeRetryAfter)
+		return
+	}
+	status := api.JobStatus{
+		ID: string(spec.ID.Name), Team: string(spec.ID.Team), Queue: string(spec.Queue),
+		State: rack.JobActive.String(), Submitted: now.UTC().Truncate(time.Millisecond),
+	}
+	switch result.Outcome {
+	case rack.Accepted:
+		writeJSON(w, http.StatusCreated, status)
+	case rack.Duplicate:
+		d.writeJobStatus(w, r, spec.ID, http.StatusOK)
+	default:
+		writeOutcome(w, result.Outcome, result.Reason)
+	}
+}
+
+// writeOutcome writes the refusal of a submission or a cancellation.
+func writeOutcome(w http.ResponseWriter, outcome rack.Outcome, reason string) {
+	switch outcome {
+	case rack.Refused:
+		refuse(w, http.StatusUnprocessableEntity, reason)
+	case rack.NotFound:
+		refuse(w, http.StatusNotFound, "there is no such job")
+	case rack.Unavailable:
+		writeProblem(w, api.Problem{Status: http.StatusServiceUnavailable, Detail: reason, Run: api.RunNo}, storeRetryAfter)
+	default:
+		writeProblem(w, api.Problem{
+			Status: http.StatusGatewayTimeout, Run: api.RunUnknown,
+			Detail: "the request may have been recorded; repeat it with the same id",
+		}, storeRetryAfter)
+	}
+}
+
+// cancelJob handles DELETE /v1/queues/{queue}/jobs/{job}.
+func (d *Daemon) cancelJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	team, ok := d.authorize(w, r, cluster.QueueName(p.ByName("queue")))
+	if !ok {
+		return
+	}
+	outcomes, ok := d.cancel(w, r, team, []string{p.ByName("job")})
+	if !ok {
+		return
+	}
+	if outcomes[0] != rack.Accepted && outcomes[0] != rack.Duplicate {
+		writeOutcome(w, outcomes[0], "the store is not available")
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// cancelJobs handles POST /v1/queues/{queue}/cancellations.
+func (d *Daemon) cancelJobs(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	team, ok := d.authorize(w, r, cluster.QueueName(p.ByName("queue")))
+	if !ok {
+		return
+	}
+	body, ok := readBody(w, r, maxJobBody)
+	if !ok {
+		return
+	}
+	request, err := api.DecodeCancellation(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	if len(request.IDs) == 0 || len(request.IDs) > maxCancellations {
+		refuse(w, http.StatusUnprocessableEntity, "ids must have between 1 and 10000 entries")
+		return
+	}
+	outcomes, ok := d.cancel(w, r, team, request.IDs)
+	if !ok {
+		return
+	}
+	results := make([]cancelResult, len(outcomes))
+	for i, o := range outcomes {
+		results[i] = cancelResult{ID: request.IDs[i], Outcome: o.String()}
+	}
+	writeJSON(w, http.StatusOK, cancelResults{Results: results})
+}
+
+type cancelResults struct {
+	Results []cancelResult `json:"results"`
+}
+
+type cancelResult struct {
+	ID      string `json:"id"`
+	Outcome string `json:"outcome"`
+}
+
+func (d *Daemon) cancel(w http.ResponseWriter, r *http.Request, team cluster.TeamName, ids []string) ([]rack.Outcome, bool) {
+	jobs := make([]cluster.JobID, len(ids))
+	for i, id := range ids {
+		jobs[i] = cluster.JobID{Team: team, Name: cluster.JobName(id)}
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), submitTimeout+time.Second)
+	defer cancel()
+	deadline := d.now().Add(submitTimeout)
+	effect, answered := d.loop.ask(ctx, func(token rack.Token) rack.Event {
+		return &rack.Cancel{Token: token, Jobs: jobs, Deadline: deadline}
+	})
+	result, isResult := effect.(*rack.CancelResult)
+	if !answered || !isResult || len(result.Outcomes) != len(ids) {
+		writeOutcome(w, rack.Unknown, "")
+		return nil, false
+	}
+	return result.Outcomes, true
+}
+
+// showJob handles GET /v1/queues/{queue}/jobs/{job}.
+func (d *Daemon) showJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	team, ok := d.authorize(w, r, cluster.QueueName(p.ByName("queue")))
+	if !ok {
+		return
+	}
+	d.writeJobStatus(w, r, cluster.JobID{Team: team, Name: cluster.JobName(p.ByName("job"))}, http.StatusOK)
+}
+
+func (d *Daemon) writeJobStatus(w http.ResponseWriter, r *http.Request, id cluster.JobID, status int) {
+	for _, job := range d.collect(r.Context(), true).jobs() {
+		if job.Team == string(id.Team) && job.ID == string(id.Name) {
+			writeJSON(w, status, job)
+			return
+		}
+	}
+	refuse(w, http.StatusNotFound, "no daemon knows a job "+id.String())
+}
+
+// explainJob handles GET /v1/queues/{queue}/jobs/{job}/explain.
+func (d *Daemon) explainJob(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	team, ok := d.authorize(w, r, cluster.QueueName(p.ByName("queue")))
+	if !ok {
+		return
+	}
+	id := cluster.JobID{Team: team, Name: cluster.JobName(p.ByName("job"))}
+	for _, e := range d.collect(r.Context(), true).explanations() {
+		if e.Job.Team == string(id.Team) && e.Job.ID == string(id.Name) {
+			writeJSON(w, http.StatusOK, e)
+			return
+		}
+	}
+	refuse(w, http.StatusNotFound, "no daemon knows a job "+id.String())
+}
+
+// readBody reads a body up to a limit and writes a refusal if it is longer or broken.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		return body, true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		refuse(w, http.StatusRequestEntityTooLarge, "the body is larger than 1 MiB")
+	} else {
+		refuse(w, http.StatusBadRequest, "the body could not be read: "+err.Error())
+	}
+	return nil, false
+}
--- a/goldcrestd/main.go
+++ b/goldcrestd/main.go
@@ -1,3 +1,7 @@
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/goldcrestd/rootcmd.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/daemon"
+)
+
+// Exit codes of goldcrestd.
+const (
+	exitOK = iota
+	// exitFailed means that the daemon could not run.
+	exitFailed
+	// exitUsage means that a flag, a variable or an argument is wrong.
+	exitUsage
+)
+
+// version is the version of the program; the build may set it.
+var version = "devel"
+
+// usageError marks errors of the command line.
+type usageError struct{ err error }
+
+func (e *usageError) Error() string { return e.err.Error() }
+func (e *usageError) Unwrap() error { return e.err }
+
+func run(args []string, stdout, stderr io.Writer) int {
+	cmd := newRootCmd()
+	cmd.SetArgs(args)
+	cmd.SetOut(stdout)
+	cmd.SetErr(stderr)
+	err := cmd.ExecuteContext(context.Background())
+	if err == nil {
+		return exitOK
+	}
+	_, _ = fmt.Fprintf(stderr, "goldcrestd: %v\n", err)
+	var setting *daemon.Error
+	var usage *usageError
+	if errors.As(err, &usage) || (errors.As(err, &setting) && setting.Kind == daemon.KindSetting) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func newRootCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:           "goldcrestd",
+		Short:         "Run the goldcrestshift daemon of an entry VM",
+		Version:       version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		Args:          cobra.NoArgs,
+	}
+	cmd.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return &usageError{err} })
+	cmd.AddCommand(newServeCmd())
+	return cmd
+}
