--- a/cluster/peer/message.go
+++ b/cluster/peer/message.go
@@ -19,16 +19,15 @@
 	HTTPAddr netip.AddrPort
 }
 
-// Ping asks for a Pong and carries the sender's state.
+// Ping carries the sender's state and shows that the connection works.
 type Ping struct {
 	Sequence uint64
-	Digest   Digest
-}
-
-// Pong answers a Ping.
-type Pong struct {
-	Sequence uint64
-	Digest   Digest
+	// Echo is the highest Sequence that the sender has received from the receiver.
+	Echo   uint64
+	Digest Digest
+	// AsOf is set by the receiver: the digest is not older than this moment,
+	// when the echoed ping was sent. It is zero if nothing was echoed.
+	AsOf time.Time
 }
 
 // Digest is what each daemon tells its peers about itself with every ping.
@@ -40,6 +39,7 @@
 	// StoreVisible says that the sender has read the table service within the last second.
 	StoreVisible bool
 	// Members lists every member that the sender knows.
+	// Naming a member acknowledges it.
 	Members []cluster.DaemonID
 	// Racks is the capacity of the racks that the sender owns.
 	Racks []RackDigest
@@ -57,13 +57,15 @@
 	Pending int
 }
 
-// ConfigPush carries table rows of the configuration written after Since.
+// ConfigPush carries the configuration and member rows written after Since.
 type ConfigPush struct {
+	// Answer is the Sequence of the ConfigPoll that it answers; zero if unsolicited.
+	Answer uint64
+	// Since is the commit that the rows start after; zero means that the rows are the whole state.
 	Since cluster.Version
-	// Head is the version of the last accepted note as of the read.
-	Head cluster.Version
+	// AsOf is the commit that the rows are complete up to.
 	AsOf cluster.Version
-	// Age is the time since the store answered the read.
+	// Age is the time since the read of the store that confirmed the rows was sent.
 	Age  time.Duration
 	Rows []platform.Row
 }
@@ -74,8 +76,11 @@
 	Head cluster.Version
 }
 
-// ConfigPoll asks a relay for a ConfigPush.
-type ConfigPoll struct{ Since cluster.Version }
+// ConfigPoll asks for a ConfigPush with the rows written after Since.
+type ConfigPoll struct {
+	Sequence uint64
+	Since    cluster.Version
+}
 
 // AssignNotice tells the owner of a rack that assignment rows were written.
 type AssignNotice struct {
@@ -139,11 +144,14 @@
 }
 
 // Leaving tells that the sender is shutting down in an orderly way.
-type Leaving struct{ From cluster.DaemonID }
+// Its digest is the last one; the sender accepts no note after it.
+type Leaving struct {
+	From   cluster.DaemonID
+	Digest Digest
+}
 
 func (*Hello) message()          {}
 func (*Ping) message()           {}
-func (*Pong) message()           {}
 func (*ConfigPush) message()     {}
 func (*ConfigAck) message()      {}
 func (*ConfigPoll) message()     {}
