feat: daemon wiring, authorization and HTTP routes

Cause: every part has to run in the daemon and be seen through it. Change: start, drain and stop of the daemon, its HTTP routes and listings.

--- a/cluster/api/status.go
+++ b/cluster/api/status.go
@@ -166,6 +166,8 @@
 	Pending       int      `json:"pending"`
 	// Violations is the number of invariant violations since the start.
 	Violations int64 `json:"violations"`
+	// PaidLinkBytes is what the daemon has exchanged with other regions since its start.
+	PaidLinkBytes int64 `json:"paidLinkBytes"`
 }
 
 // NoteStatus is an accepted release note.
--- /dev/null
+++ b/cluster/daemon/daemon.go
@@ -0,0 +1,299 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/gateway"
+	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/member"
+	"github.com/goldcrestshift/goldcrestshift/cluster/paidlink"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/rack"
+	"github.com/goldcrestshift/goldcrestshift/cluster/rollout"
+)
+
+// Daemon is the process that runs on every entry VM.
+type Daemon struct {
+	cfg        Config
+	id         cluster.DaemonID
+	now        func() time.Time
+	log        zerolog.Logger
+	metrics    tally.Scope
+	closers    []func()
+	invariants *invariant.Recorder
+	paid       *paidlink.Counter
+
+	client   *platform.Client
+	store    *monitoredStore
+	journal  *journal.Journal
+	members  *member.Table
+	manager  *member.Manager
+	peers    *peer.Transport
+	rollout  *rollout.Rollout
+	gateway  *gateway.Gateway
+	loop     *loop
+	server   *http.Server
+	listener net.Listener
+	listings *http.Client
+
+	joined   atomic.Bool
+	draining atomic.Bool
+	vms      atomic.Pointer[[]platform.VM]
+	digest   atomic.Pointer[[]peer.RackDigest]
+}
+
+// New opens the sockets and builds the parts; Run starts them.
+func New(cfg Config) (*Daemon, error) {
+	d := &Daemon{cfg: cfg, now: time.Now, id: newDaemonID(cfg.Name)}
+	d.log = cfg.Log.With().Str("daemon", string(d.id)).Logger()
+	debug.SetMemoryLimit(int64(cfg.MemoryLimit))
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	metrics, closer, handler := newMetrics()
+	d.metrics = metrics
+	d.closers = append(d.closers, func() { _ = closer.Close() })
+	d.invariants = invariant.New(invariant.Config{Log: d.log, Metrics: metrics, Fail: cfg.Fail})
+	d.paid = paidlink.New(paidlink.Config{Self: cfg.Place.Region, Metrics: metrics})
+	d.buildStore()
+	d.buildMembers()
+	d.buildControl()
+	d.buildGateway()
+	d.buildServer(handler)
+	return d, nil
+}
+
+// ID returns the identifier of this run of the daemon.
+func (d *Daemon) ID() cluster.DaemonID { return d.id }
+
+// Violations returns the number of invariant violations so far.
+func (d *Daemon) Violations() int64 { return d.invariants.Violations() }
+
+// PaidLinkBytes returns the bytes that this daemon exchanged with other regions.
+func (d *Daemon) PaidLinkBytes() int64 { return d.paid.CrossedTotal() }
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listener = d.cfg.HTTPListener; d.listener == nil {
+		if d.listener, err = net.Listen("tcp", d.cfg.HTTPAddr.String()); err != nil {
+			return &Error{Op: "listen for HTTP", Kind: KindListen, Err: err}
+		}
+	}
+	if d.cfg.PeerListener == nil {
+		if d.cfg.PeerListener, err = net.Listen("tcp", d.cfg.PeerAddr.String()); err != nil {
+			_ = d.listener.Close()
+			return &Error{Op: "listen for peers", Kind: KindListen, Err: err}
+		}
+	}
+	return nil
+}
+
+func (d *Daemon) buildStore() {
+	d.client = platform.NewClient(platform.ClientConfig{
+		BaseURL:     d.cfg.PlatformURL,
+		Place:       d.cfg.Place,
+		StoreRegion: d.cfg.StoreRegion,
+		PaidLink:    d.paid,
+	})
+	d.store = newMonitoredStore(d.client, d.now, d.metrics)
+	d.journal = journal.New(journal.Config{Store: d.store, Writer: string(d.id), Log: d.log, Metrics: d.metrics})
+}
+
+func (d *Daemon) buildMembers() {
+	self := member.Member{ID: d.id, Place: d.cfg.Place, PeerAddr: d.cfg.PeerAddr, HTTPAddr: d.cfg.HTTPAddr}
+	d.members = member.NewTable(member.TableConfig{
+		Self: d.id, Now: d.now,
+		LastHeard: func(id cluster.DaemonID) time.Time { return d.peers.LastHeard(id) },
+	})
+	d.peers = peer.New(peer.Config{
+		Self:     peer.Hello{From: d.id, Place: d.cfg.Place, PeerAddr: d.cfg.PeerAddr, HTTPAddr: d.cfg.HTTPAddr},
+		Listener: d.cfg.PeerListener,
+		Log:      d.log,
+		Metrics:  d.metrics,
+		PaidLink: d.paid,
+		Now:      d.now,
+		Handler:  d.handlePeer,
+		Digest:   d.pingDigest,
+	})
+	d.rollout = rollout.New(rollout.Config{
+		Self: d.id, Place: d.cfg.Place, Store: d.store, Peers: d.peers, Members: d.members,
+		Clock: d.now, Random: rand.Float64, Invariants: d.invariants, Log: d.log, Metrics: d.metrics,
+	})
+	d.manager = member.New(member.Config{
+		Self: self, Store: d.store, VMs: d.client, Table: d.members, Now: d.now, Log: d.log, Metrics: d.metrics,
+	})
+}
+
+func (d *Daemon) buildControl() {
+	seed := d.cfg.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	random := rand.New(rand.NewPCG(seed, 1))
+	controller := rack.New(rack.Config{
+		Self: d.id, Place: d.cfg.Place, Random: random.Float64, Log: d.log, Metrics: d.metrics, Invariants: d.invariants,
+	})
+	d.loop = newLoop(loopConfig{
+		Controller: controller, Store: d.store, Racks: d.client, Journal: d.journal,
+		Send: d.peers.Send, Now: d.now, Log: d.log, Metrics: d.metrics,
+		Stepped: func(c *rack.Controller) {
+			racks := c.Digest()
+			d.digest.Store(&racks)
+		},
+	})
+	d.rollout.OnChange(func(s *cluster.Snapshot) { d.loop.post(&rack.ConfigChanged{Snapshot: s}) })
+}
+
+func (d *Daemon) buildGateway() {
+	d.gateway = gateway.New(gateway.Config{
+		Self: d.id, Place: d.cfg.Place, Authorizer: d.rollout, Store: d.store, Journal: d.journal, Sender: d.peers,
+		Refusal: refusalOf, Clock: d.now, Log: d.log, Metrics: d.metrics, Invariants: d.invariants, PaidLink: d.paid,
+	})
+}
+
+// Run serves until ctx ends and then shuts down in order; it returns an error
+// if the settings contradict the platform or a socket fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	d.log.Info().Str("http", d.cfg.HTTPAddr.String()).Str("peer", d.cfg.PeerAddr.String()).
+		Str("zone", string(d.cfg.Place.Zone)).Msg("daemon: started")
+	work, stop := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer func() {
+		stop()
+		wg.Wait()
+		d.close()
+	}()
+	failed := make(chan error, 1)
+	wg.Go(func() {
+		if err := d.server.Serve(d.listener); !errors.Is(err, http.ErrServerClosed) {
+			failed <- &Error{Op: "serve", Kind: KindListen, Err: err}
+		}
+	})
+	wg.Go(func() { d.loop.run(work) })
+	if err := d.join(ctx); err != nil {
+		_ = d.server.Close()
+		return err
+	}
+	wg.Go(func() { d.manager.Run(work) })
+	wg.Go(func() { d.rollout.Run(work) })
+	wg.Go(func() { d.watch(work) })
+	select {
+	case <-ctx.Done():
+		d.shutdown()
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// join waits for the platform, checks the settings against its list of VMs and writes the member row.
+func (d *Daemon) join(ctx context.Context) error {
+	vms, err := d.firstList(ctx)
+	if err != nil {
+		return err
+	}
+	if err := d.checkPlace(vms); err != nil {
+		return err
+	}
+	d.vms.Store(&vms)
+	if err := d.manager.Join(ctx); err != nil {
+		return &Error{Op: "join", Kind: KindStopped, Err: err}
+	}
+	d.joined.Store(true)
+	d.log.Info().Msg("daemon: joined the cell")
+	return nil
+}
+
+// firstListRetry is the longest delay between attempts to reach the platform at start.
+const firstListRetry = 5 * time.Second
+
+func (d *Daemon) firstList(ctx context.Context) ([]platform.VM, error) {
+	delay := 100 * time.Millisecond
+	for {
+		attempt, cancel := context.WithTimeout(ctx, callTimeout)
+		vms, err := d.client.ListVMs(attempt)
+		cancel()
+		if err == nil {
+			return vms, nil
+		}
+		d.log.Warn().Err(err).Msg("daemon: the platform does not answer; waiting for it, not ready")
+		select {
+		case <-ctx.Done():
+			return nil, &Error{Op: "start", Kind: KindStopped, Err: ctx.Err()}
+		case <-time.After(time.Duration(float64(delay) * (0.5 + rand.Float64()))):
+		}
+		delay = min(2*delay, firstListRetry)
+	}
+}
+
+// checkPlace compares the zone and region of the settings with those of the platform's VMs.
+func (d *Daemon) checkPlace(vms []platform.VM) error {
+	zones := map[cluster.Zone]cluster.Region{}
+	for _, vm := range vms {
+		zones[vm.Place.Zone] = vm.Place.Region
+	}
+	if len(zones) == 0 {
+		return nil
+	}
+	region, known := zones[d.cfg.Place.Zone]
+	if !known {
+		return &Error{Op: "start", Kind: KindSetting, Err: settingError(SettingZone, string(d.cfg.Place.Zone), names(zones))}
+	}
+	if region != d.cfg.Place.Region {
+		allowed := fmt.Sprintf("%s, the region of zone %s", region, d.cfg.Place.Zone)
+		return &Error{Op: "start", Kind: KindSetting, Err: settingError(SettingRegion, string(d.cfg.Place.Region), allowed)}
+	}
+	return nil
+}
+
+// shutdown hands over racks and slots, finishes running requests and leaves the cell.
+func (d *Daemon) shutdown() {
+	d.log.Info().Msg("daemon: draining")
+	d.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), d.cfg.DrainTimeout)
+	defer cancel()
+	d.loop.post(&rack.Drain{})
+	if err := d.gateway.Drain(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("daemon: requests still ran at the end of the drain timeout")
+	}
+	select {
+	case <-d.loop.drained:
+	case <-ctx.Done():
+		d.log.Warn().Msg("daemon: racks were not handed over before the drain timeout")
+	}
+	d.peers.Broadcast(&peer.Leaving{From: d.id})
+	if err := d.manager.Leave(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("daemon: member row was not deleted")
+	}
+	if err := d.server.Shutdown(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("daemon: connections were closed at the end of the drain timeout")
+		_ = d.server.Close()
+	}
+	d.log.Info().Msg("daemon: stopped")
+}
+
+// close ends what New started.
+func (d *Daemon) close() {
+	d.gateway.Close()
+	d.peers.Close()
+	d.journal.Close()
+	d.loop.wait()
+	for _, f := range d.closers {
+		f()
+	}
+}
--- a/cluster/daemon/listing.go
+++ b/cluster/daemon/listing.go
@@ -116,7 +116,7 @@
 	defer cancel()
 	var mu sync.Mutex
 	var wg conc.WaitGroup
-	for _, m := range d.members.Alive() {
+	for _, m := range d.members.Live() {
 		if m.ID == d.id {
 			continue
 		}
--- a/cluster/daemon/loop.go
+++ b/cluster/daemon/loop.go
@@ -34,6 +34,8 @@
 	Now        func() time.Time
 	Log        zerolog.Logger
 	Metrics    tally.Scope
+	// Stepped is called on the control goroutine after each step.
+	Stepped func(*rack.Controller)
 }
 
 // loop is the one goroutine that owns the control state; it runs the effects on others.
@@ -136,6 +138,9 @@
 		l.step.Record(l.cfg.Now().Sub(begin))
 		l.steps.Inc(1)
 		l.waiting.Update(float64(len(l.events)))
+		if l.cfg.Stepped != nil {
+			l.cfg.Stepped(l.cfg.Controller)
+		}
 		for _, e := range effects {
 			l.apply(ctx, e)
 		}
--- /dev/null
+++ b/cluster/daemon/server.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/julienschmidt/httprouter"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+	"github.com/goldcrestshift/goldcrestshift/cluster/rack"
+)
+
+const (
+	// headerTimeout limits how long a caller may take to send the header of a request.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is longer than the idle timeout of common balancers, so that
+	// the balancer and not the daemon closes an idle connection.
+	idleTimeout    = 90 * time.Second
+	maxHeaderBytes = 64 << 10
+)
+
+// methods are the HTTP methods that requests to services may use.
+var methods = [...]string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
+}
+
+// buildServer builds the HTTP server; the metrics handler serves /metrics.
+func (d *Daemon) buildServer(metrics http.Handler) {
+	d.listings = &http.Client{Timeout: listingTimeout}
+	r := httprouter.New()
+	r.HandleOPTIONS = false
+	r.POST("/v1/queues/:queue/jobs", d.submitJob)
+	r.GET("/v1/queues/:queue/jobs/:job", d.showJob)
+	r.DELETE("/v1/queues/:queue/jobs/:job", d.cancelJob)
+	r.GET("/v1/queues/:queue/jobs/:job/explain", d.explainJob)
+	r.POST("/v1/queues/:queue/cancellations", d.cancelJobs)
+	for _, m := range methods {
+		r.Handle(m, "/v1/services/:service/*path", d.serveService)
+	}
+	r.GET("/v1/local", d.listLocal)
+	r.GET("/v1/jobs", d.listJobs)
+	r.GET("/v1/workers", d.listWorkers)
+	r.GET("/v1/teams", d.listTeams)
+	r.GET("/v1/upstreams", d.listUpstreams)
+	r.GET("/v1/status", d.showStatus)
+	r.POST("/v1/notes", d.applyNote)
+	r.POST("/v1/notes/:action", d.tryNote)
+	r.GET("/v1/notes", d.listNotes)
+	r.GET("/v1/notes/:version", d.showNote)
+	r.GET("/livez", d.live)
+	r.GET("/readyz", d.ready)
+	r.Handler(http.MethodGet, "/metrics", metrics)
+	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		refuse(w, http.StatusNotFound, "there is no such path")
+	})
+	r.MethodNotAllowed = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		refuse(w, http.StatusMethodNotAllowed, "the path does not take this method")
+	})
+	r.PanicHandler = func(w http.ResponseWriter, req *http.Request, v any) {
+		d.log.Error().Interface("panic", v).Str("path", req.URL.Path).Msg("daemon: request handler panicked")
+		writeProblem(w, api.Problem{Status: http.StatusInternalServerError, Run: api.RunUnknown}, 0)
+	}
+	d.server = &http.Server{
+		Handler:           r,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+// serveService handles /v1/services/{service}/*path.
+func (d *Daemon) serveService(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	if !d.joined.Load() {
+		writeProblem(w, api.Problem{Status: http.StatusServiceUnavailable, Detail: "the daemon has not joined the cell", Run: api.RunNo}, staleRetryAfter)
+		return
+	}
+	d.gateway.ServeService(w, r, cluster.ServiceName(p.ByName("service")), p.ByName("path"))
+}
+
+// live handles GET /livez.
+func (d *Daemon) live(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	writeJSON(w, http.StatusOK, readiness{Ready: true})
+}
+
+type readiness struct {
+	Ready  bool   `json:"ready"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// ready handles GET /readyz, which the balancer asks.
+func (d *Daemon) ready(w http.ResponseWriter, _ *http.Request, _ httprouter.Params) {
+	reason := d.notReady()
+	status := http.StatusOK
+	if reason != "" {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, readiness{Ready: reason == "", Reason: reason})
+}
+
+// notReady says why the daemon takes no work; empty if it does.
+func (d *Daemon) notReady() string {
+	switch {
+	case d.draining.Load():
+		return "draining"
+	case !d.joined.Load():
+		return "waiting for the platform"
+	case !d.rollout.Status().Loaded:
+		return "the configuration has not been read yet"
+	}
+	return ""
+}
+
+// showStatus handles GET /v1/status.
+func (d *Daemon) showStatus(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if !d.operator(w, r) {
+		return
+	}
+	config := d.rollout.Status()
+	status := api.Status{
+		Daemon: string(d.id), Zone: string(d.cfg.Place.Zone), Region: string(d.cfg.Place.Region), Version: d.cfg.Version,
+		Ready: d.notReady() == "", Draining: d.draining.Load(),
+		ConfigVersion: uint64(config.Version), ConfigFresh: config.Fresh, StoreVisible: d.store.visible(),
+		Violations: d.invariants.Violations(), PaidLinkBytes: d.paid.CrossedTotal(),
+	}
+	for _, m := range d.members.Live() {
+		status.Members = append(status.Members, string(m.ID))
+	}
+	d.fillRacks(r.Context(), &status)
+	writeJSON(w, http.StatusOK, status)
+}
+
+func (d *Daemon) fillRacks(ctx context.Context, status *api.Status) {
+	var view rack.View
+	if !d.loop.query(ctx, func(c *rack.Controller) { view = c.View() }) {
+		return
+	}
+	for _, r := range view.Racks {
+		if r.Owner == d.id {
+			status.Racks = append(status.Racks, string(r.ID))
+		}
+	}
+	for _, w := range view.Workers {
+		status.Running += w.Tasks
+	}
+	for _, t := range view.Teams {
+		status.Pending += t.Pending
+	}
+}
+
+// listUpstreams handles GET /v1/upstreams.
+func (d *Daemon) listUpstreams(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
+	if d.operator(w, r) {
+		writeJSON(w, http.StatusOK, upstreamsOf(d.gateway.Status()))
+	}
+}
--- a/cluster/daemon/settings.go
+++ b/cluster/daemon/settings.go
@@ -33,6 +33,7 @@
 	SettingDrainTimeout = "drain-timeout"
 	SettingMemoryLimit  = "memory-limit-mib"
 	SettingSeed         = "seed"
+	SettingOperator     = "operator-token"
 )
 
 // Bounds and defaults of the settings.
@@ -58,6 +59,8 @@
 	LogConsole   bool
 	DrainTimeout time.Duration
 	MemoryLimit  cluster.Bytes
+	// OperatorToken must be sent as a bearer token with operators' calls; empty admits everyone.
+	OperatorToken string
 	// Seed seeds the random source; zero takes a random seed.
 	Seed uint64
 }
@@ -75,6 +78,7 @@
 	flags.String(SettingLogFormat, "json", "format of log lines: json or console")
 	flags.Duration(SettingDrainTimeout, DefaultDrainTimeout, "longest time to finish running requests at shutdown")
 	flags.Int64(SettingMemoryLimit, int64(DefaultMemoryLimit/cluster.MiB), "soft memory limit of the process in MiB")
+	flags.String(SettingOperator, "", "bearer token that operators' calls need; the same on all daemons; none if empty")
 	flags.Uint64(SettingSeed, 0, "seed of the random source; 0 takes a random one")
 }
 
@@ -105,6 +109,8 @@
 		DrainTimeout: c.duration(SettingDrainTimeout, 0, MaxDrainTimeout),
 		MemoryLimit:  c.mebibytes(SettingMemoryLimit, minMemoryLimit, maxMemoryLimit),
 		Seed:         v.GetUint64(SettingSeed),
+
+		OperatorToken: v.GetString(SettingOperator),
 	}
 	if s.Name == "" {
 		s.Name = s.PeerAddr.String()
