feat: in-memory stand-in for the platform

Cause: tests of the daemon's parts need the table service, the object store, the VM list and the workers with their faults, on an injected clock. Change: package standin implements the four interfaces for a caller at a place, with outages, lost and late commits, row rate limits, list and usage lag, unreachable, paused, dead and failing workers, the epoch fence, leases, checkpoints and a record of every attempt. Deleted rows are kept for readers with a SinceVersion for an hour or up to 50,000 of them; a read from before that gives the new error kind Expired.

--- a/cluster/platform/error.go
+++ b/cluster/platform/error.go
@@ -22,9 +22,11 @@
 	KindNotFound
 	// KindThrottled is a request over the platform's rate limits; nothing was applied.
 	KindThrottled
+	// KindExpired is a SinceVersion so old that later deletes are no longer known; the caller reads everything again.
+	KindExpired
 )
 
-var kindNames = [...]string{"invalid", "conflict", "unavailable", "unknown", "not found", "throttled"}
+var kindNames = [...]string{"invalid", "conflict", "unavailable", "unknown", "not found", "throttled", "expired"}
 
 // String returns the kind's name.
 func (k Kind) String() string { return kindNames[k] }
--- a/cluster/platform/platform.go
+++ b/cluster/platform/platform.go
@@ -22,6 +22,7 @@
 	Keys     []string
 	Prefixes []string
 	// SinceVersion leaves out rows that were last written at or before it; deleted rows after it are returned with Deleted set.
+	// Zero asks for all rows and no deleted ones. A version older than the deleted rows kept gives an Error of kind Expired.
 	SinceVersion cluster.Version
 }
 
--- /dev/null
+++ b/cluster/platform/standin/behavior.go
@@ -0,0 +1,69 @@
+package standin
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// Behavior is what a task really does.
+type Behavior struct {
+	// RunTime is the time that the task needs at full speed; zero runs until it is stopped.
+	RunTime time.Duration
+	// Usage is what the task uses.
+	Usage cluster.Resources
+	// Fail makes the task end as failed.
+	Fail bool
+}
+
+// CommandBehavior reads a behavior from a task's command: a Go duration is the
+// run time, "fail" makes the task fail, and "cpus=<factor>" and
+// "memory=<factor>" scale its use; other words are ignored. A command without a
+// duration runs until it is stopped.
+func CommandBehavior(start *platform.StartTask) Behavior {
+	b := Behavior{Usage: start.Size}
+	for _, arg := range start.Command {
+		name, value, _ := strings.Cut(arg, "=")
+		factor, err := strconv.ParseFloat(value, 64)
+		switch {
+		case arg == "fail":
+			b.Fail = true
+		case name == "cpus" && err == nil:
+			b.Usage.CPU = cluster.CPU(float64(start.Size.CPU) * factor)
+		case name == "memory" && err == nil:
+			b.Usage.Memory = cluster.Bytes(float64(start.Size.Memory) * factor)
+		default:
+			if d, err := time.ParseDuration(arg); err == nil && d > 0 {
+				b.RunTime = d
+			}
+		}
+	}
+	return b
+}
+
+// scale applies the factors of a worker and of the platform.
+func (b Behavior) scale(f WorkerFaults, timeScale float64, capacity cluster.Resources) Behavior {
+	size, run := f.SizeFactor, f.RunTimeFactor
+	if size == 0 {
+		size = 1
+	}
+	if run == 0 {
+		run = 1
+	}
+	b.RunTime = time.Duration(float64(b.RunTime) * run * timeScale)
+	b.Usage = cluster.Resources{
+		CPU:          cluster.CPU(float64(b.Usage.CPU) * size),
+		Memory:       cluster.Bytes(float64(b.Usage.Memory) * size),
+		Accelerators: b.Usage.Accelerators,
+	}.Min(capacity)
+	if f.FailAll {
+		b.Fail = true
+		if b.RunTime == 0 || b.RunTime > failAfter {
+			b.RunTime = failAfter
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/cluster/platform/standin/cell.go
@@ -0,0 +1,153 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// Defaults of the sample cells.
+const (
+	workersPerRack    = 8
+	runnerSlots       = 8
+	runnerConnections = 64
+)
+
+// Cell is the layout of a cell.
+type Cell struct {
+	Name    string
+	Regions []RegionLayout
+	// StoreRegion is where the table service and the object store are.
+	StoreRegion cluster.Region
+	// Workers is spread over the zones in racks of WorkersPerRack.
+	Workers        int
+	WorkersPerRack int
+	WorkerSize     cluster.Resources
+	// RackAccelerators is the number of accelerators of the first worker of each rack.
+	RackAccelerators int64
+	Service          cluster.ServiceName
+	Runners          int
+	Slots            int
+	Connections      int
+	// ZoneLatency is the one-way latency between zones of a region.
+	ZoneLatency time.Duration
+	// RegionLatency is the one-way latency between regions.
+	RegionLatency time.Duration
+}
+
+// RegionLayout is a region of a cell.
+type RegionLayout struct {
+	Name  cluster.Region
+	Zones []cluster.Zone
+}
+
+// Erzaehlwerk returns the cell of Erzählwerk Software AG.
+func Erzaehlwerk() Cell {
+	return Cell{
+		Name: "erzaehlwerk",
+		Regions: []RegionLayout{
+			{"deutschschweiz", []cluster.Zone{"ds-1", "ds-2"}},
+			{"romandie", []cluster.Zone{"ro-1"}},
+		},
+		StoreRegion: "deutschschweiz", Workers: 50, WorkersPerRack: workersPerRack,
+		WorkerSize:       cluster.Resources{CPU: 16 * cluster.Core, Memory: 64 * cluster.GiB},
+		RackAccelerators: 2, Service: "booking", Runners: 50, Slots: runnerSlots, Connections: runnerConnections,
+		ZoneLatency: time.Millisecond, RegionLatency: 30 * time.Millisecond,
+	}
+}
+
+// CaroniVale returns the cell of Caroni Vale Holdings.
+func CaroniVale() Cell {
+	return Cell{
+		Name: "caroni-vale",
+		Regions: []RegionLayout{
+			{"tt-north", []cluster.Zone{"ttn-1", "ttn-2"}},
+			{"tt-south", []cluster.Zone{"tts-1"}},
+		},
+		StoreRegion: "tt-north", Workers: 50, WorkersPerRack: workersPerRack,
+		WorkerSize: cluster.Resources{CPU: 32 * cluster.Core, Memory: 64 * cluster.GiB},
+		Service:    "settlement", Runners: 50, Slots: runnerSlots, Connections: runnerConnections,
+		ZoneLatency: 1500 * time.Microsecond, RegionLatency: 30 * time.Millisecond,
+	}
+}
+
+// Small returns a cell of two racks and four runners without latencies, for tests.
+func Small() Cell {
+	return Cell{
+		Name: "small",
+		Regions: []RegionLayout{
+			{"north", []cluster.Zone{"n-1"}},
+			{"south", []cluster.Zone{"s-1"}},
+		},
+		StoreRegion: "north", Workers: 2 * workersPerRack, WorkersPerRack: workersPerRack,
+		WorkerSize: cluster.Resources{CPU: 4 * cluster.Core, Memory: 16 * cluster.GiB},
+		Service:    "echo", Runners: 4, Slots: runnerSlots, Connections: runnerConnections,
+	}
+}
+
+// Cells returns the cells that can be chosen by name.
+func Cells() []Cell { return []Cell{Erzaehlwerk(), CaroniVale(), Small()} }
+
+// Places returns every zone of the cell with its region.
+func (c *Cell) Places() []cluster.Place {
+	var places []cluster.Place
+	for _, r := range c.Regions {
+		for _, z := range r.Zones {
+			places = append(places, cluster.Place{Region: r.Name, Zone: z})
+		}
+	}
+	return places
+}
+
+// PlaceOf returns the place of a zone; the zero place if the cell has no such zone.
+func (c *Cell) PlaceOf(zone cluster.Zone) cluster.Place {
+	for _, p := range c.Places() {
+		if p.Zone == zone {
+			return p
+		}
+	}
+	return cluster.Place{}
+}
+
+// VMs returns the workers and runners of the cell; runners have no address yet.
+func (c *Cell) VMs() []platform.VM {
+	places := c.Places()
+	var vms []platform.VM
+	if len(places) == 0 {
+		return nil
+	}
+	for i := range c.Workers {
+		rackNumber, member := i/c.WorkersPerRack, i%c.WorkersPerRack
+		place := places[rackNumber%len(places)]
+		rack := cluster.RackID(fmt.Sprintf("%s-r%d", place.Zone, rackNumber/len(places)+1))
+		capacity := c.WorkerSize
+		if member == 0 {
+			capacity.Accelerators += c.RackAccelerators
+		}
+		vms = append(vms, platform.VM{
+			ID: fmt.Sprintf("%s-w%d", rack, member+1), Role: platform.RoleWorker, Place: place, Rack: rack, Capacity: capacity,
+		})
+	}
+	for i := range c.Runners {
+		vms = append(vms, platform.VM{
+			ID: fmt.Sprintf("%s-%02d", c.Service, i+1), Role: platform.RoleRunner, Place: places[i%len(places)],
+			Service: c.Service, Slots: c.Slots, Connections: c.Connections,
+		})
+	}
+	return vms
+}
+
+// latency returns the one-way latency between two places; an unknown place is next to every other.
+func (c *Cell) latency(a, b cluster.Place) time.Duration {
+	switch {
+	case a.Region == "" || b.Region == "":
+		return 0
+	case a.Region != b.Region:
+		return c.RegionLatency
+	case a.Zone != b.Zone:
+		return c.ZoneLatency
+	}
+	return 0
+}
--- /dev/null
+++ b/cluster/platform/standin/history.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// AttemptRecord is one attempt that was started.
+type AttemptRecord struct {
+	Attempt cluster.AttemptID
+	Worker  cluster.WorkerID
+	Owner   cluster.DaemonID
+	Epoch   cluster.Epoch
+	Size    cluster.Resources
+	Start   time.Time
+	// End is zero while the attempt runs.
+	End time.Time
+	// Outcome is set once the worker has ended the attempt.
+	Outcome platform.Outcome
+}
+
+// Overlap is a pair of attempts of one task that ran at the same time.
+type Overlap struct {
+	First, Second cluster.AttemptID
+	// At is when the second attempt started.
+	At time.Time
+}
+
+// history records what the workers did; it is guarded by the platform's lock.
+type history struct {
+	max     int
+	starts  []*AttemptRecord
+	dropped int
+	// active holds the tasks that run, for the detection of overlaps.
+	active      map[cluster.TaskID][]*task
+	overlaps    []Overlap
+	teamUse     map[cluster.TeamName]cluster.Resources
+	teamPeak    map[cluster.TeamName]cluster.Resources
+	workerPeak  map[cluster.WorkerID]cluster.Resources
+	checkpoints map[cluster.TaskID]time.Duration
+}
+
+func newHistory(limit int) history {
+	return history{
+		max: limit, active: map[cluster.TaskID][]*task{}, teamUse: map[cluster.TeamName]cluster.Resources{},
+		teamPeak: map[cluster.TeamName]cluster.Resources{}, workerPeak: map[cluster.WorkerID]cluster.Resources{},
+		checkpoints: map[cluster.TaskID]time.Duration{},
+	}
+}
+
+func (p *Platform) recordStart(w *worker, t *task, req *platform.ExchangeRequest, now time.Time) {
+	h := &p.history
+	t.record = &AttemptRecord{Attempt: t.attempt, Worker: w.id, Owner: req.Owner, Epoch: req.Epoch, Size: t.size, Start: now}
+	if len(h.starts) >= h.max {
+		drop := max(1, h.max/4)
+		h.dropped += drop
+		h.starts = slices.Clone(h.starts[drop:])
+	}
+	h.starts = append(h.starts, t.record)
+	for _, other := range h.active[t.attempt.Task] {
+		h.overlaps = append(h.overlaps, Overlap{other.attempt, t.attempt, now})
+		p.cfg.Invariants.Require(false, invariant.SingleAttempt, "%s started on %s while %s runs on %s",
+			t.attempt, w.id, other.attempt, other.record.Worker)
+	}
+	h.active[t.attempt.Task] = append(h.active[t.attempt.Task], t)
+	team := t.attempt.Task.Job.Team
+	h.teamUse[team] = h.teamUse[team].Add(t.alloc)
+	h.teamPeak[team] = h.teamPeak[team].Max(h.teamUse[team])
+	h.observe(w)
+}
+
+// observe updates the worker's peak.
+func (h *history) observe(w *worker) {
+	h.workerPeak[w.id] = h.workerPeak[w.id].Max(w.used())
+}
+
+// release takes a task that no longer runs off the uses; a second call does nothing.
+func (h *history) release(t *task, at time.Time) {
+	if t.released {
+		return
+	}
+	t.released = true
+	t.record.End = at
+	rest := slices.DeleteFunc(h.active[t.attempt.Task], func(o *task) bool { return o == t })
+	if len(rest) == 0 {
+		delete(h.active, t.attempt.Task)
+	} else {
+		h.active[t.attempt.Task] = rest
+	}
+	team := t.attempt.Task.Job.Team
+	h.teamUse[team] = h.teamUse[team].Sub(t.alloc)
+}
+
+// resize changes what a task counts for.
+func (h *history) resize(t *task, alloc cluster.Resources) {
+	if t.released {
+		return
+	}
+	team := t.attempt.Task.Job.Team
+	h.teamUse[team] = h.teamUse[team].Sub(t.alloc).Add(alloc)
+	h.teamPeak[team] = h.teamPeak[team].Max(h.teamUse[team])
+}
+
+// Starts returns every attempt in the order of the starts; the oldest may have been dropped.
+func (p *Platform) Starts() []AttemptRecord {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(p.cfg.Clock())
+	starts := make([]AttemptRecord, len(p.history.starts))
+	for i, r := range p.history.starts {
+		starts[i] = *r
+	}
+	return starts
+}
+
+// Overlaps returns the pairs of attempts of one task that ran at the same time.
+func (p *Platform) Overlaps() []Overlap {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.history.overlaps)
+}
+
+// PeakOfWorker returns the most that was allocated on a worker at once.
+func (p *Platform) PeakOfWorker(id cluster.WorkerID) cluster.Resources {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.history.workerPeak[id]
+}
+
+// PeakOfTeam returns the most that ran for a team at once over the whole fleet.
+func (p *Platform) PeakOfTeam(team cluster.TeamName) cluster.Resources {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.history.teamPeak[team]
+}
+
+// UseOfTeam returns what runs for a team now.
+func (p *Platform) UseOfTeam(team cluster.TeamName) cluster.Resources {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(p.cfg.Clock())
+	return p.history.teamUse[team]
+}
+
+// Running returns the number of attempts that run now.
+func (p *Platform) Running() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.advance(p.cfg.Clock())
+	n := 0
+	for _, w := range p.order {
+		n += len(w.running)
+	}
+	return n
+}
--- /dev/null
+++ b/cluster/platform/standin/store.go
@@ -0,0 +1,258 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// Limits of the object store.
+const maxObjectBytes = 4 << 20
+
+var (
+	errDown   = errors.New("the service is down")
+	errCut    = errors.New("the region is cut off")
+	errLost   = errors.New("the answer was lost")
+	errBudget = errors.New("rows per second exceeded")
+)
+
+// delayedTxn is a transaction that was accepted and takes effect later.
+type delayedTxn struct {
+	txn platform.Txn
+	due time.Time
+}
+
+// Read returns the selected rows as of one commit.
+func (c *Caller) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	const op = "read"
+	if err := c.enterStore(ctx, op); err != nil {
+		return platform.ReadReply{}, err
+	}
+	if err := c.p.wait(ctx, c.p.Faults().StoreDelay); err != nil {
+		return platform.ReadReply{}, unavailable(op, err)
+	}
+	reply, err := c.p.read(req)
+	if err == nil {
+		err = c.leaveStore(ctx, op, platform.KindUnavailable)
+	}
+	if err != nil {
+		return platform.ReadReply{}, err
+	}
+	return reply, nil
+}
+
+func (p *Platform) read(req platform.ReadRequest) (platform.ReadReply, error) {
+	const op = "read"
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Clock()
+	p.applyDelayed(now)
+	p.stats.Reads++
+	// The number of rows is known only afterwards, so a large read runs into
+	// debt that later reads wait for.
+	if p.reads.TokensAt(now) < 1 {
+		p.stats.Throttled++
+		return platform.ReadReply{}, &platform.Error{Op: op, Kind: platform.KindThrottled, Err: errBudget}
+	}
+	if p.table.expired(req.SinceVersion) {
+		charge(p.reads, now, 1)
+		return platform.ReadReply{}, &platform.Error{Op: op, Kind: platform.KindExpired, Err: fmt.Errorf("deletes up to version %d are no longer known", p.table.horizon)}
+	}
+	reply, err := p.table.read(req)
+	if err != nil {
+		return platform.ReadReply{}, &platform.Error{Op: op, Kind: platform.KindInvalid, Err: err}
+	}
+	charge(p.reads, now, max(1, len(reply.Rows)))
+	p.stats.RowsRead += int64(len(reply.Rows))
+	return reply, nil
+}
+
+// charge takes n tokens, in steps since a limiter refuses more than its burst at once.
+func charge(l *rate.Limiter, now time.Time, n int) {
+	for n > 0 {
+		step := min(n, l.Burst())
+		l.ReserveN(now, step)
+		n -= step
+	}
+}
+
+// Commit applies a transaction or nothing.
+func (c *Caller) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	const op = "commit"
+	if err := c.enterStore(ctx, op); err != nil {
+		return 0, err
+	}
+	if d := c.p.Faults().StoreDelay; d > 0 {
+		due := c.p.cfg.Clock().Add(d)
+		if err := c.p.wait(ctx, d); err != nil {
+			// The service has the transaction and goes on without its caller.
+			c.p.delay(txn, due)
+			return 0, unknown(op, err)
+		}
+	}
+	version, err := c.p.commit(txn)
+	if platform.IsKind(err, platform.KindUnknown) || err == nil {
+		if e := c.leaveStore(ctx, op, platform.KindUnknown); e != nil {
+			return 0, e
+		}
+	}
+	return version, err
+}
+
+// enterStore brings a call to the store; its error has the kind Unavailable, or Unknown for a commit that hangs.
+func (c *Caller) enterStore(ctx context.Context, op string) error {
+	if err := ctx.Err(); err != nil {
+		return unavailable(op, err)
+	}
+	f := c.p.Faults()
+	if f.cut(c.place.Region, c.p.cfg.Cell.StoreRegion) {
+		return unavailable(op, errCut)
+	}
+	if err := c.travel(ctx, c.p.storePlace()); err != nil {
+		return unavailable(op, err)
+	}
+	if f.StoreDown {
+		return unavailable(op, errDown)
+	}
+	if f.StoreSilent {
+		<-ctx.Done()
+		if op == "commit" {
+			return unknown(op, ctx.Err())
+		}
+		return unavailable(op, ctx.Err())
+	}
+	return nil
+}
+
+// leaveStore brings the answer back; kind classifies a call whose caller stopped waiting.
+func (c *Caller) leaveStore(ctx context.Context, op string, kind platform.Kind) error {
+	if err := c.travel(ctx, c.p.storePlace()); err != nil {
+		return &platform.Error{Op: op, Kind: kind, Err: err}
+	}
+	return nil
+}
+
+func (p *Platform) commit(txn platform.Txn) (cluster.Version, error) {
+	const op = "commit"
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.cfg.Clock()
+	p.applyDelayed(now)
+	p.stats.Commits++
+	if err := checkTxn(txn); err != nil {
+		return 0, &platform.Error{Op: op, Kind: platform.KindInvalid, Err: err}
+	}
+	rows := max(1, len(txn.Puts)+len(txn.Deletes))
+	if p.writes.TokensAt(now) < float64(min(rows, p.writes.Burst())) {
+		p.stats.Throttled++
+		return 0, &platform.Error{Op: op, Kind: platform.KindThrottled, Err: errBudget}
+	}
+	charge(p.writes, now, rows)
+	if p.chance(p.faults.LostAnswers) {
+		p.stats.LostAnswers++
+		if !p.chance(p.faults.LostUnapplied) {
+			p.delayed = append(p.delayed, delayedTxn{clone(txn), now.Add(p.faults.LostDelay)})
+			p.applyDelayed(now)
+		}
+		return 0, unknown(op, errLost)
+	}
+	if key, failed := p.table.conflict(txn); failed {
+		return 0, &platform.Error{Op: op, Kind: platform.KindConflict, Key: key}
+	}
+	p.stats.RowsWritten += int64(len(txn.Puts) + len(txn.Deletes))
+	return p.table.apply(txn, now), nil
+}
+
+// delay accepts a transaction whose caller has gone.
+func (p *Platform) delay(txn platform.Txn, due time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if checkTxn(txn) == nil {
+		p.delayed = append(p.delayed, delayedTxn{clone(txn), due})
+	}
+}
+
+// applyDelayed applies the delayed transactions that are due and whose checks hold.
+func (p *Platform) applyDelayed(now time.Time) {
+	rest := p.delayed[:0]
+	for _, d := range p.delayed {
+		if d.due.After(now) {
+			rest = append(rest, d)
+			continue
+		}
+		if _, failed := p.table.conflict(d.txn); !failed {
+			p.stats.RowsWritten += int64(len(d.txn.Puts) + len(d.txn.Deletes))
+			p.table.apply(d.txn, now)
+		}
+	}
+	clear(p.delayed[len(rest):])
+	p.delayed = rest
+}
+
+// clone copies the slices of a transaction, which its caller may reuse.
+func clone(txn platform.Txn) platform.Txn {
+	puts := make([]platform.Put, len(txn.Puts))
+	for i, put := range txn.Puts {
+		puts[i] = platform.Put{Key: put.Key, Value: slices.Clone(put.Value)}
+	}
+	return platform.Txn{Checks: slices.Clone(txn.Checks), Puts: puts, Deletes: slices.Clone(txn.Deletes)}
+}
+
+// chance draws from the seeded source; it draws nothing for a probability of zero.
+func (p *Platform) chance(probability float64) bool {
+	return probability > 0 && p.rng.Float64() < probability
+}
+
+// PutObject stores an object.
+func (c *Caller) PutObject(ctx context.Context, name string, data []byte) error {
+	const op = "put object"
+	if err := c.enterObjects(ctx, op); err != nil {
+		return err
+	}
+	if name == "" || len(data) > maxObjectBytes {
+		return &platform.Error{Op: op, Kind: platform.KindInvalid, Err: fmt.Errorf("name %q, %d bytes", name, len(data))}
+	}
+	c.p.mu.Lock()
+	c.p.objects[name] = slices.Clone(data)
+	c.p.mu.Unlock()
+	return c.leaveStore(ctx, op, platform.KindUnknown)
+}
+
+// GetObject returns an object.
+func (c *Caller) GetObject(ctx context.Context, name string) ([]byte, error) {
+	const op = "get object"
+	if err := c.enterObjects(ctx, op); err != nil {
+		return nil, err
+	}
+	c.p.mu.Lock()
+	data, ok := c.p.objects[name]
+	c.p.mu.Unlock()
+	if err := c.leaveStore(ctx, op, platform.KindUnavailable); err != nil {
+		return nil, err
+	}
+	if !ok {
+		return nil, &platform.Error{Op: op, Kind: platform.KindNotFound, Key: name}
+	}
+	return slices.Clone(data), nil
+}
+
+func (c *Caller) enterObjects(ctx context.Context, op string) error {
+	f := c.p.Faults()
+	if f.cut(c.place.Region, c.p.cfg.Cell.StoreRegion) {
+		return unavailable(op, errCut)
+	}
+	if err := c.travel(ctx, c.p.storePlace()); err != nil {
+		return unavailable(op, err)
+	}
+	if f.ObjectsDown {
+		return unavailable(op, errDown)
+	}
+	return nil
+}
--- /dev/null
+++ b/cluster/platform/standin/table.go
@@ -0,0 +1,214 @@
+package standin
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// Limits of the table service.
+const (
+	maxTxnRows    = 1000
+	maxKeyBytes   = 512
+	maxValueBytes = 512 << 10
+	// tombstoneAge and maxTombstones bound the deleted rows kept for readers with a SinceVersion.
+	tombstoneAge  = time.Hour
+	maxTombstones = 50_000
+)
+
+type row struct {
+	value   []byte
+	version cluster.Version
+	deleted bool
+	at      time.Time
+}
+
+type logEntry struct {
+	version cluster.Version
+	key     string
+}
+
+// table is a transactional map with a log of versions; it isn't safe for concurrent use.
+type table struct {
+	rows    map[string]row
+	version cluster.Version
+	// log names the row of each write in order of version; entries of rows written again later are stale.
+	log        []logEntry
+	tombstones int
+	// horizon is the highest version of a collected tombstone.
+	horizon   cluster.Version
+	collected time.Time
+}
+
+func newTable() *table { return &table{rows: map[string]row{}} }
+
+func (t *table) read(req platform.ReadRequest) (platform.ReadReply, error) {
+	reply := platform.ReadReply{AsOf: t.version}
+	if req.SinceVersion > t.version {
+		return reply, fmt.Errorf("version %d is after the last commit %d", req.SinceVersion, t.version)
+	}
+	if req.SinceVersion == 0 {
+		reply.Rows = t.scan(req)
+	} else {
+		reply.Rows = t.since(req)
+	}
+	slices.SortFunc(reply.Rows, func(a, b platform.Row) int { return strings.Compare(a.Key, b.Key) })
+	return reply, nil
+}
+
+// expired reports whether rows deleted after the version may be missing from the table.
+func (t *table) expired(since cluster.Version) bool { return since > 0 && since < t.horizon }
+
+func (t *table) scan(req platform.ReadRequest) []platform.Row {
+	var rows []platform.Row
+	if len(req.Prefixes) > 0 {
+		for key, r := range t.rows {
+			if !r.deleted && selects(req, key) {
+				rows = append(rows, export(key, r))
+			}
+		}
+		return rows
+	}
+	keys := slices.Clone(req.Keys)
+	slices.Sort(keys)
+	for _, key := range slices.Compact(keys) {
+		if r, ok := t.rows[key]; ok && !r.deleted {
+			rows = append(rows, export(key, r))
+		}
+	}
+	return rows
+}
+
+func (t *table) since(req platform.ReadRequest) []platform.Row {
+	var rows []platform.Row
+	first := sort.Search(len(t.log), func(i int) bool { return t.log[i].version > req.SinceVersion })
+	for _, e := range t.log[first:] {
+		if r := t.rows[e.key]; r.version == e.version && selects(req, e.key) {
+			rows = append(rows, export(e.key, r))
+		}
+	}
+	return rows
+}
+
+func selects(req platform.ReadRequest, key string) bool {
+	for _, prefix := range req.Prefixes {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return slices.Contains(req.Keys, key)
+}
+
+func export(key string, r row) platform.Row {
+	return platform.Row{Key: key, Value: slices.Clone(r.value), Version: r.version, Deleted: r.deleted}
+}
+
+// conflict returns the first key whose check fails.
+func (t *table) conflict(txn platform.Txn) (key string, failed bool) {
+	for _, c := range txn.Checks {
+		r := t.rows[c.Key]
+		have := r.version
+		if r.deleted {
+			have = 0
+		}
+		if have != c.Version {
+			return c.Key, true
+		}
+	}
+	return "", false
+}
+
+func (t *table) apply(txn platform.Txn, now time.Time) cluster.Version {
+	t.version++
+	for _, p := range txn.Puts {
+		if t.rows[p.Key].deleted {
+			t.tombstones--
+		}
+		t.rows[p.Key] = row{value: slices.Clone(p.Value), version: t.version, at: now}
+		t.log = append(t.log, logEntry{t.version, p.Key})
+	}
+	for _, key := range txn.Deletes {
+		if r, ok := t.rows[key]; !ok || r.deleted {
+			continue
+		}
+		t.rows[key] = row{version: t.version, deleted: true, at: now}
+		t.log = append(t.log, logEntry{t.version, key})
+		t.tombstones++
+	}
+	t.collect(now)
+	return t.version
+}
+
+// collect rebuilds the log when most of its entries are stale, when there are
+// too many tombstones, and a few times in the life of a tombstone.
+func (t *table) collect(now time.Time) {
+	stale := len(t.log) > 2*len(t.rows)+1024
+	due := t.tombstones > 0 && now.Sub(t.collected) >= tombstoneAge/4
+	if !stale && !due && t.tombstones <= maxTombstones {
+		return
+	}
+	t.collected = now
+	excess := 0
+	if t.tombstones > maxTombstones {
+		// A quarter more than the excess, so that not every commit has to collect.
+		excess = t.tombstones - maxTombstones*3/4
+	}
+	live := make([]logEntry, 0, len(t.rows))
+	for _, e := range t.log {
+		r := t.rows[e.key]
+		if r.version != e.version {
+			continue
+		}
+		if r.deleted && (excess > 0 || now.Sub(r.at) >= tombstoneAge) {
+			delete(t.rows, e.key)
+			t.tombstones--
+			excess--
+			t.horizon = e.version
+			continue
+		}
+		live = append(live, e)
+	}
+	t.log = live
+}
+
+// checkTxn returns an error for a transaction that the service never accepts.
+func checkTxn(txn platform.Txn) error {
+	rows := len(txn.Puts) + len(txn.Deletes)
+	if rows+len(txn.Checks) == 0 {
+		return errors.New("the transaction is empty")
+	}
+	if rows > maxTxnRows {
+		return fmt.Errorf("%d rows written; at most %d are allowed", rows, maxTxnRows)
+	}
+	written := make(map[string]struct{}, rows)
+	write := func(key string) error {
+		if key == "" || len(key) > maxKeyBytes {
+			return fmt.Errorf("key of %d bytes", len(key))
+		}
+		if _, twice := written[key]; twice {
+			return fmt.Errorf("row %s is written twice", key)
+		}
+		written[key] = struct{}{}
+		return nil
+	}
+	for _, p := range txn.Puts {
+		if len(p.Value) > maxValueBytes {
+			return fmt.Errorf("value of %d bytes at %s", len(p.Value), p.Key)
+		}
+		if err := write(p.Key); err != nil {
+			return err
+		}
+	}
+	for _, key := range txn.Deletes {
+		if err := write(key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
