--- /dev/null
+++ b/cluster/peer/codec.go
@@ -0,0 +1,210 @@
+package peer
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+// MaxFrame is the largest frame body in bytes.
+const MaxFrame = 1 << 20
+
+// tag is the first value of a frame body. Numbers are never used again for another message.
+type tag uint64
+
+const (
+	tagHello tag = iota + 1
+	tagPing
+	tagConfigPush
+	tagConfigAck
+	tagConfigPoll
+	tagAssignNotice
+	tagGrantRequest
+	tagGrantRelease
+	tagHoldRequest
+	tagHoldReply
+	tagHoldRelease
+	tagSlotRequest
+	tagSlotReply
+	tagUpstreamNotice
+	tagLeaving
+)
+
+// Encode returns the frame body of a message.
+func Encode(m Message) ([]byte, error) {
+	e := newEncoder()
+	encodeMessage(e, m)
+	if e.buf.Len() == 0 {
+		return nil, &Error{Op: "encode frame", Kind: KindUnknownMessage, Err: fmt.Errorf("%T", m)}
+	}
+	if e.buf.Len() > MaxFrame {
+		return nil, &Error{Op: "encode frame", Kind: KindOversized, Err: fmt.Errorf("%T of %d bytes", m, e.buf.Len())}
+	}
+	return e.buf.Bytes(), nil
+}
+
+func encodeMessage(e *encoder, m Message) {
+	switch v := m.(type) {
+	case *Hello:
+		e.uint(uint64(tagHello))
+		e.string(string(v.From))
+		e.string(string(v.Place.Region))
+		e.string(string(v.Place.Zone))
+		e.addr(v.PeerAddr)
+		e.addr(v.HTTPAddr)
+	case *Ping:
+		e.uint(uint64(tagPing))
+		e.uint(v.Sequence)
+		e.uint(v.Echo)
+		encodeDigest(e, &v.Digest, v.parts)
+	case *Leaving:
+		e.uint(uint64(tagLeaving))
+		e.string(string(v.From))
+		encodeDigest(e, &v.Digest, allParts)
+	case *ConfigPush:
+		e.uint(uint64(tagConfigPush))
+		e.uint(v.Answer)
+		e.uint(uint64(v.Since))
+		e.uint(uint64(v.AsOf))
+		e.int(int64(v.Age))
+		e.rows(v.Rows)
+	case *ConfigAck:
+		e.uint(uint64(tagConfigAck))
+		e.uint(uint64(v.AsOf))
+		e.uint(uint64(v.Head))
+	case *ConfigPoll:
+		e.uint(uint64(tagConfigPoll))
+		e.uint(v.Sequence)
+		e.uint(uint64(v.Since))
+	default:
+		encodeWork(e, m)
+	}
+}
+
+// encodeWork encodes the messages about racks, grants, holds and services.
+func encodeWork(e *encoder, m Message) {
+	switch v := m.(type) {
+	case *AssignNotice:
+		e.uint(uint64(tagAssignNotice))
+		e.string(string(v.Rack))
+		e.rows(v.Rows)
+	case *GrantRequest:
+		e.uint(uint64(tagGrantRequest))
+		e.string(string(v.Team))
+		e.string(string(v.Rack))
+		e.resources(v.Amount)
+	case *GrantRelease:
+		e.uint(uint64(tagGrantRelease))
+		e.string(string(v.Team))
+		e.row(v.Row)
+	case *HoldRequest:
+		e.uint(uint64(tagHoldRequest))
+		e.job(v.Job)
+		e.string(string(v.Rack))
+		e.int(int64(v.Tasks))
+		e.resources(v.Size)
+		e.int(int64(v.For))
+	case *HoldReply:
+		e.uint(uint64(tagHoldReply))
+		e.job(v.Job)
+		e.string(string(v.Rack))
+		e.int(int64(v.Tasks))
+	case *HoldRelease:
+		e.uint(uint64(tagHoldRelease))
+		e.job(v.Job)
+		e.string(string(v.Rack))
+	case *SlotRequest:
+		e.uint(uint64(tagSlotRequest))
+		e.string(string(v.Service))
+		e.int(int64(v.Slots))
+	case *SlotReply:
+		e.uint(uint64(tagSlotReply))
+		e.string(string(v.Service))
+		e.row(v.Row)
+	case *UpstreamNotice:
+		e.uint(uint64(tagUpstreamNotice))
+		e.string(string(v.Service))
+		e.string(string(v.Upstream))
+		e.bool(v.Leaving)
+	}
+}
+
+// Decode returns the message of a frame body. The body must hold exactly one message.
+func Decode(body []byte) (Message, error) {
+	if len(body) > MaxFrame {
+		return nil, &Error{Op: "decode frame", Kind: KindOversized, Err: fmt.Errorf("%d bytes", len(body))}
+	}
+	d := newDecoder(body)
+	m := decodeMessage(d)
+	if d.err == nil && d.src.Len() > 0 {
+		d.fail(KindMalformed, fmt.Errorf("%d bytes after the message", d.src.Len()))
+	}
+	if d.err != nil {
+		return nil, d.err
+	}
+	// The library accepts several encodings of a number; only the shortest one,
+	// which Encode writes, is valid here.
+	e := newEncoder()
+	if encodeMessage(e, m); !bytes.Equal(e.buf.Bytes(), body) {
+		return nil, &Error{Op: "decode frame", Kind: KindMalformed, Err: fmt.Errorf("not in the canonical encoding")}
+	}
+	return m, nil
+}
+
+func decodeMessage(d *decoder) Message {
+	t := tag(d.uint())
+	if d.err != nil {
+		return nil
+	}
+	switch t {
+	case tagHello:
+		return &Hello{
+			From: d.daemon(), Place: cluster.Place{Region: cluster.Region(d.string()), Zone: cluster.Zone(d.string())},
+			PeerAddr: d.addr(), HTTPAddr: d.addr(),
+		}
+	case tagPing:
+		p := &Ping{Sequence: d.uint(), Echo: d.uint()}
+		p.Digest, p.parts = decodeDigest(d)
+		return p
+	case tagLeaving:
+		l := &Leaving{From: d.daemon()}
+		var parts digestParts
+		if l.Digest, parts = decodeDigest(d); parts != allParts {
+			d.fail(KindMalformed, fmt.Errorf("incomplete digest"))
+		}
+		return l
+	case tagConfigPush:
+		return &ConfigPush{Answer: d.uint(), Since: d.version(), AsOf: d.version(), Age: d.duration(), Rows: d.rows()}
+	case tagConfigAck:
+		return &ConfigAck{AsOf: d.version(), Head: d.version()}
+	case tagConfigPoll:
+		return &ConfigPoll{Sequence: d.uint(), Since: d.version()}
+	}
+	return decodeWork(d, t)
+}
+
+func decodeWork(d *decoder, t tag) Message {
+	switch t {
+	case tagAssignNotice:
+		return &AssignNotice{Rack: d.rack(), Rows: d.rows()}
+	case tagGrantRequest:
+		return &GrantRequest{Team: cluster.TeamName(d.string()), Rack: d.rack(), Amount: d.resources()}
+	case tagGrantRelease:
+		return &GrantRelease{Team: cluster.TeamName(d.string()), Row: d.row()}
+	case tagHoldRequest:
+		return &HoldRequest{Job: d.job(), Rack: d.rack(), Tasks: d.count(), Size: d.resources(), For: d.duration()}
+	case tagHoldReply:
+		return &HoldReply{Job: d.job(), Rack: d.rack(), Tasks: d.count()}
+	case tagHoldRelease:
+		return &HoldRelease{Job: d.job(), Rack: d.rack()}
+	case tagSlotRequest:
+		return &SlotRequest{Service: cluster.ServiceName(d.string()), Slots: d.count()}
+	case tagSlotReply:
+		return &SlotReply{Service: cluster.ServiceName(d.string()), Row: d.row()}
+	case tagUpstreamNotice:
+		return &UpstreamNotice{Service: cluster.ServiceName(d.string()), Upstream: cluster.UpstreamID(d.string()), Leaving: d.bool()}
+	}
+	d.fail(KindUnknownMessage, fmt.Errorf("tag %d", t))
+	return nil
+}
--- a/cluster/peer/message.go
+++ b/cluster/peer/message.go
@@ -28,6 +28,9 @@
 	// AsOf is set by the receiver: the digest is not older than this moment,
 	// when the echoed ping was sent. It is zero if nothing was echoed.
 	AsOf time.Time
+
+	// parts says which parts of the digest the frame carries.
+	parts digestParts
 }
 
 // Digest is what each daemon tells its peers about itself with every ping.
