feat: HTTP client of the platform and contract tests

Cause: daemons reach the platform over HTTP; an error must say whether a commit can have been applied. Without a connection a call is Unavailable; after that a lost or unusable answer is Unknown for writes and Unavailable for reads. Bytes are counted per request. The VM list is transferred as changes.

--- /dev/null
+++ b/cluster/platform/client_test.go
@@ -0,0 +1,156 @@
+package platform_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/paidlink"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform/standin"
+)
+
+// newClient returns a client of a server that answers with h.
+func newClient(t *testing.T, h http.Handler, cfg platform.ClientConfig) *platform.Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	cfg.BaseURL, cfg.Timeout = server.URL, time.Minute
+	client, err := platform.NewClient(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(client.Close)
+	return client
+}
+
+// Guards against an answer that can't be used and is taken for "not applied",
+// and against a read that is taken for a write.
+func TestUnusableAnswers(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer http.HandlerFunc
+	}{
+		{"closed before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }},
+		{"truncated answer", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "100")
+			_, _ = w.Write([]byte(`{"version":`))
+			panic(http.ErrAbortHandler)
+		}},
+		{"malformed answer", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"version"`)) }},
+		{"empty answer", func(http.ResponseWriter, *http.Request) {}},
+		{"too long an answer", func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(strings.Repeat(" ", 2000) + `{"version":1}`))
+		}},
+		{"foreign refusal", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no", http.StatusBadGateway) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			client := newClient(t, c.answer, platform.ClientConfig{MaxReply: 1000})
+			_, err := client.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: "a"}}})
+			is.True(platform.IsKind(err, platform.KindUnknown))
+			_, err = client.Read(t.Context(), platform.ReadRequest{Keys: []string{"a"}})
+			is.True(platform.IsKind(err, platform.KindUnavailable))
+			_, err = client.Exchange(t.Context(), platform.ExchangeRequest{Rack: "r", Epoch: 1, Lease: time.Second})
+			is.True(platform.IsKind(err, platform.KindUnknown))
+		})
+	}
+}
+
+// Guards against a refused connection that leaves a commit in doubt although nothing was sent.
+func TestConnectionRefused(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	client, err := platform.NewClient(platform.ClientConfig{BaseURL: "http://" + l.Addr().String()})
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	_, err = client.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: "a"}}})
+	is.True(platform.IsKind(err, platform.KindUnavailable))
+}
+
+// Guards against base URLs that fail only at the first call.
+func TestBaseURL(t *testing.T) {
+	is := is.New(t)
+	for _, base := range []string{"", "10.0.0.1:7070", "https://10.0.0.1", "http://", "http://10.0.0.1/path", "http://\x00"} {
+		_, err := platform.NewClient(platform.ClientConfig{BaseURL: base})
+		is.True(platform.IsKind(err, platform.KindInvalid))
+	}
+}
+
+// Guards against exchanges that cost more than the control budget allows (600
+// bytes both ways when idle) and against bytes counted for the wrong link.
+func TestBytes(t *testing.T) {
+	is := is.New(t)
+	p := standin.New(standin.Config{Cell: standin.Small()})
+	bytes := paidlink.New(paidlink.Config{Self: "north"})
+	client := newClient(t, standin.NewHandler(p), platform.ClientConfig{
+		Self: cluster.Place{Region: "north", Zone: "n-1"}, StoreRegion: "south", Bytes: bytes,
+	})
+	exchange := func(rack cluster.RackID, since uint64) (uint64, int64) {
+		before := bytes.Total(paidlink.CauseRack)
+		reply, err := client.Exchange(t.Context(), platform.ExchangeRequest{
+			Rack: rack, Owner: "entry-1-1700000000000", Epoch: 12, Since: since, Lease: 20 * time.Second,
+		})
+		is.NoErr(err)
+		return reply.Cursor, bytes.Total(paidlink.CauseRack) - before
+	}
+	cursor, full := exchange("n-1-r1", 0)
+	_, idle := exchange("n-1-r1", cursor)
+	t.Logf("exchange: %d bytes with all workers, %d bytes idle", full, idle)
+	is.True(idle > 0 && idle < 600)
+	is.Equal(bytes.Crossed(paidlink.CauseRack), int64(0))
+	exchange("s-1-r1", 0)
+	is.True(bytes.Crossed(paidlink.CauseRack) > 0)
+	_, err := client.Read(t.Context(), platform.ReadRequest{Keys: []string{"a"}})
+	is.NoErr(err)
+	is.Equal(bytes.Crossed(paidlink.CauseStore), bytes.Total(paidlink.CauseStore))
+	_, err = client.ListVMs(t.Context())
+	is.NoErr(err)
+	list := bytes.Total(paidlink.CauseStore)
+	_, err = client.ListVMs(t.Context())
+	is.NoErr(err)
+	list = bytes.Total(paidlink.CauseStore) - list
+	t.Logf("unchanged list of VMs: %d bytes", list)
+	is.True(list < 600)
+}
+
+// Guards against a delta that is applied to the list of another run of the platform.
+func TestListAfterRestart(t *testing.T) {
+	is := is.New(t)
+	clock := standin.NewManualClock(time.Unix(1_700_000_000, 0))
+	handler := standin.NewHandler(standin.New(standin.Config{Cell: standin.Erzaehlwerk(), Clock: clock.Now}))
+	client := newClient(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { handler.ServeHTTP(w, r) }), platform.ClientConfig{})
+	first, err := client.ListVMs(t.Context())
+	is.NoErr(err)
+	is.Equal(len(first), 100)
+	clock.Advance(time.Second)
+	handler = standin.NewHandler(standin.New(standin.Config{Cell: standin.Small(), Clock: clock.Now}))
+	second, err := client.ListVMs(t.Context())
+	is.NoErr(err)
+	is.Equal(len(second), 20)
+}
+
+// Guards against attempts that change on their way through their text form.
+func TestParseAttempt(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []cluster.JobName{"j", "a/b", "a#1", "a@2", "a#1@2"} {
+		id := cluster.AttemptID{Task: cluster.TaskID{Job: cluster.JobID{Team: "t", Name: name}, Index: 3}, Attempt: 4}
+		got, err := platform.ParseAttempt(id.String())
+		is.NoErr(err)
+		is.Equal(got, id)
+	}
+	for _, s := range []string{"", "t/j", "t/j#1", "t/j@1", "t/#1@1", "/j#1@1", "t/j#-1@1", "t/j#1@x", "t/j#1@99999999999", "t#1@2"} {
+		if got, err := platform.ParseAttempt(s); err == nil {
+			t.Error(fmt.Errorf("%q gave %v", s, got))
+		}
+	}
+}
--- a/cluster/platform/standin/rack.go
+++ b/cluster/platform/standin/rack.go
@@ -18,8 +18,9 @@
 type rack struct {
 	id    cluster.RackID
 	place cluster.Place
-	// sequence counts the changes of the rack's workers.
+	// sequence counts the changes of the rack's workers, from base.
 	sequence uint64
+	base     uint64
 	workers  []*worker
 }
 
@@ -95,7 +96,7 @@
 	}
 	reply.Cursor = r.sequence
 	since := req.Since
-	if since > r.sequence {
+	if since > r.sequence || since < r.base {
 		// The cursor is of another run of the platform.
 		since = 0
 	}
--- /dev/null
+++ b/cluster/platform/standin/rackcontract_test.go
@@ -0,0 +1,198 @@
+package standin_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform/standin"
+)
+
+func asError(err error, target **platform.Error) bool { return errors.As(err, target) }
+
+func attempt(index int, number cluster.Attempt) cluster.AttemptID {
+	job := cluster.JobID{Team: "archive", Name: "t@1#x"}
+	return cluster.AttemptID{Task: cluster.TaskID{Job: job, Index: index}, Attempt: number}
+}
+
+func start(worker cluster.WorkerID, id cluster.AttemptID, cpu cluster.CPU, command ...string) *platform.StartTask {
+	return &platform.StartTask{Worker: worker, Attempt: id, Size: cluster.Resources{CPU: cpu, Memory: cluster.GiB}, Command: command}
+}
+
+// exchange sends commands under an epoch and returns the reply.
+func (b *bench) exchange(epoch cluster.Epoch, since uint64, commands ...platform.Command) platform.ExchangeReply {
+	b.Helper()
+	reply, err := b.Exchange(b.ctx, platform.ExchangeRequest{
+		Rack: rackID, Owner: "d1", Epoch: epoch, Since: since, Lease: lease, Commands: commands,
+	})
+	b.NoErr(err)
+	return reply
+}
+
+func (b *bench) results(epoch cluster.Epoch, commands ...platform.Command) []platform.CommandResult {
+	b.Helper()
+	return b.exchange(epoch, 0, commands...).Results
+}
+
+func report(reply platform.ExchangeReply, id cluster.WorkerID) (found platform.WorkerReport) {
+	for _, r := range reply.Workers {
+		if r.Worker == id {
+			found = r
+		}
+	}
+	return found
+}
+
+var rackCases = []contractCase{
+	// Guards against an owner that still commands workers after its successor has fenced them.
+	{"fence", func(b *bench) {
+		b.Equal(b.results(2, start(w1, attempt(0, 1), 1000)), []platform.CommandResult{platform.CommandDone})
+		reply := b.exchange(1, 0, start(w1, attempt(1, 1), 1000), &platform.StopTask{Worker: w1, Attempt: attempt(0, 1)})
+		b.Equal(reply.Results, []platform.CommandResult{platform.CommandStaleEpoch, platform.CommandStaleEpoch})
+		b.Equal(report(reply, w1).Epoch, cluster.Epoch(2))
+		b.Equal(len(report(reply, w1).Running), 1)
+		b.clock.Advance(lease / 2)
+		b.exchange(1, 0) // a stale exchange renews nothing
+		b.clock.Advance(lease / 2)
+		b.Equal(report(b.exchange(2, 0), w1).Ended[0].Outcome, platform.OutcomeLeaseLapsed)
+	}},
+	// Guards against tasks that outlive their lease or are stopped although it was renewed.
+	{"leases", func(b *bench) {
+		b.results(1, start(w1, attempt(0, 1), 1000, "1h"))
+		b.clock.Advance(lease - time.Second)
+		b.exchange(1, 0)
+		b.clock.Advance(lease - time.Second)
+		b.Equal(len(report(b.exchange(1, 0), w1).Running), 1)
+		b.clock.Advance(lease)
+		ended := report(b.exchange(1, 0), w1).Ended
+		b.Equal(len(ended), 1)
+		b.Equal(ended[0].Outcome, platform.OutcomeLeaseLapsed)
+		b.Equal(ended[0].RunTime, 3*lease-2*time.Second)
+	}},
+	// Guards against a repeated start command that runs an attempt twice.
+	{"repeated attempts", func(b *bench) {
+		s := start(w1, attempt(0, 2), 500, "5s")
+		old := start(w1, attempt(0, 1), 500, "5s")
+		b.Equal(b.results(1, s, s, old), []platform.CommandResult{platform.CommandDone, platform.CommandKnown, platform.CommandKnown})
+		b.clock.Advance(6 * time.Second)
+		b.Equal(b.results(1, s), []platform.CommandResult{platform.CommandKnown})
+		ack := &platform.AcknowledgeResult{Worker: w1, Attempt: attempt(0, 2)}
+		b.Equal(b.results(1, ack, s, ack), []platform.CommandResult{platform.CommandDone, platform.CommandKnown, platform.CommandNoTask})
+	}},
+	// Guards against a start beyond a worker's capacity.
+	{"capacity", func(b *bench) {
+		results := b.results(1, start(w1, attempt(0, 1), 3000), start(w1, attempt(1, 1), 1001), start(w1, attempt(2, 1), 1000))
+		b.Equal(results, []platform.CommandResult{platform.CommandDone, platform.CommandNoCapacity, platform.CommandDone})
+		b.Equal(b.p.Stats().CapacityRefusals, int64(1))
+		b.Equal(b.p.PeakOfWorker(w1).CPU, cluster.CPU(4000))
+		b.Equal(b.p.PeakOfTeam("archive").CPU, cluster.CPU(4000))
+	}},
+	// Guards against replies that repeat unchanged workers or miss changed ones.
+	{"deltas", func(b *bench) {
+		first := b.exchange(1, 0, start(w1, attempt(0, 1), 1000, "3s", "cpus=0.5"))
+		b.Equal(len(first.Workers), 8)
+		second := b.exchange(1, first.Cursor)
+		b.Equal(len(second.Workers), 0)
+		b.clock.Advance(3 * time.Second)
+		third := b.exchange(1, second.Cursor)
+		b.Equal(len(third.Workers), 1)
+		b.Equal(report(third, w1).Ended, []platform.EndedTask{{
+			Attempt: attempt(0, 1), Outcome: platform.OutcomeSucceeded,
+			Peak: cluster.Resources{CPU: 500, Memory: cluster.GiB}, RunTime: 3 * time.Second,
+		}})
+		b.Equal(len(b.exchange(1, 1).Workers), 8) // a cursor of an earlier run of the platform
+	}},
+	// Guards against use that is reported at once, and against a wrong size.
+	{"usage lags", func(b *bench) {
+		first := b.exchange(1, 0, start(w1, attempt(0, 1), 1000, "1h", "cpus=0.25"))
+		b.True(report(first, w1).Running[0].Usage.IsZero())
+		b.clock.Advance(5 * time.Second)
+		running := report(b.exchange(1, first.Cursor), w1).Running[0]
+		b.Equal(running.Usage.CPU, cluster.CPU(250))
+		b.Equal(running.Age, 5*time.Second)
+	}},
+	// Guards against work that is lost or done twice by a checkpoint on one worker and a resumption on another.
+	{"checkpoint, resume and throttle", func(b *bench) {
+		b.results(1, start(w1, attempt(0, 1), 1000, "10s"))
+		b.clock.Advance(4 * time.Second)
+		b.results(1, &platform.ThrottleTask{Worker: w1, Attempt: attempt(0, 1), CPU: 500})
+		b.clock.Advance(4 * time.Second)
+		b.results(1, &platform.CheckpointTask{Worker: w1, Attempt: attempt(0, 1)})
+		resumed := start(w2, attempt(0, 2), 1000, "10s")
+		resumed.Resume = true
+		b.results(1, resumed)
+		b.clock.Advance(4 * time.Second)
+		reply := b.exchange(1, 0)
+		b.Equal(report(reply, w1).Ended[0].Outcome, platform.OutcomeCheckpointed)
+		b.Equal(report(reply, w2).Ended[0].Outcome, platform.OutcomeSucceeded)
+		b.Equal(len(b.p.Overlaps()), 0)
+	}},
+	// Guards against a lost worker that looks idle, and against tasks that survive their worker.
+	{"unreachable, paused and dead workers", func(b *bench) {
+		b.results(1, start(w1, attempt(0, 1), 1000, "30s"), start(w2, attempt(1, 1), 1000, "30s"))
+		b.p.SetWorkerFaults(w1, func(f *standin.WorkerFaults) { f.Paused = true })
+		b.p.SetWorkerFaults(w2, func(f *standin.WorkerFaults) { f.Dead = true })
+		reply := b.exchange(1, 0, &platform.StopTask{Worker: w1, Attempt: attempt(0, 1)})
+		b.Equal(reply.Results[0], platform.CommandUnreachable)
+		b.True(!report(reply, w1).Reachable)
+		b.Equal(len(report(reply, w1).Running), 1)
+		b.clock.Advance(lease + time.Second)
+		b.p.SetWorkerFaults(w1, func(f *standin.WorkerFaults) { f.Paused = false })
+		b.p.SetWorkerFaults(w2, func(f *standin.WorkerFaults) { f.Dead = false })
+		reply = b.exchange(1, 0)
+		b.Equal(report(reply, w1).Ended[0].Outcome, platform.OutcomeLeaseLapsed)
+		b.Equal(report(reply, w2).Ended[0].Outcome, platform.OutcomeLeaseLapsed)
+	}},
+	// Guards against an overlap of two attempts that goes unseen.
+	{"overlaps are recorded", func(b *bench) {
+		b.results(1, start(w1, attempt(0, 1), 1000, "30s"), start(w2, attempt(0, 2), 1000, "30s"))
+		b.Equal(b.p.Overlaps(), []standin.Overlap{{First: attempt(0, 1), Second: attempt(0, 2), At: b.clock.Now()}})
+		b.Equal(len(b.p.Starts()), 2)
+	}},
+	// Guards against a lost answer of an exchange that is taken for one that did nothing.
+	{"lost exchange", func(b *bench) {
+		b.p.SetFaults(func(f *standin.Faults) { f.LostExchanges = 1 })
+		_, err := b.Exchange(b.ctx, platform.ExchangeRequest{
+			Rack: rackID, Epoch: 1, Lease: lease, Commands: []platform.Command{start(w1, attempt(0, 1), 1000)},
+		})
+		b.fails(err, platform.KindUnknown)
+		b.Equal(b.p.Running(), 1)
+	}},
+	// Guards against workers that lie about sizes and run times without effect.
+	{"wrong sizes and failing workers", func(b *bench) {
+		b.p.SetWorkerFaults(w1, func(f *standin.WorkerFaults) { f.SizeFactor, f.RunTimeFactor = 2, 3 })
+		b.p.SetWorkerFaults(w2, func(f *standin.WorkerFaults) { f.FailAll = true })
+		b.results(1, start(w1, attempt(0, 1), 1000, "2s"), start(w2, attempt(1, 1), 1000, "1h"))
+		b.clock.Advance(5 * time.Second)
+		reply := b.exchange(1, 0)
+		b.Equal(report(reply, w1).Running[0].Usage.Memory, 2*cluster.GiB)
+		b.Equal(report(reply, w2).Ended[0].Outcome, platform.OutcomeFailed)
+		b.clock.Advance(time.Second)
+		b.Equal(report(b.exchange(1, 0), w1).Ended[0].RunTime, 6*time.Second)
+	}},
+}
+
+// Guards against layouts that differ from the table in section 1 of the design page.
+func TestCells(t *testing.T) {
+	is := is.New(t)
+	for _, cell := range standin.Cells()[:2] {
+		racks := map[cluster.RackID]int{}
+		runners := 0
+		for _, vm := range cell.VMs() {
+			switch vm.Role {
+			case platform.RoleWorker:
+				racks[vm.Rack]++
+				is.True(racks[vm.Rack] <= 8)
+			case platform.RoleRunner:
+				runners++
+			}
+		}
+		is.Equal(len(racks), 7)
+		is.Equal(runners, 50)
+		is.Equal(len(cell.Places()), 3)
+	}
+}
--- a/cluster/platform/standin/standin.go
+++ b/cluster/platform/standin/standin.go
@@ -58,13 +58,17 @@
 	list    vmList
 	history history
 	stats   Stats
+	// base is where cursors start. It follows the clock, so that a cursor of an earlier run is recognised.
+	base uint64
 }
 
 // Stats counts calls and refusals.
 type Stats struct {
 	Reads, RowsRead, Commits, RowsWritten int64
 	Throttled, LostAnswers                int64
-	Exchanges, Starts                     int64
+	// Silenced counts calls that a silent store accepted and never answers.
+	Silenced          int64
+	Exchanges, Starts int64
 	// CapacityRefusals counts starts beyond a worker's capacity.
 	CapacityRefusals int64
 	// StaleCommands counts commands refused by the fence.
@@ -95,8 +99,9 @@
 	p := &Platform{
 		cfg: cfg, faults: DefaultFaults(), rng: rand.New(rand.NewPCG(cfg.Seed, 0)), table: newTable(),
 		objects: map[string][]byte{}, racks: map[cluster.RackID]*rack{}, workers: map[cluster.WorkerID]*worker{},
-		list: newVMList(), history: newHistory(cfg.MaxHistory),
+		history: newHistory(cfg.MaxHistory), base: uint64(max(0, cfg.Clock().UnixMilli())),
 	}
+	p.list = newVMList(p.base)
 	if cfg.Faults != nil {
 		p.faults = *cfg.Faults
 	}
--- a/cluster/platform/standin/store.go
+++ b/cluster/platform/standin/store.go
@@ -122,6 +122,9 @@
 		return unavailable(op, errDown)
 	}
 	if f.StoreSilent {
+		c.p.mu.Lock()
+		c.p.stats.Silenced++
+		c.p.mu.Unlock()
 		<-ctx.Done()
 		if op == "commit" {
 			return unknown(op, ctx.Err())
--- a/cluster/platform/standin/vmlist.go
+++ b/cluster/platform/standin/vmlist.go
@@ -23,8 +23,9 @@
 	truth   map[string]platform.VM
 	pending []vmEvent
 	listed  map[string]listedVM
-	// version counts the listed changes.
+	// version counts the listed changes, from base.
 	version uint64
+	base    uint64
 }
 
 // listedVM is a VM as the list shows it; removed ones are kept for readers of deltas.
@@ -34,8 +35,8 @@
 	removed bool
 }
 
-func newVMList() vmList {
-	return vmList{truth: map[string]platform.VM{}, listed: map[string]listedVM{}}
+func newVMList(base uint64) vmList {
+	return vmList{truth: map[string]platform.VM{}, listed: map[string]listedVM{}, version: base, base: base}
 }
 
 func (l *vmList) set(vm platform.VM, at time.Time) {
@@ -108,7 +109,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.list.advance(p.cfg.Clock(), lag)
-	if since > p.list.version {
+	if since > p.list.version || since < p.list.base {
 		since = 0
 	}
 	vms, removed := p.list.delta(since)
@@ -134,7 +135,7 @@
 	}
 	r := p.racks[vm.Rack]
 	if r == nil {
-		r = &rack{id: vm.Rack, place: vm.Place}
+		r = &rack{id: vm.Rack, place: vm.Place, sequence: p.base, base: p.base}
 		p.racks[vm.Rack] = r
 	}
 	w := newWorker(p, r, vm)
--- /dev/null
+++ b/cluster/platform/wirerack.go
@@ -0,0 +1,229 @@
+package platform
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+type exchangeWire struct {
+	Owner       string        `json:"owner,omitempty"`
+	Epoch       uint64        `json:"epoch"`
+	Since       uint64        `json:"since,omitempty"`
+	LeaseMillis int64         `json:"leaseMillis"`
+	Commands    []commandWire `json:"commands,omitempty"`
+}
+
+type commandWire struct {
+	Do      string         `json:"do"`
+	Worker  string         `json:"worker"`
+	Attempt string         `json:"attempt"`
+	Size    *resourcesWire `json:"size,omitempty"`
+	Command []string       `json:"command,omitempty"`
+	Resume  bool           `json:"resume,omitempty"`
+	CPU     int64          `json:"cpu,omitempty"`
+}
+
+// Names of commands in messages.
+const (
+	doStart       = "start"
+	doStop        = "stop"
+	doCheckpoint  = "checkpoint"
+	doThrottle    = "throttle"
+	doAcknowledge = "acknowledge"
+)
+
+type exchangedWire struct {
+	Cursor  uint64       `json:"cursor"`
+	Workers []workerWire `json:"workers,omitempty"`
+	Results []string     `json:"results,omitempty"`
+}
+
+type workerWire struct {
+	Worker      string        `json:"worker"`
+	Capacity    resourcesWire `json:"capacity"`
+	Region      string        `json:"region,omitempty"`
+	Zone        string        `json:"zone,omitempty"`
+	Unreachable bool          `json:"unreachable,omitempty"`
+	Epoch       uint64        `json:"epoch,omitempty"`
+	Running     []runningWire `json:"running,omitempty"`
+	Ended       []endedWire   `json:"ended,omitempty"`
+}
+
+type runningWire struct {
+	Attempt   string        `json:"attempt"`
+	Size      resourcesWire `json:"size"`
+	Usage     resourcesWire `json:"usage,omitzero"`
+	AgeMillis int64         `json:"ageMillis,omitempty"`
+}
+
+type endedWire struct {
+	Attempt       string        `json:"attempt"`
+	Outcome       string        `json:"outcome"`
+	Peak          resourcesWire `json:"peak,omitzero"`
+	RunTimeMillis int64         `json:"runTimeMillis,omitempty"`
+}
+
+var (
+	resultNames  = [...]string{"done", "staleEpoch", "unreachable", "known", "noCapacity", "noTask"}
+	outcomeNames = [...]string{"succeeded", "failed", "stopped", "checkpointed", "leaseLapsed"}
+)
+
+// String returns the result's name as it stands in messages.
+func (r CommandResult) String() string { return resultNames[r] }
+
+// String returns the outcome's name as it stands in messages.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// EncodeExchangeRequest encodes an exchange; the rack stands in the URL.
+func EncodeExchangeRequest(r ExchangeRequest) []byte {
+	w := exchangeWire{Owner: string(r.Owner), Epoch: uint64(r.Epoch), Since: r.Since, LeaseMillis: r.Lease.Milliseconds()}
+	for _, c := range r.Commands {
+		w.Commands = append(w.Commands, toCommand(c))
+	}
+	return marshal(w)
+}
+
+// DecodeExchangeRequest decodes an exchange with a rack.
+func DecodeExchangeRequest(rack cluster.RackID, data []byte) (ExchangeRequest, error) {
+	var w exchangeWire
+	if err := unmarshal(data, &w); err != nil {
+		return ExchangeRequest{}, err
+	}
+	r := ExchangeRequest{
+		Rack: rack, Owner: cluster.DaemonID(w.Owner), Epoch: cluster.Epoch(w.Epoch), Since: w.Since,
+		Lease: time.Duration(w.LeaseMillis) * time.Millisecond,
+	}
+	for _, c := range w.Commands {
+		command, err := fromCommand(c)
+		if err != nil {
+			return ExchangeRequest{}, err
+		}
+		r.Commands = append(r.Commands, command)
+	}
+	return r, nil
+}
+
+func toCommand(c Command) commandWire {
+	switch c := c.(type) {
+	case *StartTask:
+		size := toResources(c.Size)
+		return commandWire{Do: doStart, Worker: string(c.Worker), Attempt: c.Attempt.String(), Size: &size, Command: c.Command, Resume: c.Resume}
+	case *StopTask:
+		return commandWire{Do: doStop, Worker: string(c.Worker), Attempt: c.Attempt.String()}
+	case *CheckpointTask:
+		return commandWire{Do: doCheckpoint, Worker: string(c.Worker), Attempt: c.Attempt.String()}
+	case *ThrottleTask:
+		return commandWire{Do: doThrottle, Worker: string(c.Worker), Attempt: c.Attempt.String(), CPU: int64(c.CPU)}
+	case *AcknowledgeResult:
+		return commandWire{Do: doAcknowledge, Worker: string(c.Worker), Attempt: c.Attempt.String()}
+	}
+	panic(fmt.Sprintf("platform: command %T", c))
+}
+
+func fromCommand(w commandWire) (Command, error) {
+	id, err := ParseAttempt(w.Attempt)
+	if err != nil {
+		return nil, err
+	}
+	worker := cluster.WorkerID(w.Worker)
+	switch w.Do {
+	case doStart:
+		if w.Size == nil {
+			return nil, fmt.Errorf("the start of %s has no size", w.Attempt)
+		}
+		return &StartTask{Worker: worker, Attempt: id, Size: fromResources(*w.Size), Command: w.Command, Resume: w.Resume}, nil
+	case doStop:
+		return &StopTask{Worker: worker, Attempt: id}, nil
+	case doCheckpoint:
+		return &CheckpointTask{Worker: worker, Attempt: id}, nil
+	case doThrottle:
+		return &ThrottleTask{Worker: worker, Attempt: id, CPU: cluster.CPU(w.CPU)}, nil
+	case doAcknowledge:
+		return &AcknowledgeResult{Worker: worker, Attempt: id}, nil
+	}
+	return nil, fmt.Errorf("command %q", w.Do)
+}
+
+// EncodeExchangeReply encodes the answer to an exchange.
+func EncodeExchangeReply(r ExchangeReply) []byte {
+	w := exchangedWire{Cursor: r.Cursor}
+	for _, result := range r.Results {
+		w.Results = append(w.Results, result.String())
+	}
+	for _, report := range r.Workers {
+		w.Workers = append(w.Workers, toReport(report))
+	}
+	return marshal(w)
+}
+
+func toReport(r WorkerReport) workerWire {
+	w := workerWire{
+		Worker: string(r.Worker), Capacity: toResources(r.Capacity), Region: string(r.Place.Region), Zone: string(r.Place.Zone),
+		Unreachable: !r.Reachable, Epoch: uint64(r.Epoch),
+	}
+	for _, t := range r.Running {
+		w.Running = append(w.Running, runningWire{t.Attempt.String(), toResources(t.Size), toResources(t.Usage), t.Age.Milliseconds()})
+	}
+	for _, t := range r.Ended {
+		w.Ended = append(w.Ended, endedWire{t.Attempt.String(), t.Outcome.String(), toResources(t.Peak), t.RunTime.Milliseconds()})
+	}
+	return w
+}
+
+// DecodeExchangeReply decodes the answer to an exchange.
+func DecodeExchangeReply(data []byte) (ExchangeReply, error) {
+	var w exchangedWire
+	if err := unmarshal(data, &w); err != nil {
+		return ExchangeReply{}, err
+	}
+	r := ExchangeReply{Cursor: w.Cursor}
+	for _, name := range w.Results {
+		i := slices.Index(resultNames[:], name)
+		if i < 0 {
+			return ExchangeReply{}, fmt.Errorf("command result %q", name)
+		}
+		r.Results = append(r.Results, CommandResult(i))
+	}
+	for _, report := range w.Workers {
+		worker, err := fromReport(report)
+		if err != nil {
+			return ExchangeReply{}, err
+		}
+		r.Workers = append(r.Workers, worker)
+	}
+	return r, nil
+}
+
+func fromReport(w workerWire) (WorkerReport, error) {
+	r := WorkerReport{
+		Worker: cluster.WorkerID(w.Worker), Capacity: fromResources(w.Capacity),
+		Place:     cluster.Place{Region: cluster.Region(w.Region), Zone: cluster.Zone(w.Zone)},
+		Reachable: !w.Unreachable, Epoch: cluster.Epoch(w.Epoch),
+	}
+	for _, t := range w.Running {
+		id, err := ParseAttempt(t.Attempt)
+		if err != nil {
+			return WorkerReport{}, err
+		}
+		r.Running = append(r.Running, RunningTask{
+			Attempt: id, Size: fromResources(t.Size), Usage: fromResources(t.Usage), Age: time.Duration(t.AgeMillis) * time.Millisecond,
+		})
+	}
+	for _, t := range w.Ended {
+		id, err := ParseAttempt(t.Attempt)
+		if err != nil {
+			return WorkerReport{}, err
+		}
+		outcome := slices.Index(outcomeNames[:], t.Outcome)
+		if outcome < 0 {
+			return WorkerReport{}, fmt.Errorf("outcome %q", t.Outcome)
+		}
+		r.Ended = append(r.Ended, EndedTask{
+			Attempt: id, Outcome: Outcome(outcome), Peak: fromResources(t.Peak), RunTime: time.Duration(t.RunTimeMillis) * time.Millisecond,
+		})
+	}
+	return r, nil
+}
