feat: release note calls of the daemon and the demo of the sample cells

Cause: operators need check, plan, apply, history and show over HTTP, and a newcomer needs one command that shows the whole path.

--- a/cluster/api/status.go
+++ b/cluster/api/status.go
@@ -177,7 +177,10 @@
 	Author  string    `json:"author,omitempty"`
 	At      time.Time `json:"at,omitzero"`
 	Digest  string    `json:"digest,omitempty"`
-	Changes []Change  `json:"changes,omitempty"`
+	Summary string    `json:"summary,omitempty"`
+	// Entities lists what the note wrote or withdrew, as kind/name.
+	Entities []string `json:"entities,omitempty"`
+	Changes  []Change `json:"changes,omitempty"`
 	// Text is the note's YAML; listings leave it out.
 	Text string `json:"text,omitempty"`
 }
--- a/cluster/daemon/daemon.go
+++ b/cluster/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
 	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
 	"github.com/goldcrestshift/goldcrestshift/cluster/member"
+	"github.com/goldcrestshift/goldcrestshift/cluster/note"
 	"github.com/goldcrestshift/goldcrestshift/cluster/paidlink"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
@@ -41,10 +42,13 @@
 	client   *platform.Client
 	store    *monitoredStore
 	journal  *journal.Journal
+	requests *journal.Journal
 	members  *member.Table
 	manager  *member.Manager
 	peers    *peer.Transport
 	rollout  *rollout.Rollout
+	notes    *note.Repository
+	applier  note.Applier
 	gateway  *gateway.Gateway
 	loop     *loop
 	server   *http.Server
@@ -70,9 +74,12 @@
 	d.closers = append(d.closers, func() { _ = closer.Close() })
 	d.invariants = invariant.New(invariant.Config{Log: d.log, Metrics: metrics, Fail: cfg.Fail})
 	d.paid = paidlink.New(paidlink.Config{Self: cfg.Place.Region, Metrics: metrics})
-	d.buildStore()
+	if err := d.buildStore(); err != nil {
+		return nil, err
+	}
 	d.buildMembers()
 	d.buildControl()
+	d.buildNotes()
 	d.buildGateway()
 	d.buildServer(handler)
 	return d, nil
@@ -103,17 +110,31 @@
 	return nil
 }
 
-func (d *Daemon) buildStore() {
-	d.client = platform.NewClient(platform.ClientConfig{
-		BaseURL:     d.cfg.PlatformURL,
-		Place:       d.cfg.Place,
+func (d *Daemon) buildStore() error {
+	client, err := platform.NewClient(platform.ClientConfig{
+		BaseURL:     d.cfg.PlatformURL.String(),
+		Self:        d.cfg.Place,
 		StoreRegion: d.cfg.StoreRegion,
-		PaidLink:    d.paid,
+		Bytes:       d.paid,
 	})
+	if err != nil {
+		return &Error{Op: "start", Kind: KindSetting, Err: settingError(SettingPlatformURL, d.cfg.PlatformURL.String(), "an http URL with a host and no path")}
+	}
+	d.client = client
+	d.closers = append(d.closers, client.Close)
 	d.store = newMonitoredStore(d.client, d.now, d.metrics)
-	d.journal = journal.New(journal.Config{Store: d.store, Writer: string(d.id), Log: d.log, Metrics: d.metrics})
+	d.journal = journal.New(journal.Config{Store: d.store, Writer: member.Writer(d.id, writerControl), Log: d.log, Metrics: d.metrics})
+	d.requests = journal.New(journal.Config{Store: d.store, Writer: member.Writer(d.id, writerRequests), Log: d.log, Metrics: d.metrics})
+	return nil
 }
 
+// Journals of a daemon: requests have one of their own, so that a lost answer
+// of either does not hold up the other.
+const (
+	writerControl  = "control"
+	writerRequests = "requests"
+)
+
 func (d *Daemon) buildMembers() {
 	self := member.Member{ID: d.id, Place: d.cfg.Place, PeerAddr: d.cfg.PeerAddr, HTTPAddr: d.cfg.HTTPAddr}
 	d.members = member.NewTable(member.TableConfig{
@@ -135,7 +156,7 @@
 		Clock: d.now, Random: rand.Float64, Invariants: d.invariants, Log: d.log, Metrics: d.metrics,
 	})
 	d.manager = member.New(member.Config{
-		Self: self, Store: d.store, VMs: d.client, Table: d.members, Now: d.now, Log: d.log, Metrics: d.metrics,
+		Self: self, Store: d.store, VMs: d.client, Table: d.members, Log: d.log, Metrics: d.metrics, Random: rand.Float64,
 	})
 }
 
@@ -161,7 +182,7 @@
 
 func (d *Daemon) buildGateway() {
 	d.gateway = gateway.New(gateway.Config{
-		Self: d.id, Place: d.cfg.Place, Authorizer: d.rollout, Store: d.store, Journal: d.journal, Sender: d.peers,
+		Self: d.id, Place: d.cfg.Place, Authorizer: d.rollout, Store: d.store, Journal: d.requests, Sender: d.peers,
 		Refusal: refusalOf, Clock: d.now, Log: d.log, Metrics: d.metrics, Invariants: d.invariants, PaidLink: d.paid,
 	})
 }
@@ -277,6 +298,9 @@
 		d.log.Warn().Msg("daemon: racks were not handed over before the drain timeout")
 	}
 	d.peers.Broadcast(&peer.Leaving{From: d.id})
+	// Leave deletes the rows of the journals, so nothing may be committed after it.
+	d.requests.Close()
+	d.journal.Close()
 	if err := d.manager.Leave(ctx); err != nil {
 		d.log.Warn().Err(err).Msg("daemon: member row was not deleted")
 	}
@@ -291,6 +315,7 @@
 func (d *Daemon) close() {
 	d.gateway.Close()
 	d.peers.Close()
+	d.requests.Close()
 	d.journal.Close()
 	d.loop.wait()
 	for _, f := range d.closers {
--- a/cluster/daemon/server.go
+++ b/cluster/daemon/server.go
@@ -107,7 +107,7 @@
 		return "draining"
 	case !d.joined.Load():
 		return "waiting for the platform"
-	case !d.rollout.Status().Loaded:
+	case d.rollout.Status().Confirmed.IsZero():
 		return "the configuration has not been read yet"
 	}
 	return ""
--- a/cluster/daemon/watch.go
+++ b/cluster/daemon/watch.go
@@ -90,9 +90,6 @@
 	case *peer.Ping:
 		d.rollout.HandlePeer(from, m)
 		d.loop.post(&rack.PeerDigest{From: from, Digest: v.Digest})
-	case *peer.Pong:
-		d.rollout.HandlePeer(from, m)
-		d.loop.post(&rack.PeerDigest{From: from, Digest: v.Digest})
 	case *peer.Leaving:
 		d.rollout.HandlePeer(from, m)
 		d.loop.post(&rack.PeerMessage{From: from, Message: m})
--- /dev/null
+++ b/platformd/democell.go
@@ -0,0 +1,163 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/sourcegraph/conc"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/daemon"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform/standin"
+)
+
+// demoCell is a stand-in for the platform and the daemons of one cell, all on loopback.
+type demoCell struct {
+	platform *standin.Platform
+	runners  *standin.Runners
+	server   *http.Server
+	daemons  []*demoDaemon
+	wg       conc.WaitGroup
+
+	mu         sync.Mutex
+	violations []string
+}
+
+// demoDaemon is a daemon that runs in this process.
+type demoDaemon struct {
+	*daemon.Daemon
+	url  string
+	stop context.CancelFunc
+	done chan error
+}
+
+// loopback listens on a free port.
+func loopback() (net.Listener, netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	addr, err := netip.ParseAddrPort(l.Addr().String())
+	return l, addr, err
+}
+
+// startCell starts the stand-in, its runners and the daemons.
+func startCell(layout standin.Cell, daemons int, log zerolog.Logger) (*demoCell, error) {
+	c := &demoCell{platform: standin.New(standin.Config{Cell: layout, Seed: 1})}
+	runners, err := standin.StartRunners(c.platform, standin.RunnersConfig{Seed: 1})
+	if err != nil {
+		return nil, err
+	}
+	c.runners = runners
+	listener, addr, err := loopback()
+	if err != nil {
+		c.close()
+		return nil, err
+	}
+	c.server = &http.Server{Handler: standin.NewHandler(c.platform), ReadHeaderTimeout: 10 * time.Second}
+	c.wg.Go(func() { _ = c.server.Serve(listener) })
+	places := layout.Places()
+	for i := range daemons {
+		d, err := c.startDaemon(i, daemon.Settings{
+			Place: places[i%len(places)], StoreRegion: layout.StoreRegion, Name: fmt.Sprintf("entry-%d", i+1),
+			PlatformURL:  &url.URL{Scheme: "http", Host: addr.String()},
+			DrainTimeout: 10 * time.Second, MemoryLimit: daemon.DefaultMemoryLimit, Seed: uint64(i + 1),
+		}, log)
+		if err != nil {
+			c.close()
+			return nil, err
+		}
+		c.daemons = append(c.daemons, d)
+	}
+	return c, nil
+}
+
+func (c *demoCell) startDaemon(i int, settings daemon.Settings, log zerolog.Logger) (*demoDaemon, error) {
+	httpListener, httpAddr, err := loopback()
+	if err != nil {
+		return nil, err
+	}
+	peerListener, peerAddr, err := loopback()
+	if err != nil {
+		_ = httpListener.Close()
+		return nil, err
+	}
+	settings.HTTPAddr, settings.PeerAddr = httpAddr, peerAddr
+	c.platform.AddEntry(fmt.Sprintf("entry-%d", i+1), settings.Place, peerAddr)
+	d, err := daemon.New(daemon.Config{
+		Settings: settings, Log: log.With().Str("vm", settings.Name).Logger(), Version: version,
+		HTTPListener: httpListener, PeerListener: peerListener, Fail: c.violated,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	running := &demoDaemon{Daemon: d, url: "http://" + httpAddr.String(), stop: stop, done: make(chan error, 1)}
+	c.wg.Go(func() { running.done <- d.Run(ctx) })
+	return running, nil
+}
+
+func (c *demoCell) violated(message string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violations = append(c.violations, message)
+}
+
+// waitReady waits until every daemon is ready.
+func (c *demoCell) waitReady(ctx context.Context) error {
+	for _, d := range c.daemons {
+		err := poll(ctx, func() (bool, error) {
+			status, _, err := call(ctx, http.MethodGet, d.url+"/readyz", "", nil, nil)
+			return err == nil && status == http.StatusOK, nil
+		})
+		if err != nil {
+			return fmt.Errorf("daemon %s is not ready: %w", d.ID(), err)
+		}
+	}
+	return nil
+}
+
+// stopDaemons stops every daemon in order and returns the first error.
+func (c *demoCell) stopDaemons() error {
+	var errs []error
+	for _, d := range c.daemons {
+		d.stop()
+		errs = append(errs, <-d.done)
+	}
+	return errors.Join(errs...)
+}
+
+func (c *demoCell) close() {
+	if c.server != nil {
+		_ = c.server.Close()
+	}
+	if c.runners != nil {
+		c.runners.Close()
+	}
+	c.wg.Wait()
+}
+
+// pollInterval is how often the demo asks for a state that it waits for.
+const pollInterval = 100 * time.Millisecond
+
+// poll calls f until it returns true, an error, or ctx ends.
+func poll(ctx context.Context, f func() (bool, error)) error {
+	for {
+		done, err := f()
+		if done || err != nil {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(pollInterval):
+		}
+	}
+}
