--- /dev/null
+++ b/cluster/note/yaml.go
@@ -0,0 +1,113 @@
+package note
+
+// Wire types of a note. Sizes and durations are strings, so that an error can name their field.
+
+type noteYAML struct {
+	Summary  string     `yaml:"summary"`
+	Add      groupYAML  `yaml:"add"`
+	Change   changeYAML `yaml:"change"`
+	Withdraw namesYAML  `yaml:"withdraw"`
+}
+
+type groupYAML struct {
+	Teams    []teamYAML    `yaml:"teams"`
+	Keys     []keyYAML     `yaml:"keys"`
+	Queues   []queueYAML   `yaml:"queues"`
+	Services []serviceYAML `yaml:"services"`
+	Jobs     []jobYAML     `yaml:"jobs"`
+}
+
+type changeYAML struct {
+	Teams    []teamChange    `yaml:"teams"`
+	Keys     []keyChange     `yaml:"keys"`
+	Queues   []queueChange   `yaml:"queues"`
+	Services []serviceChange `yaml:"services"`
+	Jobs     []jobChange     `yaml:"jobs"`
+}
+
+type teamChange struct {
+	teamYAML `yaml:",inline"`
+	Expect   uint64 `yaml:"expect"`
+}
+
+type keyChange struct {
+	keyYAML `yaml:",inline"`
+	Expect  uint64 `yaml:"expect"`
+}
+
+type queueChange struct {
+	queueYAML `yaml:",inline"`
+	Expect    uint64 `yaml:"expect"`
+}
+
+type serviceChange struct {
+	serviceYAML `yaml:",inline"`
+	Expect      uint64 `yaml:"expect"`
+}
+
+type jobChange struct {
+	jobYAML `yaml:",inline"`
+	Expect  uint64 `yaml:"expect"`
+}
+
+type namesYAML struct {
+	Teams    []string `yaml:"teams"`
+	Keys     []string `yaml:"keys"`
+	Queues   []string `yaml:"queues"`
+	Services []string `yaml:"services"`
+	// Jobs holds names of the form team/id.
+	Jobs []string `yaml:"jobs"`
+}
+
+type teamYAML struct {
+	Name        string        `yaml:"name"`
+	Share       int           `yaml:"share"`
+	Limit       resourcesYAML `yaml:"limit"`
+	MaxRequests int           `yaml:"maxRequests"`
+}
+
+type resourcesYAML struct {
+	CPUs         float64 `yaml:"cpus"`
+	Memory       string  `yaml:"memory"`
+	Accelerators int64   `yaml:"accelerators"`
+}
+
+type keyYAML struct {
+	Name string `yaml:"name"`
+	Team string `yaml:"team"`
+	Hash string `yaml:"hash"`
+}
+
+type queueYAML struct {
+	Name     string `yaml:"name"`
+	Open     bool   `yaml:"open"`
+	Team     string `yaml:"team"`
+	Priority string `yaml:"priority"`
+	MaxWait  string `yaml:"maxWait"`
+}
+
+type serviceYAML struct {
+	Name      string `yaml:"name"`
+	Queue     string `yaml:"queue"`
+	Timeout   string `yaml:"timeout"`
+	MaxAnswer string `yaml:"maxAnswer"`
+	MaxBody   string `yaml:"maxBody"`
+}
+
+type jobYAML struct {
+	ID           string   `yaml:"id"`
+	Team         string   `yaml:"team"`
+	Queue        string   `yaml:"queue"`
+	Workload     string   `yaml:"workload"`
+	Tasks        int      `yaml:"tasks"`
+	CPUs         float64  `yaml:"cpus"`
+	Memory       string   `yaml:"memory"`
+	Accelerators int64    `yaml:"accelerators"`
+	RunTime      string   `yaml:"runTime"`
+	Priority     string   `yaml:"priority"`
+	Deadline     string   `yaml:"deadline"`
+	Idempotent   bool     `yaml:"idempotent"`
+	Checkpoints  bool     `yaml:"checkpoints"`
+	MaxAttempts  int      `yaml:"maxAttempts"`
+	Command      []string `yaml:"command"`
+}
