feat: route requests from callers to runners

Cause: services had no request path. Change: authorization, weighted queues per team, slots lent through the table service, power of two choices, connections that never repeat a request, Idempotency-Key rows, outlier ejection, draining and Status.

--- /dev/null
+++ b/cluster/gateway/choose.go
@@ -0,0 +1,49 @@
+package gateway
+
+import "math/rand/v2"
+
+// choose picks the less loaded of two random runners with a free slot in the
+// nearest tier that has any. Excluded is avoided; it is nil for a first attempt.
+func choose(runners []*runner, excluded *runner, random *rand.Rand) *runner {
+	var found [tiers]sample
+	for _, r := range runners {
+		if r != excluded && r.free() {
+			found[r.tier].add(r, random)
+		}
+	}
+	for i := range found {
+		if r := found[i].pick(); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+// sample keeps two runners chosen uniformly from those added.
+type sample struct {
+	seen  int
+	taken [2]*runner
+}
+
+func (s *sample) add(r *runner, random *rand.Rand) {
+	s.seen++
+	if s.seen <= len(s.taken) {
+		s.taken[s.seen-1] = r
+		return
+	}
+	if i := random.IntN(s.seen); i < len(s.taken) {
+		s.taken[i] = r
+	}
+}
+
+func (s *sample) pick() *runner {
+	a, b := s.taken[0], s.taken[1]
+	if a == nil || b == nil {
+		return a
+	}
+	la, lb := a.load(), b.load()
+	if lb < la || (lb == la && b.latency.mean < a.latency.mean) {
+		return b
+	}
+	return a
+}
--- a/cluster/gateway/gateway.go
+++ b/cluster/gateway/gateway.go
@@ -3,6 +3,13 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
@@ -11,30 +18,302 @@
 
 // Gateway routes requests to runners.
 type Gateway struct {
-	cfg Config
+	cfg       Config
+	transport *http.Transport
+	metrics   metrics
+	ctx       context.Context
+	stop      context.CancelFunc
+	wg        conc.WaitGroup
+	pollNow   chan struct{}
+	keys      *keyTable
+
+	mu          sync.Mutex
+	services    map[cluster.ServiceName]*service
+	teams       map[cluster.TeamName]*team
+	ledgers     map[string]*ledger
+	fleet       fleet
+	snapshot    *cluster.Snapshot
+	slotsAsOf   cluster.Version
+	slotsRead   bool
+	windowStart time.Time
+	// active counts requests that were accepted and not yet answered, and the records of answers being written.
+	active   int
+	idle     chan struct{}
+	draining bool
+	closed   bool
+}
+
+type metrics struct {
+	served, refused, uncertain, retried, ejected, lendFailed tally.Counter
+	latency                                                  tally.Timer
 }
 
 // New starts a gateway; Close stops it.
-func New(cfg Config) *Gateway { return &Gateway{cfg: cfg.withDefaults()} }
+func New(cfg Config) *Gateway {
+	cfg = cfg.withDefaults()
+	ctx, stop := context.WithCancel(context.Background())
+	scope := cfg.Metrics
+	g := &Gateway{
+		cfg: cfg, transport: newTransport(), ctx: ctx, stop: stop, pollNow: make(chan struct{}, 1),
+		services: map[cluster.ServiceName]*service{}, teams: map[cluster.TeamName]*team{}, ledgers: map[string]*ledger{},
+		metrics: metrics{
+			served: scope.Counter("gateway_served"), refused: scope.Counter("gateway_refused"),
+			uncertain: scope.Counter("gateway_uncertain"), retried: scope.Counter("gateway_retried"),
+			ejected: scope.Counter("gateway_ejected"), lendFailed: scope.Counter("gateway_lend_failed"),
+			latency: scope.Timer("gateway_latency"),
+		},
+		fleet: fleet{self: cfg.Self},
+		keys:  newKeyTable(),
+	}
+	g.wg.Go(g.pollSlots)
+	g.wg.Go(g.tickLoop)
+	g.wg.Go(g.sweepLoop)
+	return g
+}
+
+// Close stops the background work and closes all connections.
+func (g *Gateway) Close() {
+	g.mu.Lock()
+	g.draining, g.closed = true, true
+	for _, s := range g.services {
+		for _, r := range s.runners {
+			r.suspect()
+		}
+	}
+	g.mu.Unlock()
+	g.stop()
+	g.wg.Wait()
+}
+
+func (g *Gateway) tickLoop() {
+	ticker := time.NewTicker(g.cfg.Tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			g.tick()
+		case <-g.ctx.Done():
+			return
+		}
+	}
+}
+
+func (g *Gateway) tick() {
+	snapshot := g.cfg.Authorizer.Snapshot()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Clock()
+	g.syncTeams(snapshot)
+	g.lend(now)
+	for _, s := range g.services {
+		g.checkOutliers(s, now)
+		g.dispatch(s)
+	}
+}
+
+// syncTeams takes over shares and limits of teams from the configuration.
+func (g *Gateway) syncTeams(snapshot *cluster.Snapshot) {
+	if snapshot == nil || snapshot == g.snapshot {
+		return
+	}
+	g.snapshot = snapshot
+	for name := range snapshot.Teams {
+		g.team(name)
+	}
+	for name, t := range g.teams {
+		if snapshot.Teams[name] == nil {
+			g.setLimit(t, 0)
+		}
+	}
+}
+
+// team returns the load of a team, with the share and limit of the snapshot in force.
+func (g *Gateway) team(name cluster.TeamName) *team {
+	t := g.teams[name]
+	if t == nil {
+		t = &team{name: name}
+		g.teams[name] = t
+	}
+	if c := g.snapshot.Teams[name]; c != nil {
+		t.share = c.Share
+		g.setLimit(t, c.MaxRequests)
+	}
+	return t
+}
 
-// ServeService routes one request to a runner of the service and writes its answer.
-func (g *Gateway) ServeService(w http.ResponseWriter, r *http.Request, service cluster.ServiceName, path string) {
+// setLimit sets the limit of a team's requests over all daemons; zero means none.
+func (g *Gateway) setLimit(t *team, limit int) {
+	if limit <= 0 {
+		if t.unit != nil {
+			delete(t.ledger.units, t.unit.id)
+			t.unit, t.ledger = nil, nil
+		}
+		return
+	}
+	if t.unit == nil {
+		t.ledger = g.ledger(teamPrefix + string(t.name))
+		t.unit = &unit{id: string(t.name), capacity: limit}
+		g.attach(t.ledger, t.unit)
+	}
+	t.unit.capacity = limit
+}
+
+// service returns the state of a service.
+func (g *Gateway) service(name cluster.ServiceName) *service {
+	s := g.services[name]
+	if s == nil {
+		s = &service{name: name, queues: map[cluster.TeamName]*teamQueue{}, ledger: g.ledger(string(name)), retries: retryBudget{tokens: retryBurst}}
+		g.services[name] = s
+	}
+	return s
 }
 
 // SetUpstreams replaces the list of VMs; those that aren't runners are ignored.
-func (g *Gateway) SetUpstreams(vms []platform.VM) {}
+func (g *Gateway) SetUpstreams(vms []platform.VM) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	listed := map[cluster.UpstreamID]bool{}
+	for _, vm := range vms {
+		if vm.Role == platform.RoleRunner && vm.Service != "" {
+			listed[cluster.UpstreamID(vm.ID)] = true
+			g.setUpstream(vm)
+		}
+	}
+	for _, s := range g.services {
+		s.runners = slices.DeleteFunc(s.runners, func(r *runner) bool {
+			if listed[r.id()] {
+				return false
+			}
+			r.removed = true
+			r.trimIdle(0)
+			delete(s.ledger.units, r.unit.id)
+			g.cfg.Log.Info().Str("service", string(s.name)).Str("upstream", r.vm.ID).Msg("gateway: upstream removed")
+			return true
+		})
+		g.dispatch(s)
+	}
+}
+
+func (g *Gateway) setUpstream(vm platform.VM) {
+	if vm.Slots == 0 {
+		vm.Slots = defaultSlots
+	}
+	if vm.Connections == 0 {
+		vm.Connections = defaultConnections
+	}
+	s := g.service(vm.Service)
+	i, found := slices.BinarySearchFunc(s.runners, vm.ID, func(r *runner, id string) int { return strings.Compare(r.vm.ID, id) })
+	if found && s.runners[i].vm.Addr == vm.Addr {
+		r := s.runners[i]
+		r.vm, r.capacity = vm, vm.Slots
+		g.setLeaving(r, vm.Leaving, "platform")
+		return
+	}
+	r := &runner{vm: vm, service: s, tier: g.tierOf(vm.Place), unit: &unit{id: vm.ID, capacity: vm.Slots}}
+	if found {
+		// The VM's address changed: it is another machine.
+		s.runners[i].removed = true
+		s.runners[i].trimIdle(0)
+		r.unit = s.runners[i].unit
+		s.runners[i] = r
+	} else {
+		s.runners = slices.Insert(s.runners, i, r)
+		g.attach(s.ledger, r.unit)
+	}
+	r.leaving = vm.Leaving
+}
+
+func (g *Gateway) tierOf(place cluster.Place) tier {
+	switch {
+	case place == g.cfg.Place:
+		return tierZone
+	case place.Region == g.cfg.Place.Region:
+		return tierRegion
+	}
+	return tierPaid
+}
+
+// setLeaving marks a runner as leaving. The mark stays until the platform no
+// longer lists the VM, because the list lags behind the other sources.
+func (g *Gateway) setLeaving(r *runner, leaving bool, source string) bool {
+	if !leaving || r.leaving {
+		return false
+	}
+	r.leaving = true
+	r.trimIdle(0)
+	g.cfg.Log.Info().Str("service", string(r.service.name)).Str("upstream", r.vm.ID).Str("source", source).
+		Msg("gateway: upstream is leaving")
+	return true
+}
+
+// SetMembers replaces the set of daemons that have not left. Slots of a daemon
+// outside it are lent to others, so a daemon belongs to it until it has surely stopped.
+func (g *Gateway) SetMembers(members []Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f := fleet{self: g.cfg.Self, all: []cluster.DaemonID{g.cfg.Self}, sharing: []cluster.DaemonID{g.cfg.Self}}
+	for _, m := range members {
+		if m.ID == g.cfg.Self {
+			continue
+		}
+		f.all = append(f.all, m.ID)
+		if !m.Leaving {
+			f.sharing = append(f.sharing, m.ID)
+		}
+	}
+	slices.Sort(f.all)
+	slices.Sort(f.sharing)
+	g.fleet = f
+}
 
-// SetMembers replaces the set of daemons that have not left; slots of others are reclaimed.
-func (g *Gateway) SetMembers(members []Member) {}
+func (g *Gateway) memberCount() int { return max(len(g.fleet.all), 1) }
 
 // HandlePeer handles a message of another daemon and reports whether it was one for the gateway.
-func (g *Gateway) HandlePeer(from cluster.DaemonID, message peer.Message) bool { return false }
+func (g *Gateway) HandlePeer(from cluster.DaemonID, message peer.Message) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch m := message.(type) {
+	case *peer.SlotRequest:
+		g.handleSlotRequest(from, m)
+	case *peer.SlotReply:
+		g.acceptRow(m.Row)
+	case *peer.UpstreamNotice:
+		g.handleNotice(from, m)
+	default:
+		return false
+	}
+	return true
+}
 
-// Drain refuses new requests, waits for the running ones and gives the slots back.
-func (g *Gateway) Drain(ctx context.Context) error { return nil }
+func (g *Gateway) handleNotice(from cluster.DaemonID, m *peer.UpstreamNotice) {
+	r := g.runner(m.Service, m.Upstream)
+	if r == nil {
+		return
+	}
+	if m.Leaving {
+		g.setLeaving(r, true, string(from))
+		return
+	}
+	// Another daemon's trouble with the runner makes its idle connections
+	// doubtful; whether it is ejected here depends on this daemon's own requests.
+	r.suspect()
+}
 
-// Status returns a listing of the gateway's state.
-func (g *Gateway) Status() Status { return Status{} }
+func (g *Gateway) runner(name cluster.ServiceName, id cluster.UpstreamID) *runner {
+	s := g.services[name]
+	if s == nil {
+		return nil
+	}
+	for _, r := range s.runners {
+		if r.id() == id {
+			return r
+		}
+	}
+	return nil
+}
 
-// Close stops the background work and closes all connections.
-func (g *Gateway) Close() {}
+func (g *Gateway) dispatchAll() {
+	for _, s := range g.services {
+		g.dispatch(s)
+	}
+}
--- a/cluster/gateway/status.go
+++ b/cluster/gateway/status.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -50,3 +52,35 @@
 	Served  int64
 	Refused int64
 }
+
+// Status returns a listing of the gateway's state.
+func (g *Gateway) Status() Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.cfg.Clock()
+	status := Status{Draining: g.draining}
+	for _, name := range slices.Sorted(maps.Keys(g.services)) {
+		status.Services = append(status.Services, g.services[name].status(now))
+	}
+	for _, name := range slices.Sorted(maps.Keys(g.teams)) {
+		t := g.teams[name]
+		limit := -1
+		if t.unit != nil {
+			limit = t.unit.limit
+		}
+		status.Teams = append(status.Teams, TeamStatus{name, t.queued, t.inFlight, limit, t.served, t.refused})
+	}
+	return status
+}
+
+func (s *service) status(now time.Time) ServiceStatus {
+	out := ServiceStatus{Service: s.name, Ready: s.ready(), Queued: s.queued, InFlight: s.inFlight, ServiceTime: s.time.value(now)}
+	for _, r := range s.runners {
+		out.Slots += r.limit
+		out.Upstreams = append(out.Upstreams, UpstreamStatus{
+			Upstream: r.id(), Place: r.vm.Place, Slots: r.limit, InFlight: r.inFlight, Connections: r.connections,
+			Latency: time.Duration(r.latency.mean), Leaving: r.leaving, Ejected: r.outlier.ejected,
+		})
+	}
+	return out
+}
