feat: stand-in for runners

Cause: the request path needs upstreams that crash, fall silent, answer late or in part, refuse and leave, and that record what they ran. Conclusion: tests can compare what callers were told with what was run.

--- a/cluster/platform/standin/cell.go
+++ b/cluster/platform/standin/cell.go
@@ -91,7 +91,7 @@
 func Cells() []Cell { return []Cell{Erzaehlwerk(), CaroniVale(), Small()} }
 
 // Places returns every zone of the cell with its region.
-func (c *Cell) Places() []cluster.Place {
+func (c Cell) Places() []cluster.Place {
 	var places []cluster.Place
 	for _, r := range c.Regions {
 		for _, z := range r.Zones {
@@ -102,7 +102,7 @@
 }
 
 // PlaceOf returns the place of a zone; the zero place if the cell has no such zone.
-func (c *Cell) PlaceOf(zone cluster.Zone) cluster.Place {
+func (c Cell) PlaceOf(zone cluster.Zone) cluster.Place {
 	for _, p := range c.Places() {
 		if p.Zone == zone {
 			return p
@@ -112,7 +112,7 @@
 }
 
 // VMs returns the workers and runners of the cell; runners have no address yet.
-func (c *Cell) VMs() []platform.VM {
+func (c Cell) VMs() []platform.VM {
 	places := c.Places()
 	var vms []platform.VM
 	if len(places) == 0 {
@@ -140,7 +140,7 @@
 }
 
 // latency returns the one-way latency between two places; an unknown place is next to every other.
-func (c *Cell) latency(a, b cluster.Place) time.Duration {
+func (c Cell) latency(a, b cluster.Place) time.Duration {
 	switch {
 	case a.Region == "" || b.Region == "":
 		return 0
--- /dev/null
+++ b/cluster/platform/standin/runner_test.go
@@ -0,0 +1,166 @@
+package standin_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform/standin"
+)
+
+type runnerBench struct {
+	*is.I
+	r      *standin.Runner
+	client *http.Client
+	ctx    context.Context
+	// release ends the work of the requests that are held up.
+	release chan struct{}
+}
+
+func newRunnerBench(t *testing.T) *runnerBench {
+	b := &runnerBench{I: is.New(t), ctx: t.Context(), release: make(chan struct{})}
+	r, err := standin.StartRunner(standin.RunnerConfig{
+		ID: "echo-01", Addr: netip.MustParseAddrPort("127.0.0.1:0"), Slots: 2,
+		Sleep: func(ctx context.Context, _ time.Duration) error {
+			select {
+			case <-b.release:
+				return nil
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		},
+	})
+	b.NoErr(err)
+	transport := &http.Transport{}
+	b.r, b.client = r, &http.Client{Transport: transport}
+	t.Cleanup(transport.CloseIdleConnections)
+	t.Cleanup(r.Close)
+	return b
+}
+
+// post sends a request that can't be retried by the transport.
+func (b *runnerBench) post(ctx context.Context, body, work string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+b.r.Addr().String()+"/x", strings.NewReader(body))
+	b.NoErr(err)
+	req.Header.Set(standin.HeaderWork, work)
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// Guards against a crash that looks like a complete answer, and against a wrong record of what was run.
+func TestRunnerCrashes(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		faults   standin.RunnerFaults
+		executed int
+	}{
+		{"before", standin.RunnerFaults{Crash: standin.CrashBefore, CrashCount: 1}, 0},
+		{"during", standin.RunnerFaults{Crash: standin.CrashDuring, CrashCount: 1}, 1},
+		{"after", standin.RunnerFaults{Crash: standin.CrashAfter, CrashCount: 1}, 1},
+		{"truncated", standin.RunnerFaults{Truncate: true}, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := newRunnerBench(t)
+			b.r.SetFaults(func(f *standin.RunnerFaults) { *f = c.faults })
+			_, _, err := b.post(b.ctx, "booking", "0s")
+			b.True(err != nil)
+			b.Equal(len(b.r.Executions()), c.executed)
+			b.r.SetFaults(func(f *standin.RunnerFaults) { f.Truncate = false })
+			_, body, err := b.post(b.ctx, "booking", "0s")
+			b.NoErr(err)
+			b.Equal(body, "booking")
+		})
+	}
+}
+
+// Guards against a request beyond the slots that is run, or refused without the sign that it was not.
+func TestRunnerSlots(t *testing.T) {
+	b := newRunnerBench(t)
+	done := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, _, err := b.post(b.ctx, "slow", "1s")
+			done <- err
+		}()
+	}
+	for b.r.Stats().Executed < 2 {
+		runtime.Gosched()
+	}
+	b.r.SetFaults(func(f *standin.RunnerFaults) { f.Leaving = true })
+	resp, _, err := b.post(b.ctx, "third", "0s")
+	b.NoErr(err)
+	b.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	b.Equal(resp.Header.Get(standin.HeaderRun), "no")
+	b.Equal(resp.Header.Get(standin.HeaderLeaving), "true")
+	close(b.release)
+	b.NoErr(<-done)
+	b.NoErr(<-done)
+	b.Equal(b.r.Stats(), standin.RunnerStats{Executed: 2, Refused: 1, PeakInFlight: 2, PeakConnections: 3})
+}
+
+// Guards against a silent connection that answers, and against new connections that are silent too.
+func TestRunnerSilence(t *testing.T) {
+	b := newRunnerBench(t)
+	_, _, err := b.post(b.ctx, "first", "0s")
+	b.NoErr(err)
+	b.r.SetFaults(func(f *standin.RunnerFaults) { f.SilentRuns = true })
+	b.r.Silence()
+	ctx, cancel := context.WithCancel(b.ctx)
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := b.post(ctx, "second", "0s")
+		done <- err
+	}()
+	for b.r.Stats().Executed < 2 {
+		runtime.Gosched()
+	}
+	cancel()
+	b.True(<-done != nil)
+	_, body, err := b.post(b.ctx, "third", "0s")
+	b.NoErr(err)
+	b.Equal(body, "third")
+}
+
+// Guards against a killed runner that still answers or comes back elsewhere.
+func TestRunnerRestart(t *testing.T) {
+	b := newRunnerBench(t)
+	addr := b.r.Addr()
+	b.r.Kill()
+	_, _, err := b.post(b.ctx, "x", "0s")
+	b.True(err != nil)
+	b.NoErr(b.r.Restart())
+	b.Equal(b.r.Addr(), addr)
+	_, _, err = b.post(b.ctx, "x", "0s")
+	b.NoErr(err)
+}
+
+// Guards against runners of a cell that the VM list doesn't lead to.
+func TestStartRunners(t *testing.T) {
+	is := is.New(t)
+	p, clock := newPlatform()
+	runners, err := standin.StartRunners(p, netip.MustParseAddr("127.0.0.1"), 0, 0)
+	is.NoErr(err)
+	defer runners.Close()
+	clock.Advance(time.Minute)
+	vms, err := p.Caller(p.Cell().Places()[0]).ListVMs(t.Context())
+	is.NoErr(err)
+	for _, vm := range vms {
+		if vm.Service != "" {
+			is.Equal(runners.Get("echo-01").ID(), "echo-01")
+			is.True(vm.Addr.Port() != 0)
+		}
+	}
+	is.Equal(len(runners.All()), 4)
+}
