--- /dev/null
+++ b/cluster/platform/standin/adminwire.go
@@ -0,0 +1,154 @@
+package standin
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+// duration is a time.Duration that is a string such as 1.5s in JSON.
+type duration time.Duration
+
+// MarshalText formats the duration.
+func (d duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// UnmarshalText parses a duration.
+func (d *duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = duration(v)
+	return err
+}
+
+type faultsWire struct {
+	StoreDown     bool             `json:"storeDown"`
+	StoreSilent   bool             `json:"storeSilent"`
+	StoreDelay    duration         `json:"storeDelay"`
+	LostAnswers   float64          `json:"lostAnswers"`
+	LostUnapplied float64          `json:"lostUnapplied"`
+	LostDelay     duration         `json:"lostDelay"`
+	WriteRate     float64          `json:"writeRate"`
+	ReadRate      float64          `json:"readRate"`
+	ObjectsDown   bool             `json:"objectsDown"`
+	VMListDown    bool             `json:"vmListDown"`
+	VMListLag     duration         `json:"vmListLag"`
+	UsageLag      duration         `json:"usageLag"`
+	CutRegions    []cluster.Region `json:"cutRegions"`
+	RacksDown     []cluster.RackID `json:"racksDown"`
+	LostExchanges float64          `json:"lostExchanges"`
+}
+
+func toFaults(f Faults) faultsWire {
+	return faultsWire{
+		f.StoreDown, f.StoreSilent, duration(f.StoreDelay), f.LostAnswers, f.LostUnapplied, duration(f.LostDelay), f.WriteRate, f.ReadRate,
+		f.ObjectsDown, f.VMListDown, duration(f.VMListLag), duration(f.UsageLag),
+		slices.Clone(f.CutRegions), slices.Clone(f.RacksDown), f.LostExchanges,
+	}
+}
+
+func (w *faultsWire) faults() Faults {
+	return Faults{
+		w.StoreDown, w.StoreSilent, time.Duration(w.StoreDelay), w.LostAnswers, w.LostUnapplied, time.Duration(w.LostDelay), w.WriteRate, w.ReadRate,
+		w.ObjectsDown, w.VMListDown, time.Duration(w.VMListLag), time.Duration(w.UsageLag), w.CutRegions, w.RacksDown, w.LostExchanges,
+	}
+}
+
+// check returns an error for settings that can't be right.
+func (w *faultsWire) check() error {
+	for _, p := range []float64{w.LostAnswers, w.LostUnapplied, w.LostExchanges} {
+		if p < 0 || p > 1 {
+			return fmt.Errorf("the probability %v is not between 0 and 1", p)
+		}
+	}
+	for _, d := range []duration{w.StoreDelay, w.LostDelay, w.VMListLag, w.UsageLag} {
+		if d < 0 {
+			return fmt.Errorf("the duration %v is negative", time.Duration(d))
+		}
+	}
+	if w.WriteRate <= 0 || w.ReadRate <= 0 {
+		return fmt.Errorf("the rates %v and %v must be positive", w.WriteRate, w.ReadRate)
+	}
+	return nil
+}
+
+type workerFaultsWire struct {
+	Unreachable   bool    `json:"unreachable"`
+	Paused        bool    `json:"paused"`
+	Dead          bool    `json:"dead"`
+	FailAll       bool    `json:"failAll"`
+	SizeFactor    float64 `json:"sizeFactor"`
+	RunTimeFactor float64 `json:"runTimeFactor"`
+}
+
+type runnerFaultsWire struct {
+	// Crash is never, before, during or after.
+	Crash      string   `json:"crash"`
+	CrashCount int      `json:"crashCount"`
+	Late       duration `json:"late"`
+	Truncate   bool     `json:"truncate"`
+	Leaving    bool     `json:"leaving"`
+	Refuse     bool     `json:"refuse"`
+	Fail       bool     `json:"fail"`
+	SilentRuns bool     `json:"silentRuns"`
+}
+
+var crashNames = [...]string{"never", "before", "during", "after"}
+
+func toRunnerFaults(f RunnerFaults) runnerFaultsWire {
+	return runnerFaultsWire{crashNames[f.Crash], f.CrashCount, duration(f.Late), f.Truncate, f.Leaving, f.Refuse, f.Fail, f.SilentRuns}
+}
+
+func (w runnerFaultsWire) faults() (RunnerFaults, error) {
+	crash := slices.Index(crashNames[:], w.Crash)
+	if crash < 0 {
+		return RunnerFaults{}, fmt.Errorf("crash %q is not one of never, before, during, after", w.Crash)
+	}
+	if w.CrashCount < 0 || w.Late < 0 {
+		return RunnerFaults{}, fmt.Errorf("crashCount %d or late %v is negative", w.CrashCount, time.Duration(w.Late))
+	}
+	return RunnerFaults{CrashPoint(crash), w.CrashCount, time.Duration(w.Late), w.Truncate, w.Leaving, w.Refuse, w.Fail, w.SilentRuns}, nil
+}
+
+type runnerWire struct {
+	ID     string           `json:"id"`
+	Addr   netip.AddrPort   `json:"addr"`
+	Faults runnerFaultsWire `json:"faults"`
+	Stats  runnerStatsWire  `json:"stats"`
+}
+
+type runnerStatsWire struct {
+	Executed           int64 `json:"executed"`
+	Refused            int64 `json:"refused"`
+	ConnectionsRefused int64 `json:"connectionsRefused"`
+	PeakInFlight       int   `json:"peakInFlight"`
+	PeakConnections    int   `json:"peakConnections"`
+}
+
+type executionWire struct {
+	Runner         string    `json:"runner"`
+	Start          time.Time `json:"start"`
+	Method         string    `json:"method"`
+	Path           string    `json:"path"`
+	IdempotencyKey string    `json:"idempotencyKey,omitempty"`
+	Body           string    `json:"body,omitempty"`
+	Leaving        bool      `json:"leaving,omitempty"`
+}
+
+type statsWire struct {
+	Reads            int64 `json:"reads"`
+	RowsRead         int64 `json:"rowsRead"`
+	Commits          int64 `json:"commits"`
+	RowsWritten      int64 `json:"rowsWritten"`
+	Throttled        int64 `json:"throttled"`
+	LostAnswers      int64 `json:"lostAnswers"`
+	Exchanges        int64 `json:"exchanges"`
+	Starts           int64 `json:"starts"`
+	CapacityRefusals int64 `json:"capacityRefusals"`
+	StaleCommands    int64 `json:"staleCommands"`
+	KnownRefusals    int64 `json:"knownRefusals"`
+	LapsedLeases     int64 `json:"lapsedLeases"`
+	Running          int   `json:"running"`
+	Overlaps         int   `json:"overlaps"`
+}
