feat: platformd serve

Cause: daemons need a platform to run against outside of tests. Change: serve runs the stand-in and the runners of a cell, with the platform's API and the admin API on two addresses. Settings come from flags and environment variables and are checked at start; an error names the flag, the variable, the value and the allowed values.

--- /dev/null
+++ b/platformd/settings.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+	"github.com/spf13/viper"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform/standin"
+)
+
+// Names of the settings of serve.
+const (
+	flagCell        = "cell"
+	flagListen      = "listen"
+	flagAdminListen = "admin-listen"
+	flagRunnerHost  = "runner-host"
+	flagRunnerPort  = "runner-port"
+	flagRunnerWork  = "runner-work"
+	flagSeed        = "seed"
+	flagTimeScale   = "time-scale"
+	flagEntry       = "entry"
+	flagLogLevel    = "log-level"
+	envPrefix       = "PLATFORMD"
+)
+
+// settings are the checked settings of serve.
+type settings struct {
+	cell       standin.Cell
+	listen     netip.AddrPort
+	admin      netip.AddrPort
+	runnerHost netip.Addr
+	runnerPort uint16
+	runnerWork time.Duration
+	seed       uint64
+	timeScale  float64
+	entries    []entry
+	logLevel   zerolog.Level
+}
+
+// entry is an entry VM for the platform's list.
+type entry struct {
+	id    string
+	place cluster.Place
+	addr  netip.AddrPort
+}
+
+func addServeFlags(cmd *cobra.Command) {
+	f := cmd.Flags()
+	f.String(flagCell, "small", "cell to serve: "+cellNames())
+	f.String(flagListen, "127.0.0.1:7070", "address of the platform's API")
+	f.String(flagAdminListen, "127.0.0.1:7071", "address of the API that changes faults")
+	f.String(flagRunnerHost, "127.0.0.1", "IP address of the runners")
+	f.Int(flagRunnerPort, 0, "port of the first runner, the others follow; 0 picks free ports")
+	f.Duration(flagRunnerWork, 20*time.Millisecond, "time that a request takes at a runner")
+	f.Uint64(flagSeed, 1, "seed of the faults that are left to chance")
+	f.Float64(flagTimeScale, 1, "factor on the run times of tasks")
+	f.StringArray(flagEntry, nil, "entry VM as id=zone=ip:port of its peer port; repeatable, commas separate several in the variable")
+	f.String(flagLogLevel, "info", "least level of log lines: debug, info, warn or error")
+}
+
+func cellNames() string {
+	var names []string
+	for _, c := range standin.Cells() {
+		names = append(names, c.Name)
+	}
+	return strings.Join(names, ", ")
+}
+
+// settingError is a setting with a value that isn't allowed.
+func settingError(flag string, value any, allowed string) error {
+	variable := envPrefix + "_" + strings.ToUpper(strings.ReplaceAll(flag, "-", "_"))
+	return fmt.Errorf("--%s or %s: %q is not allowed; use %s", flag, variable, fmt.Sprint(value), allowed)
+}
+
+// loadSettings reads the flags and the environment, flags first, and checks every setting.
+func loadSettings(cmd *cobra.Command) (settings, error) {
+	v := viper.New()
+	v.SetEnvPrefix(envPrefix)
+	v.SetEnvKeyReplacer(strings.NewReplacer("-", "_"))
+	v.AutomaticEnv()
+	if err := v.BindPFlags(cmd.Flags()); err != nil {
+		return settings{}, err
+	}
+	var s settings
+	for _, load := range []func(*viper.Viper) error{s.loadCell, s.loadAddresses, s.loadNumbers, s.loadEntries} {
+		if err := load(v); err != nil {
+			return settings{}, err
+		}
+	}
+	return s, nil
+}
+
+func (s *settings) loadCell(v *viper.Viper) error {
+	name := v.GetString(flagCell)
+	for _, c := range standin.Cells() {
+		if c.Name == name {
+			s.cell = c
+			return nil
+		}
+	}
+	return settingError(flagCell, name, "one of "+cellNames())
+}
+
+func (s *settings) loadAddresses(v *viper.Viper) error {
+	for _, a := range []struct {
+		flag string
+		to   *netip.AddrPort
+	}{{flagListen, &s.listen}, {flagAdminListen, &s.admin}} {
+		addr, err := netip.ParseAddrPort(v.GetString(a.flag))
+		if err != nil {
+			return settingError(a.flag, v.GetString(a.flag), "an address such as 127.0.0.1:7070")
+		}
+		*a.to = addr
+	}
+	host, err := netip.ParseAddr(v.GetString(flagRunnerHost))
+	if err != nil {
+		return settingError(flagRunnerHost, v.GetString(flagRunnerHost), "an IP address such as 127.0.0.1")
+	}
+	s.runnerHost = host
+	port := v.GetString(flagRunnerPort)
+	last := 65535 - s.cell.Runners
+	number, err := strconv.Atoi(port)
+	if err != nil || number < 0 || number > last {
+		return settingError(flagRunnerPort, port, fmt.Sprintf("a number from 0 to %d", last))
+	}
+	s.runnerPort = uint16(number)
+	return nil
+}
+
+func (s *settings) loadNumbers(v *viper.Viper) error {
+	work, err := time.ParseDuration(v.GetString(flagRunnerWork))
+	if err != nil || work < 0 {
+		return settingError(flagRunnerWork, v.GetString(flagRunnerWork), "a duration such as 20ms")
+	}
+	s.runnerWork = work
+	if s.seed, err = strconv.ParseUint(v.GetString(flagSeed), 10, 64); err != nil {
+		return settingError(flagSeed, v.GetString(flagSeed), "a number")
+	}
+	s.timeScale, err = strconv.ParseFloat(v.GetString(flagTimeScale), 64)
+	if err != nil || !(s.timeScale > 0 && s.timeScale <= 1000) {
+		return settingError(flagTimeScale, v.GetString(flagTimeScale), "a number above 0 and up to 1000")
+	}
+	s.logLevel, err = zerolog.ParseLevel(v.GetString(flagLogLevel))
+	if err != nil || s.logLevel < zerolog.DebugLevel || s.logLevel > zerolog.ErrorLevel {
+		return settingError(flagLogLevel, v.GetString(flagLogLevel), "one of debug, info, warn, error")
+	}
+	return nil
+}
+
+func (s *settings) loadEntries(v *viper.Viper) error {
+	for _, value := range v.GetStringSlice(flagEntry) {
+		for text := range strings.SplitSeq(value, ",") {
+			e, ok := s.parseEntry(text)
+			if !ok {
+				return settingError(flagEntry, text, "id=zone=ip:port with a zone of the cell, such as entry-1="+string(s.cell.Places()[0].Zone)+"=127.0.0.1:7100")
+			}
+			s.entries = append(s.entries, e)
+		}
+	}
+	return nil
+}
+
+func (s *settings) parseEntry(text string) (entry, bool) {
+	parts := strings.Split(text, "=")
+	if len(parts) != 3 || parts[0] == "" {
+		return entry{}, false
+	}
+	place := s.cell.PlaceOf(cluster.Zone(parts[1]))
+	addr, err := netip.ParseAddrPort(parts[2])
+	return entry{parts[0], place, addr}, err == nil && place.Zone != ""
+}
