--- /dev/null
+++ b/cluster/rack/cell_test.go
@@ -0,0 +1,303 @@
+package rack
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// cell runs daemons over a fake platform in virtual time.
+type cell struct {
+	t       testing.TB
+	now     time.Time
+	store   *fakeStore
+	racks   *fakeRacks
+	config  *cluster.Snapshot
+	daemons []*fakeDaemon
+	random  *rand.Rand
+	queue   callQueue
+	order   int
+	// lateCommit and lostExchange are the chances that an answer is lost.
+	lostExchange, lostSend float64
+	slow                   time.Duration
+	submits                map[cluster.JobID]SubmitResult
+	token                  Token
+	log                    zerolog.Logger
+}
+
+type fakeDaemon struct {
+	id           cluster.DaemonID
+	place        cluster.Place
+	controller   *Controller
+	inbox        []Event
+	dead, paused bool
+	drained      bool
+	deadAt       time.Time
+	cut          bool
+	cancels      []CancelResult
+}
+
+// call is something that happens later; calls at one time keep their order.
+type call struct {
+	at    time.Time
+	order int
+	f     func()
+}
+
+type callQueue []call
+
+func (q callQueue) Len() int { return len(q) }
+func (q callQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].order < q[j].order
+}
+func (q callQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *callQueue) Push(x any)   { *q = append(*q, x.(call)) }
+func (q *callQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func testConfig(teams ...*cluster.Team) *cluster.Snapshot {
+	entities := []cluster.Entity{&cluster.Queue{Name: "q"}}
+	for _, team := range teams {
+		entities = append(entities, team)
+	}
+	return cluster.Assemble(1, entities)
+}
+
+func newCell(t testing.TB, seed uint64, daemons, zones, racks, workers int) *cell {
+	c := &cell{
+		t: t, now: testStart, store: &fakeStore{rows: map[string]platform.Row{}},
+		racks:  newFakeRacks(zones, racks, workers, cluster.Resources{CPU: 4 * cluster.Core, Memory: 16 * cluster.GiB}),
+		random: rand.New(rand.NewPCG(seed, 1)), submits: map[cluster.JobID]SubmitResult{}, log: zerolog.Nop(),
+	}
+	c.racks.fail = func(m string) { t.Fatalf("at %s: %s", c.now.Sub(testStart), m) }
+	c.config = testConfig(&cluster.Team{Name: "a", Share: 1, Limit: cluster.Resources{CPU: 1000 * cluster.Core, Memory: cluster.Bytes(1) << 50}})
+	for i := range daemons {
+		c.addDaemon(cluster.DaemonID(fmt.Sprintf("d%d", i)), cluster.Place{Region: "north", Zone: cluster.Zone(fmt.Sprintf("z%d", i%zones))})
+	}
+	return c
+}
+
+func (c *cell) addDaemon(id cluster.DaemonID, place cluster.Place) *fakeDaemon {
+	random := rand.New(rand.NewPCG(c.random.Uint64(), 2))
+	d := &fakeDaemon{id: id, place: place}
+	d.controller = New(Config{
+		Self: id, Place: place, Random: random.Float64, Log: c.log.With().Str("daemon", string(id)).Logger(),
+		Invariants: invariant.New(invariant.Config{Log: zerolog.Nop(), Fail: c.racks.fail}),
+	})
+	d.inbox = append(d.inbox, &ConfigChanged{c.config}, &PlatformList{c.racks.list()})
+	c.daemons = append(c.daemons, d)
+	return d
+}
+
+func (c *cell) after(d time.Duration, f func()) {
+	c.order++
+	heap.Push(&c.queue, call{c.now.Add(d), c.order, f})
+}
+
+// run advances virtual time in steps of 100 ms.
+func (c *cell) run(d time.Duration) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		c.now = c.now.Add(100 * time.Millisecond)
+		for len(c.queue) > 0 && !c.queue[0].at.After(c.now) {
+			heap.Pop(&c.queue).(call).f()
+		}
+		c.racks.tick(c.now)
+		c.gossip()
+		for _, d := range c.daemons {
+			if !d.dead && !d.paused {
+				c.step(d)
+			}
+		}
+	}
+}
+
+// gossip tells each daemon which others it has heard from in the last 2 s, and what they say.
+func (c *cell) gossip() {
+	tick := c.now.Sub(testStart).Milliseconds() / 100
+	for _, d := range c.daemons {
+		if d.dead || d.paused {
+			continue
+		}
+		var live []Member
+		for _, other := range c.daemons {
+			silent := other.dead || other.paused
+			if !silent {
+				other.deadAt = c.now
+			}
+			if !other.drained && c.now.Sub(other.deadAt) <= 2*time.Second {
+				live = append(live, Member{ID: other.id, Place: other.place, LastHeard: other.deadAt})
+			}
+			if !silent && other != d && tick%5 == 0 {
+				d.inbox = append(d.inbox, &PeerDigest{other.id, peer.Digest{
+					Racks: other.controller.Digest(), Draining: other.controller.draining,
+				}})
+			}
+		}
+		d.inbox = append(d.inbox, &MembersChanged{Live: live})
+		if tick%50 == 0 {
+			d.inbox = append(d.inbox, &PlatformList{c.racks.list()}, &ConfigChanged{c.config})
+		}
+	}
+}
+
+func (c *cell) step(d *fakeDaemon) {
+	events := d.inbox
+	d.inbox = nil
+	for _, e := range d.controller.Step(c.now, events) {
+		c.carryOut(d, e)
+	}
+}
+
+// deliver puts an answer into a daemon's inbox and lets the daemon act at once.
+func (c *cell) deliver(d *fakeDaemon, e Event) {
+	d.inbox = append(d.inbox, e)
+	if !d.dead && !d.paused {
+		c.step(d)
+	}
+}
+
+func (c *cell) latency() time.Duration {
+	return c.slow + time.Duration(1+c.random.IntN(4))*time.Millisecond
+}
+
+func (c *cell) carryOut(d *fakeDaemon, e Effect) {
+	switch e := e.(type) {
+	case *ReadRows:
+		c.after(c.latency(), func() {
+			reply, err := c.readFor(d, e.Request)
+			c.after(c.latency(), func() { c.deliver(d, &RowsRead{e.Token, reply, err}) })
+		})
+	case *Commit:
+		c.after(c.latency(), func() {
+			version, err := c.commitFor(d, e.Change)
+			c.after(c.latency(), func() { c.deliver(d, &CommitDone{e.Token, version, err}) })
+		})
+	case *Exchange:
+		c.exchange(d, e)
+	case *Send:
+		if c.random.Float64() < c.lostSend {
+			return
+		}
+		for _, to := range c.daemons {
+			if to.id == e.To {
+				c.after(time.Millisecond, func() { c.deliver(to, &PeerMessage{d.id, e.Message}) })
+			}
+		}
+	case *SubmitResult:
+		if old, ok := c.submits[e.Job]; !ok || old.Outcome > Duplicate {
+			c.submits[e.Job] = *e
+		}
+	case *CancelResult:
+		d.cancels = append(d.cancels, *e)
+	case *Drained:
+		d.drained = true
+	}
+}
+
+func (c *cell) readFor(d *fakeDaemon, req platform.ReadRequest) (platform.ReadReply, error) {
+	if d.cut {
+		return platform.ReadReply{}, &platform.Error{Op: "read", Kind: platform.KindUnavailable}
+	}
+	return c.store.read(req)
+}
+
+// commitFor commits as the journal does: an answer that was lost is read back, so the result is definite.
+func (c *cell) commitFor(d *fakeDaemon, change journal.Change) (cluster.Version, error) {
+	if d.cut {
+		return 0, &journal.Error{Op: "commit", Kind: journal.KindUnavailable}
+	}
+	version, err := c.store.commit(change.Checks, change.Puts, change.Deletes)
+	var perr *platform.Error
+	if errors.As(err, &perr) {
+		kind := journal.KindUnavailable
+		if perr.Kind == platform.KindConflict {
+			kind = journal.KindConflict
+		}
+		return 0, &journal.Error{Op: "commit", Kind: kind, Key: perr.Key, Err: err}
+	}
+	return version, nil
+}
+
+func (c *cell) exchange(d *fakeDaemon, e *Exchange) {
+	sent := c.now
+	lost := c.random.Float64() < c.lostExchange
+	if lost && c.random.IntN(2) == 0 {
+		c.after(time.Second, func() {
+			c.deliver(d, &ExchangeDone{e.Token, e.Request.Rack, e.Request.Epoch, sent, platform.ExchangeReply{}, &platform.Error{Op: "exchange", Kind: platform.KindUnknown}})
+		})
+		return
+	}
+	c.after(c.latency(), func() {
+		reply, err := c.racks.exchange(c.now, e.Request)
+		if lost {
+			reply, err = platform.ExchangeReply{}, &platform.Error{Op: "exchange", Kind: platform.KindUnknown}
+		}
+		c.after(c.latency(), func() {
+			c.deliver(d, &ExchangeDone{e.Token, e.Request.Rack, e.Request.Epoch, sent, reply, err})
+		})
+	})
+}
+
+func (c *cell) submit(d *fakeDaemon, spec *cluster.JobSpec) {
+	c.token++
+	d.inbox = append(d.inbox, &Submit{Token: c.token, Spec: spec, Submitted: c.now})
+}
+
+func batch(name string, tasks int, cpu cluster.CPU, idempotent bool) *cluster.JobSpec {
+	return &cluster.JobSpec{
+		ID: cluster.JobID{Team: "a", Name: cluster.JobName(name)}, Queue: "q", Priority: cluster.PriorityNormal, Idempotent: idempotent,
+		Workload: &cluster.Batch{Tasks: tasks, Size: cluster.Resources{CPU: cpu, Memory: cluster.GiB}, RunTime: 5 * time.Second},
+	}
+}
+
+// job returns a job's row as stored.
+func (c *cell) job(name string) *job {
+	id := cluster.JobID{Team: "a", Name: cluster.JobName(name)}
+	row := c.store.rows[jobKey(id)]
+	if row.Deleted || row.Version == 0 {
+		return nil
+	}
+	j, err := decodeJob(row.Key, row.Value)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return j
+}
+
+// owners returns the owner of each rack as stored.
+func (c *cell) owners() map[cluster.RackID]cluster.DaemonID {
+	owners := map[cluster.RackID]cluster.DaemonID{}
+	for key, row := range c.store.rows {
+		var v rackRow
+		if len(key) > len(prefixRack) && key[:len(prefixRack)] == prefixRack && decode(key, row.Value, &v) == nil {
+			owners[cluster.RackID(key[len(prefixRack):])] = cluster.DaemonID(v.Owner)
+		}
+	}
+	return owners
+}
+
+func (c *cell) daemon(id cluster.DaemonID) *fakeDaemon {
+	i := slices.IndexFunc(c.daemons, func(d *fakeDaemon) bool { return d.id == id })
+	return c.daemons[i]
+}
--- /dev/null
+++ b/cluster/rack/exchange.go
@@ -0,0 +1,251 @@
+package rack
+
+import (
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+const (
+	// idleExchange is how often an idle rack is asked what changed.
+	idleExchange = 2 * time.Second
+	// busyExchange is the same while work waits for room in the rack.
+	busyExchange = 500 * time.Millisecond
+	// Retries of a failing exchange double from the first to the last delay.
+	firstExchangeDelay = 200 * time.Millisecond
+	lastExchangeDelay  = 2 * time.Second
+	// maxCommands bounds the size of one exchange.
+	maxCommands = 400
+)
+
+// callRack emits an exchange whose answer goes to done.
+func (c *Controller) callRack(req platform.ExchangeRequest, done func(*ExchangeDone)) {
+	token := c.nextToken()
+	c.exchanges[token] = done
+	c.emit(&Exchange{Token: token, Request: req})
+}
+
+// exchange calls each owned rack that has commands, or whose idle time is over.
+func (c *Controller) exchange() {
+	for _, r := range c.rackOrder {
+		if r.phase < phaseFencing || r.exchanging {
+			continue
+		}
+		r.retryCommands()
+		if c.now.Before(r.nextExchange) && (len(r.commands) == 0 || !r.errSince.IsZero()) {
+			continue
+		}
+		c.exchangeRack(r)
+	}
+}
+
+func (c *Controller) exchangeRack(r *rack) {
+	req := platform.ExchangeRequest{Rack: r.id, Owner: c.cfg.Self, Epoch: r.epoch, Since: r.cursor, Lease: c.lease(r)}
+	r.sent = nil
+	if r.phase == phaseActive && r.errSince.IsZero() {
+		// A failing rack is only asked: a start whose answer is lost would run on after the wait for its lease.
+		r.sent = r.takeCommands()
+	}
+	for _, cmd := range r.sent {
+		req.Commands = append(req.Commands, cmd.order)
+	}
+	r.exchanging = true
+	generation := r.generation
+	c.callRack(req, func(e *ExchangeDone) {
+		if r.generation != generation || e.Epoch != r.epoch {
+			return
+		}
+		r.exchanging = false
+		if e.Err != nil {
+			c.exchangeFailed(r, e.Err)
+			return
+		}
+		c.exchanged(r, e)
+	})
+}
+
+// lease returns the lease to ask for. While exchanges fail it shrinks to what
+// is left of the last lease that was confirmed: a call whose answer is lost
+// must not extend leases that are waited for.
+func (c *Controller) lease(r *rack) time.Duration {
+	if r.errSince.IsZero() {
+		return c.cfg.Lease
+	}
+	return max(c.cfg.Lease-c.now.Sub(r.errSince), time.Millisecond)
+}
+
+// takeCommands removes the commands for the next exchange from the queue, leaving out outdated ones.
+func (r *rack) takeCommands() []command {
+	var taken []command
+	for len(r.commands) > 0 && len(taken) < maxCommands {
+		cmd := r.commands[0]
+		r.commands = r.commands[1:]
+		if start, ok := cmd.order.(*platform.StartTask); ok && !cmd.task.awaits(start) {
+			continue
+		}
+		taken = append(taken, cmd)
+	}
+	if len(r.commands) == 0 {
+		r.commands = nil
+	}
+	return taken
+}
+
+// awaits reports whether a start command is still wanted.
+func (t *task) awaits(start *platform.StartTask) bool {
+	return t.state == cluster.TaskStarting && t.attempt == start.Attempt.Attempt && t.worker != nil && t.worker.id == start.Worker
+}
+
+func (c *Controller) exchangeFailed(r *rack, err error) {
+	if platform.IsKind(err, platform.KindConflict) {
+		c.doubt(r, "a worker refused the epoch")
+		return
+	}
+	if r.errSince.IsZero() {
+		c.cfg.Log.Warn().Err(err).Str("rack", string(r.id)).Msg("rack: exchange failed")
+		r.errSince = c.now
+		r.syncWorkers()
+	}
+	r.errDelay = min(max(2*r.errDelay, firstExchangeDelay), lastExchangeDelay)
+	r.nextExchange = c.now.Add(c.jitter(r.errDelay))
+	// Every command may have run: starts and stops are repeated, which the worker recognises.
+	r.commands = append(r.sent, r.commands...)
+	r.sent = nil
+	c.cfg.Metrics.Counter("rack_exchange_failures").Inc(1)
+}
+
+func (c *Controller) exchanged(r *rack, e *ExchangeDone) {
+	if !r.errSince.IsZero() {
+		r.errSince, r.errDelay = time.Time{}, 0
+		r.syncWorkers()
+	}
+	r.lastOK = c.now
+	r.cursor = e.Reply.Cursor
+	sent := r.sent
+	r.sent = nil
+	if r.phase == phaseFencing {
+		c.fenceReplied(r, &e.Reply)
+	} else {
+		for _, report := range e.Reply.Workers {
+			w := c.updateWorker(r, report)
+			if r.phase != phaseActive {
+				r.reports[w.id] = report
+			}
+		}
+		for i, cmd := range sent {
+			if i < len(e.Reply.Results) {
+				c.commandDone(r, cmd, e.Reply.Results[i])
+			}
+		}
+		if r.phase == phaseActive {
+			for _, report := range e.Reply.Workers {
+				c.takeReport(r, r.workers[report.Worker], report)
+			}
+		}
+	}
+	if r.highest > r.epoch {
+		c.doubt(r, "a worker has seen a higher epoch")
+		return
+	}
+	r.nextExchange = c.now.Add(idleExchange)
+	if r.waiting() {
+		r.nextExchange = c.now.Add(busyExchange)
+	}
+	if r.phase == phaseActive && r.unfenced && r.allFenced() {
+		c.resolveSuspects(r)
+	}
+}
+
+func (r *rack) allFenced() bool {
+	for _, w := range r.order {
+		if !w.fenced && !w.lapsed {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *rack) waiting() bool {
+	for _, a := range r.list {
+		if a.pending > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *rack) syncWorkers() {
+	for _, w := range r.order {
+		r.syncWorker(w)
+	}
+}
+
+// commandDone takes in the outcome of one command.
+func (c *Controller) commandDone(r *rack, cmd command, result platform.CommandResult) {
+	switch order := cmd.order.(type) {
+	case *platform.StartTask:
+		c.startDone(r, cmd, order, result)
+	case *platform.StopTask, *platform.CheckpointTask, *platform.ThrottleTask, *platform.AcknowledgeResult:
+		if result == platform.CommandUnreachable {
+			c.requeue(r, cmd)
+		}
+	}
+}
+
+func (c *Controller) startDone(r *rack, cmd command, start *platform.StartTask, result platform.CommandResult) {
+	t := cmd.task
+	if !t.awaits(start) {
+		return
+	}
+	switch result {
+	case platform.CommandDone, platform.CommandKnown:
+		t.setState(cluster.TaskRunning, c.now)
+	case platform.CommandUnreachable:
+		// The start may have run: it is repeated once the worker is reachable, or counts as lost after the lease.
+		c.requeue(r, cmd)
+	case platform.CommandNoCapacity:
+		c.cfg.Log.Warn().Str("task", t.id().String()).Str("worker", string(start.Worker)).
+			Msg("rack: worker has less room than accounted for")
+		c.cfg.Metrics.Counter("rack_no_capacity").Inc(1)
+		c.backToPending(t, c.now.Add(noCapacityDelay))
+		r.cursor = 0
+	case platform.CommandStaleEpoch, platform.CommandNoTask:
+		c.backToPending(t, c.now.Add(noCapacityDelay))
+	}
+}
+
+// requeue repeats a command when its worker is reachable again.
+func (c *Controller) requeue(r *rack, cmd command) { r.retries = append(r.retries, cmd) }
+
+// retryCommands queues commands that a worker did not answer and that can reach it now.
+func (r *rack) retryCommands() {
+	kept := r.retries[:0]
+	for _, cmd := range r.retries {
+		w := r.workers[workerOf(cmd.order)]
+		switch {
+		case w == nil || w.lapsed:
+		case w.reachable:
+			r.commands = append(r.commands, cmd)
+		default:
+			kept = append(kept, cmd)
+		}
+	}
+	r.retries = kept
+}
+
+func workerOf(order platform.Command) cluster.WorkerID {
+	switch o := order.(type) {
+	case *platform.StartTask:
+		return o.Worker
+	case *platform.StopTask:
+		return o.Worker
+	case *platform.CheckpointTask:
+		return o.Worker
+	case *platform.ThrottleTask:
+		return o.Worker
+	case *platform.AcknowledgeResult:
+		return o.Worker
+	}
+	return ""
+}
--- /dev/null
+++ b/cluster/rack/fake_test.go
@@ -0,0 +1,286 @@
+package rack
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// fakeStore is a table service in memory.
+type fakeStore struct {
+	version cluster.Version
+	rows    map[string]platform.Row
+	down    bool
+	reads   int
+	commits int
+	puts    int
+}
+
+func (s *fakeStore) read(req platform.ReadRequest) (platform.ReadReply, error) {
+	s.reads++
+	if s.down {
+		return platform.ReadReply{}, &platform.Error{Op: "read", Kind: platform.KindUnavailable}
+	}
+	reply := platform.ReadReply{AsOf: s.version}
+	for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+		row := s.rows[key]
+		selected := slices.Contains(req.Keys, key) ||
+			slices.ContainsFunc(req.Prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
+		if selected && row.Version > req.SinceVersion && (!row.Deleted || req.SinceVersion > 0) {
+			reply.Rows = append(reply.Rows, row)
+		}
+	}
+	return reply, nil
+}
+
+func (s *fakeStore) commit(checks []platform.Check, puts []platform.Put, deletes []string) (cluster.Version, error) {
+	s.commits++
+	if s.down {
+		return 0, &platform.Error{Op: "commit", Kind: platform.KindUnavailable}
+	}
+	for _, c := range checks {
+		row := s.rows[c.Key]
+		if row.Deleted {
+			row.Version = 0
+		}
+		if row.Version != c.Version {
+			return 0, &platform.Error{Op: "commit", Kind: platform.KindConflict, Key: c.Key}
+		}
+	}
+	s.version++
+	for _, p := range puts {
+		s.puts++
+		s.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: s.version}
+	}
+	for _, key := range deletes {
+		s.rows[key] = platform.Row{Key: key, Version: s.version, Deleted: true}
+	}
+	return s.version, nil
+}
+
+// fakeWorker is a worker that enforces the fence and leases.
+type fakeWorker struct {
+	id          cluster.WorkerID
+	rack        cluster.RackID
+	place       cluster.Place
+	capacity    cluster.Resources
+	epoch       cluster.Epoch
+	unreachable bool
+	dead        bool
+	failing     bool
+	changed     uint64
+	known       map[cluster.AttemptID]bool
+	running     map[cluster.AttemptID]*fakeRun
+	ended       map[cluster.AttemptID]platform.EndedTask
+}
+
+type fakeRun struct {
+	size          cluster.Resources
+	started, ends time.Time
+	lease         time.Time
+}
+
+// fakeRacks holds the workers of the cell and checks what they run.
+type fakeRacks struct {
+	workers []*fakeWorker
+	down    map[cluster.RackID]bool
+	cursor  uint64
+	runTime func(cluster.AttemptID) time.Duration
+	limit   func(cluster.TeamName) cluster.Resources
+	fail    func(string)
+	started map[cluster.JobID]time.Time
+	starts  int
+	// executed counts the attempts of each task that a worker began.
+	executed map[cluster.TaskID]int
+}
+
+func newFakeRacks(zones, racksPerZone, workers int, capacity cluster.Resources) *fakeRacks {
+	f := &fakeRacks{
+		down: map[cluster.RackID]bool{}, started: map[cluster.JobID]time.Time{}, executed: map[cluster.TaskID]int{},
+		runTime: func(cluster.AttemptID) time.Duration { return 5 * time.Second },
+	}
+	for z := range zones {
+		for r := range racksPerZone {
+			for w := range workers {
+				rack := cluster.RackID(fmt.Sprintf("z%d-r%d", z, r))
+				f.workers = append(f.workers, &fakeWorker{
+					id: cluster.WorkerID(fmt.Sprintf("%s-w%d", rack, w)), rack: rack,
+					place:    cluster.Place{Region: "north", Zone: cluster.Zone(fmt.Sprintf("z%d", z))},
+					capacity: capacity, known: map[cluster.AttemptID]bool{},
+					running: map[cluster.AttemptID]*fakeRun{}, ended: map[cluster.AttemptID]platform.EndedTask{},
+				})
+			}
+		}
+	}
+	return f
+}
+
+func (f *fakeRacks) list() []platform.VM {
+	var vms []platform.VM
+	for _, w := range f.workers {
+		if !w.dead {
+			vms = append(vms, platform.VM{ID: string(w.id), Role: platform.RoleWorker, Place: w.place, Rack: w.rack, Capacity: w.capacity})
+		}
+	}
+	return vms
+}
+
+// tick ends the tasks whose time has come or whose lease has lapsed.
+func (f *fakeRacks) tick(now time.Time) {
+	for _, w := range f.workers {
+		for _, id := range sortedAttempts(w.running) {
+			run := w.running[id]
+			switch {
+			case now.After(run.lease):
+				f.end(w, id, platform.OutcomeLeaseLapsed)
+			case !now.Before(run.ends) && w.failing:
+				f.end(w, id, platform.OutcomeFailed)
+			case !now.Before(run.ends):
+				f.end(w, id, platform.OutcomeSucceeded)
+			}
+		}
+	}
+}
+
+func (f *fakeRacks) end(w *fakeWorker, id cluster.AttemptID, outcome platform.Outcome) {
+	run := w.running[id]
+	delete(w.running, id)
+	w.ended[id] = platform.EndedTask{Attempt: id, Outcome: outcome, Peak: run.size, RunTime: run.ends.Sub(run.started)}
+	f.touch(w)
+}
+
+func (f *fakeRacks) touch(w *fakeWorker) {
+	f.cursor++
+	w.changed = f.cursor
+}
+
+func sortedAttempts[V any](m map[cluster.AttemptID]V) []cluster.AttemptID {
+	return slices.SortedFunc(maps.Keys(m), func(a, b cluster.AttemptID) int { return strings.Compare(a.String(), b.String()) })
+}
+
+func (f *fakeRacks) exchange(now time.Time, req platform.ExchangeRequest) (platform.ExchangeReply, error) {
+	var reply platform.ExchangeReply
+	if f.down[req.Rack] {
+		return reply, &platform.Error{Op: "exchange", Kind: platform.KindUnavailable}
+	}
+	byID := map[cluster.WorkerID]*fakeWorker{}
+	for _, w := range f.workers {
+		if w.rack != req.Rack {
+			continue
+		}
+		byID[w.id] = w
+		if w.unreachable || w.dead || req.Epoch < w.epoch {
+			continue
+		}
+		if req.Epoch > w.epoch {
+			w.epoch = req.Epoch
+			f.touch(w)
+		}
+		for _, run := range w.running {
+			run.lease = now.Add(req.Lease)
+		}
+	}
+	for _, cmd := range req.Commands {
+		reply.Results = append(reply.Results, f.command(now, req, byID[workerOf(cmd)], cmd))
+	}
+	for _, w := range f.workers {
+		if w.rack == req.Rack && (w.changed > req.Since || req.Since == 0) && !w.dead {
+			reply.Workers = append(reply.Workers, w.report(now))
+		} else if w.rack == req.Rack && w.dead && req.Since == 0 {
+			reply.Workers = append(reply.Workers, w.report(now))
+		}
+	}
+	reply.Cursor = f.cursor
+	return reply, nil
+}
+
+func (f *fakeRacks) command(now time.Time, req platform.ExchangeRequest, w *fakeWorker, cmd platform.Command) platform.CommandResult {
+	switch {
+	case w == nil || w.unreachable || w.dead:
+		return platform.CommandUnreachable
+	case req.Epoch < w.epoch:
+		return platform.CommandStaleEpoch
+	}
+	switch o := cmd.(type) {
+	case *platform.StartTask:
+		return f.start(now, req, w, o)
+	case *platform.StopTask:
+		return f.stop(w, o.Attempt, platform.OutcomeStopped)
+	case *platform.CheckpointTask:
+		return f.stop(w, o.Attempt, platform.OutcomeCheckpointed)
+	case *platform.AcknowledgeResult:
+		if _, ok := w.ended[o.Attempt]; ok {
+			delete(w.ended, o.Attempt)
+			f.touch(w)
+		}
+	}
+	return platform.CommandDone
+}
+
+func (f *fakeRacks) stop(w *fakeWorker, id cluster.AttemptID, outcome platform.Outcome) platform.CommandResult {
+	if _, ok := w.running[id]; !ok {
+		return platform.CommandNoTask
+	}
+	f.end(w, id, outcome)
+	return platform.CommandDone
+}
+
+func (f *fakeRacks) start(now time.Time, req platform.ExchangeRequest, w *fakeWorker, o *platform.StartTask) platform.CommandResult {
+	if w.known[o.Attempt] {
+		return platform.CommandKnown
+	}
+	used := o.Size
+	for _, run := range w.running {
+		used = used.Add(run.size)
+	}
+	if !used.Fits(w.capacity) {
+		return platform.CommandNoCapacity
+	}
+	f.checkStart(o)
+	w.known[o.Attempt] = true
+	w.running[o.Attempt] = &fakeRun{size: o.Size, started: now, ends: now.Add(f.runTime(o.Attempt)), lease: now.Add(req.Lease)}
+	f.touch(w)
+	f.starts++
+	f.executed[o.Attempt.Task]++
+	if _, ok := f.started[o.Attempt.Task.Job]; !ok {
+		f.started[o.Attempt.Task.Job] = now
+	}
+	return platform.CommandDone
+}
+
+// checkStart asserts that the task runs nowhere else and that its team stays within its limit.
+func (f *fakeRacks) checkStart(o *platform.StartTask) {
+	used := o.Size
+	for _, w := range f.workers {
+		for id, run := range w.running {
+			if id.Task == o.Attempt.Task {
+				f.fail(fmt.Sprintf("%s starts on %s while %s runs on %s", o.Attempt, o.Worker, id, w.id))
+			}
+			if id.Task.Job.Team == o.Attempt.Task.Job.Team {
+				used = used.Add(run.size)
+			}
+		}
+	}
+	if f.limit != nil && !used.Fits(f.limit(o.Attempt.Task.Job.Team)) {
+		f.fail(fmt.Sprintf("%s starts and its team runs %s", o.Attempt, used))
+	}
+}
+
+func (w *fakeWorker) report(now time.Time) platform.WorkerReport {
+	r := platform.WorkerReport{
+		Worker: w.id, Capacity: w.capacity, Place: w.place, Reachable: !w.unreachable && !w.dead, Epoch: w.epoch,
+	}
+	for _, id := range sortedAttempts(w.running) {
+		run := w.running[id]
+		r.Running = append(r.Running, platform.RunningTask{Attempt: id, Size: run.size, Usage: run.size, Age: now.Sub(run.started)})
+	}
+	for _, id := range sortedAttempts(w.ended) {
+		r.Ended = append(r.Ended, w.ended[id])
+	}
+	return r
+}
--- /dev/null
+++ b/cluster/rack/grant.go
@@ -0,0 +1,516 @@
+package rack
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+const (
+	// grantInterval gathers changes of a team's grants into one write.
+	grantInterval = 200 * time.Millisecond
+	// requestInterval separates requests for grant to other owners; a request expires after requestLife.
+	requestInterval = 500 * time.Millisecond
+	requestLife     = 2 * time.Second
+	// excessDelay is how long a lowered limit waits for tasks to end before it stops some.
+	excessDelay = 5 * time.Second
+)
+
+// grants is the row of one team and what is under way to change it.
+type grants struct {
+	team    cluster.TeamName
+	version cluster.Version
+	limit   cluster.Resources
+	row     map[cluster.RackID]cluster.Resources
+	// lowering holds the grants of a transaction in flight or of unknown result
+	// that are lower than the row's; the lower value counts.
+	lowering  map[cluster.RackID]cluster.Resources
+	writing   bool
+	notBefore time.Time
+	// asked is when other owners were last asked; requests are what others asked for.
+	asked    time.Time
+	requests map[cluster.RackID]grantTarget
+	// overSince is when the sum was first found above the configured limit.
+	overSince time.Time
+}
+
+// grantTarget is a grant that a rack of another owner wants to reach.
+type grantTarget struct {
+	target  cluster.Resources
+	expires time.Time
+}
+
+func (c *Controller) grantsFor(team cluster.TeamName) *grants {
+	g, ok := c.grants[team]
+	if !ok {
+		g = &grants{team: team, row: map[cluster.RackID]cluster.Resources{}, requests: map[cluster.RackID]grantTarget{}}
+		c.grants[team] = g
+	}
+	return g
+}
+
+func (c *Controller) ingestGrants(row platform.Row) {
+	g := c.grantsFor(cluster.TeamName(row.Key[len(prefixGrants):]))
+	if row.Version <= g.version {
+		return
+	}
+	var v grantsRow
+	if !row.Deleted {
+		if err := decode(row.Key, row.Value, &v); err != nil {
+			c.malformed(row.Key, err)
+			return
+		}
+	}
+	g.version = row.Version
+	g.take(v)
+	c.require(g.sum().Fits(g.limit), invariant.Limit, "grants of team %s are %s of %s", g.team, g.sum(), g.limit)
+}
+
+func (g *grants) take(v grantsRow) {
+	g.limit = cluster.Resources{CPU: cluster.CPU(v.CPU), Memory: cluster.Bytes(v.Mem), Accelerators: v.Acc}
+	g.row = make(map[cluster.RackID]cluster.Resources, len(v.Grants))
+	for _, e := range v.Grants {
+		g.row[cluster.RackID(e.Rack)] = cluster.Resources{CPU: cluster.CPU(e.CPU), Memory: cluster.Bytes(e.Mem), Accelerators: e.Acc}
+	}
+}
+
+func (g *grants) sum() cluster.Resources {
+	var sum cluster.Resources
+	for _, v := range g.row {
+		sum = sum.Add(v)
+	}
+	return sum
+}
+
+func encodeGrants(limit cluster.Resources, row map[cluster.RackID]cluster.Resources) ([]byte, error) {
+	v := grantsRow{CPU: int64(limit.CPU), Mem: int64(limit.Memory), Acc: limit.Accelerators}
+	for id, r := range row {
+		if !r.IsZero() {
+			v.Grants = append(v.Grants, grantRow{string(id), int64(r.CPU), int64(r.Memory), r.Accelerators})
+		}
+	}
+	slices.SortFunc(v.Grants, func(a, b grantRow) int { return strings.Compare(a.Rack, b.Rack) })
+	return encode(&v)
+}
+
+// effective returns the grant that counts for starts: the lowest that may be in force.
+func (c *Controller) effective(r *rack, team cluster.TeamName) cluster.Resources {
+	g := c.grants[team]
+	if g == nil {
+		return cluster.Resources{}
+	}
+	v := g.row[r.id]
+	if low, ok := g.lowering[r.id]; ok {
+		v = v.Min(low)
+	}
+	return v.Min(c.targetUnder(g, v))
+}
+
+// targetUnder scales a grant down to the configured limit if the sum of the grants is above it.
+func (c *Controller) targetUnder(g *grants, v cluster.Resources) cluster.Resources {
+	limit, sum := c.limit(g.team), g.sum()
+	if sum.Fits(limit) {
+		return v
+	}
+	scale := func(v, limit, sum int64) int64 {
+		if sum <= limit || sum == 0 {
+			return v
+		}
+		return int64(float64(v) * (float64(limit) / float64(sum)))
+	}
+	return cluster.Resources{
+		CPU:          cluster.CPU(scale(int64(v.CPU), int64(limit.CPU), int64(sum.CPU))),
+		Memory:       cluster.Bytes(scale(int64(v.Memory), int64(limit.Memory), int64(sum.Memory))),
+		Accelerators: scale(v.Accelerators, limit.Accelerators, sum.Accelerators),
+	}
+}
+
+func (c *Controller) limit(team cluster.TeamName) cluster.Resources {
+	if t := c.config.Teams[team]; t != nil {
+		return t.Limit
+	}
+	return cluster.Resources{}
+}
+
+// usedBy returns what a team uses in a rack, attempts that are being stopped included.
+func (r *rack) usedBy(team cluster.TeamName) cluster.Resources {
+	used := r.used[team]
+	for _, w := range r.order {
+		for attempt, size := range w.foreign {
+			if attempt.Task.Job.Team == team {
+				used = used.Add(size)
+			}
+		}
+	}
+	return used.Add(r.heldBy(team))
+}
+
+// available returns what a team may still start in a rack.
+func (c *Controller) available(r *rack, team cluster.TeamName) cluster.Resources {
+	used := r.usedBy(team).Max(r.frozen[team])
+	return c.effective(r, team).Sub(used).Max(cluster.Resources{})
+}
+
+// balanceGrants raises the grants of owned racks with waiting work and gives up unused grant.
+func (c *Controller) balanceGrants() {
+	if !c.writable() {
+		return
+	}
+	teams := map[cluster.TeamName]bool{}
+	for _, r := range c.rackOrder {
+		if r.phase == phaseActive {
+			for team := range r.teams() {
+				teams[team] = true
+			}
+		}
+	}
+	for team, g := range c.grants {
+		if len(g.requests) > 0 || !g.sum().Fits(c.limit(team)) {
+			teams[team] = true
+		}
+	}
+	for _, team := range sortedTeams(teams) {
+		g := c.grantsFor(team)
+		if !g.writing && !c.now.Before(g.notBefore) {
+			c.balanceTeam(g)
+		}
+	}
+}
+
+func sortedTeams(set map[cluster.TeamName]bool) []cluster.TeamName {
+	teams := make([]cluster.TeamName, 0, len(set))
+	for team := range set {
+		teams = append(teams, team)
+	}
+	slices.Sort(teams)
+	return teams
+}
+
+// demand returns what a team could use in a rack: what it uses and what waits, as far as there is room.
+func (c *Controller) demand(r *rack, team cluster.TeamName) cluster.Resources {
+	used := r.usedBy(team)
+	var waiting cluster.Resources
+	for _, a := range r.list {
+		if a.id.Team != team || a.pending == 0 {
+			continue
+		}
+		if j := c.jobs[a.id]; j != nil && j.active() && !j.cancel {
+			waiting = waiting.Add(c.declaredSize(j).Times(int64(a.pending)))
+		}
+	}
+	if waiting.IsZero() {
+		return used
+	}
+	_, free, _ := r.openCapacity()
+	return used.Add(waiting.Min(free))
+}
+
+// balanceTeam computes a team's next row from the demand on owned racks and the requests of others.
+func (c *Controller) balanceTeam(g *grants) {
+	limit := c.limit(g.team)
+	next := make(map[cluster.RackID]cluster.Resources, len(g.row))
+	for id, v := range g.row {
+		next[id] = v
+	}
+	spare := limit.Sub(g.sum())
+	c.shed(g, next, &spare)
+	missing := c.raise(g, next, &spare)
+	c.serveRequests(g, next, &spare)
+	if !missing.IsZero() {
+		c.askForGrant(g, missing)
+	}
+	if !sameGrants(g.row, next) {
+		c.writeGrants(g, next)
+	}
+	c.stopExcess(g)
+}
+
+func sameGrants(a, b map[cluster.RackID]cluster.Resources) bool {
+	for id, v := range b {
+		if a[id] != v {
+			return false
+		}
+	}
+	for id, v := range a {
+		if b[id] != v {
+			return false
+		}
+	}
+	return true
+}
+
+// surplus returns the grant of an owned rack that no running or waiting work
+// needs; a rack that is not fully fenced has none.
+func (c *Controller) surplus(r *rack, g *grants, grant cluster.Resources) cluster.Resources {
+	if r.phase != phaseActive || r.unfenced || r.handover || r.claiming {
+		return cluster.Resources{}
+	}
+	return grant.Sub(c.demand(r, g.team)).Max(cluster.Resources{})
+}
+
+// shed lowers unused grants of owned racks while the sum is above the limit.
+func (c *Controller) shed(g *grants, next map[cluster.RackID]cluster.Resources, spare *cluster.Resources) {
+	if !spare.Negative() {
+		return
+	}
+	for _, r := range c.rackOrder {
+		if r.phase != phaseActive || r.unfenced || r.handover || r.claiming {
+			continue
+		}
+		over := cluster.Resources{}.Sub(*spare).Max(cluster.Resources{})
+		unused := next[r.id].Sub(r.usedBy(g.team)).Max(cluster.Resources{}).Min(over)
+		next[r.id] = next[r.id].Sub(unused)
+		*spare = spare.Add(unused)
+	}
+}
+
+// raise gives owned racks what they lack from the unallocated part of the
+// limit and from other owned racks; it returns what is still missing.
+func (c *Controller) raise(g *grants, next map[cluster.RackID]cluster.Resources, spare *cluster.Resources) cluster.Resources {
+	var missing cluster.Resources
+	for _, r := range c.rackOrder {
+		if r.phase != phaseActive || r.handover {
+			continue
+		}
+		lack := c.demand(r, g.team).Max(r.frozen[g.team]).Sub(next[r.id]).Max(cluster.Resources{})
+		if lack.IsZero() {
+			continue
+		}
+		got := lack.Min(spare.Max(cluster.Resources{}))
+		next[r.id] = next[r.id].Add(got)
+		*spare = spare.Sub(got)
+		lack = lack.Sub(got)
+		lack = c.takeFromOwn(g, next, r, lack)
+		missing = missing.Add(lack)
+	}
+	return missing
+}
+
+func (c *Controller) takeFromOwn(g *grants, next map[cluster.RackID]cluster.Resources, to *rack, lack cluster.Resources) cluster.Resources {
+	for _, r := range c.rackOrder {
+		if r == to || lack.IsZero() {
+			continue
+		}
+		part := c.surplus(r, g, next[r.id]).Min(lack)
+		next[r.id] = next[r.id].Sub(part)
+		next[to.id] = next[to.id].Add(part)
+		lack = lack.Sub(part)
+	}
+	return lack
+}
+
+// serveRequests moves unused grant to the racks of other owners that asked for it.
+func (c *Controller) serveRequests(g *grants, next map[cluster.RackID]cluster.Resources, spare *cluster.Resources) {
+	if spare.Negative() {
+		return
+	}
+	ids := make([]cluster.RackID, 0, len(g.requests))
+	for id := range g.requests {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		req := g.requests[id]
+		lack := req.target.Sub(next[id]).Max(cluster.Resources{})
+		if c.now.After(req.expires) || lack.IsZero() {
+			delete(g.requests, id)
+			continue
+		}
+		for _, r := range c.rackOrder {
+			if r.id == id {
+				continue
+			}
+			part := c.surplus(r, g, next[r.id]).Min(lack)
+			next[r.id] = next[r.id].Sub(part)
+			next[id] = next[id].Add(part)
+			lack = lack.Sub(part)
+		}
+	}
+}
+
+func (c *Controller) grantRequested(m *peer.GrantRequest) {
+	g := c.grantsFor(m.Team)
+	g.requests[m.Rack] = grantTarget{target: g.row[m.Rack].Add(m.Amount), expires: c.now.Add(requestLife)}
+}
+
+// askForGrant asks the owners of other racks to release unused grant.
+func (c *Controller) askForGrant(g *grants, missing cluster.Resources) {
+	if c.now.Before(g.asked.Add(requestInterval)) {
+		return
+	}
+	g.asked = c.now
+	for _, r := range c.rackOrder {
+		if r.phase != phaseActive {
+			continue
+		}
+		lack := c.demand(r, g.team).Sub(g.row[r.id]).Max(cluster.Resources{}).Min(missing)
+		if lack.IsZero() {
+			continue
+		}
+		for _, to := range c.holdersOf(g) {
+			c.send(to, &peer.GrantRequest{Team: g.team, Rack: r.id, Amount: lack})
+		}
+	}
+}
+
+// holdersOf returns the live owners of other racks with grant of the team.
+func (c *Controller) holdersOf(g *grants) []cluster.DaemonID {
+	set := map[cluster.DaemonID]bool{}
+	for id, v := range g.row {
+		if r := c.racks[id]; r != nil && !v.IsZero() && r.owner != "" && r.owner != c.cfg.Self && c.isLive(r.owner) {
+			set[r.owner] = true
+		}
+	}
+	owners := make([]cluster.DaemonID, 0, len(set))
+	for id := range set {
+		owners = append(owners, id)
+	}
+	slices.Sort(owners)
+	return owners
+}
+
+// writeGrants writes a team's row. The rows of the racks whose grant is lowered
+// are checked, so that a late write can't lower the grant under a new owner.
+func (c *Controller) writeGrants(g *grants, next map[cluster.RackID]cluster.Resources) {
+	var sum cluster.Resources
+	for _, v := range next {
+		sum = sum.Add(v)
+	}
+	limit := c.limit(g.team).Max(sum)
+	value, err := encodeGrants(limit, next)
+	if err != nil {
+		c.malformed(grantsKey(g.team), err)
+		return
+	}
+	key := grantsKey(g.team)
+	change := journal.Change{
+		Checks: []platform.Check{{Key: key, Version: g.version}},
+		Puts:   []platform.Put{{Key: key, Value: value}},
+	}
+	g.lowering = map[cluster.RackID]cluster.Resources{}
+	for _, r := range c.rackOrder {
+		if before := g.row[r.id]; !before.Fits(next[r.id]) {
+			g.lowering[r.id] = next[r.id]
+			change.Checks = append(change.Checks, platform.Check{Key: rackKey(r.id), Version: r.version})
+		}
+	}
+	g.writing = true
+	c.commit(change, func(version cluster.Version, err error) {
+		g.writing = false
+		g.notBefore = c.now.Add(grantInterval)
+		if err != nil {
+			c.grantsFailed(g, err)
+			return
+		}
+		before := g.row
+		c.ingestGrants(platform.Row{Key: key, Value: value, Version: version})
+		g.lowering = nil
+		c.tellRaised(g, before, platform.Row{Key: key, Value: value, Version: version})
+		c.cfg.Metrics.Counter("rack_grant_writes").Inc(1)
+	})
+}
+
+// tellRaised sends the row to the owners of racks whose grant was raised.
+func (c *Controller) tellRaised(g *grants, before map[cluster.RackID]cluster.Resources, row platform.Row) {
+	for _, r := range c.rackOrder {
+		if !g.row[r.id].Fits(before[r.id]) {
+			c.send(r.owner, &peer.GrantRelease{Team: g.team, Row: row})
+		}
+	}
+}
+
+func (c *Controller) grantsFailed(g *grants, err error) {
+	if journal.IsKind(err, journal.KindUnavailable) {
+		g.lowering = nil
+		return
+	}
+	// The row, or the row of a rack, is not as it was last read: both are read
+	// again, and until then the lower grants count.
+	g.writing = true
+	req := platform.ReadRequest{Keys: []string{grantsKey(g.team)}}
+	for _, r := range c.rackOrder {
+		if _, ok := g.lowering[r.id]; ok {
+			req.Keys = append(req.Keys, rackKey(r.id))
+		}
+	}
+	c.rereadGrants(g, req)
+}
+
+// rereadGrants reads the row after a failed write, until it succeeds.
+func (c *Controller) rereadGrants(g *grants, req platform.ReadRequest) {
+	c.read(req, func(reply platform.ReadReply, err error) {
+		if err != nil {
+			c.later(maxTime(c.now.Add(c.jitter(claimDelay)), c.store.downUntil), func() { c.rereadGrants(g, req) })
+			return
+		}
+		g.writing, g.lowering = false, nil
+		for _, row := range reply.Rows {
+			c.ingest(row)
+		}
+	})
+}
+
+// stopExcess stops tasks over a lowered limit that did not end by themselves.
+func (c *Controller) stopExcess(g *grants) {
+	if g.sum().Fits(c.limit(g.team)) {
+		g.overSince = time.Time{}
+		return
+	}
+	if g.overSince.IsZero() {
+		g.overSince = c.now
+	}
+	if c.now.Sub(g.overSince) < excessDelay {
+		return
+	}
+	for _, r := range c.rackOrder {
+		if r.phase != phaseActive {
+			continue
+		}
+		over := r.usedBy(g.team).Sub(c.targetUnder(g, g.row[r.id]))
+		for _, t := range c.stoppable(r, g.team) {
+			if !positive(over) {
+				break
+			}
+			over = over.Sub(t.size)
+			if !t.stop {
+				c.interrupt(t, "the limit of its team was lowered")
+			}
+		}
+	}
+}
+
+func positive(r cluster.Resources) bool { return r.CPU > 0 || r.Memory > 0 || r.Accelerators > 0 }
+
+// stoppable returns the running tasks of a team that may be interrupted, those
+// that lose the least first; stopping ones lead, so that they count as gone.
+func (c *Controller) stoppable(r *rack, team cluster.TeamName) []*task {
+	var tasks []*task
+	for _, w := range r.order {
+		for _, t := range w.tasks {
+			j := c.jobs[t.of.id]
+			if t.of.id.Team == team && j != nil && (t.stop || t.state == cluster.TaskRunning && (j.idempotent() || j.spec.Checkpoints)) {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	slices.SortFunc(tasks, func(a, b *task) int {
+		switch pa, pb := c.jobs[a.of.id].spec.Priority, c.jobs[b.of.id].spec.Priority; {
+		case a.stop != b.stop && a.stop:
+			return -1
+		case a.stop != b.stop:
+			return 1
+		case pa != pb:
+			return int(pa - pb)
+		case !a.since.Equal(b.since):
+			return b.since.Compare(a.since)
+		}
+		return compareTasks(a, b)
+	})
+	return tasks
+}
--- /dev/null
+++ b/cluster/rack/job.go
@@ -0,0 +1,382 @@
+package rack
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+const (
+	// maxExpired bounds the rows deleted by one transaction.
+	maxExpired = 100
+	// foreignExpiry is how long the owner of the home rack has to delete a row before it is looked at again.
+	foreignExpiry = 10 * time.Second
+)
+
+// expiry is an ended job whose row is deleted at a time.
+type expiry struct {
+	at  time.Time
+	job cluster.JobID
+}
+
+func (c *Controller) ingestJob(row platform.Row) {
+	id, ok := parseJob(row.Key[len(prefixJob):])
+	if !ok {
+		return
+	}
+	old := c.jobs[id]
+	if old != nil && row.Version <= old.version {
+		return
+	}
+	if row.Deleted {
+		delete(c.jobs, id)
+		c.health.ForgetJob(id)
+		return
+	}
+	j, err := decodeJob(row.Key, row.Value)
+	if err != nil {
+		c.malformed(row.Key, err)
+		return
+	}
+	j.id, j.version = id, row.Version
+	if old != nil {
+		j.gang, j.writing, j.notBefore, j.queued = old.gang, old.writing, old.notBefore, old.queued
+		*old = *j
+		j = old
+	} else {
+		c.jobs[id] = j
+	}
+	c.jobChanged(j)
+}
+
+// jobChanged applies a new state of a job to its tasks on owned racks.
+func (c *Controller) jobChanged(j *job) {
+	if !j.active() {
+		c.expiring = append(c.expiring, expiry{j.ended.Add(c.cfg.Retention), j.id})
+	}
+	for _, r := range c.rackOrder {
+		a := r.assignments[j.id]
+		if a == nil {
+			continue
+		}
+		a.requeue = true
+		if j.cancel {
+			for _, t := range a.tasks {
+				c.stopTask(t)
+			}
+		}
+	}
+	c.checkEnd(j.id)
+}
+
+// checkEnd notes that a job may have ended.
+func (c *Controller) checkEnd(id cluster.JobID) {
+	j := c.jobs[id]
+	if j == nil || j.queued || !j.active() || !c.isHome(j) {
+		return
+	}
+	j.queued = true
+	c.ending = append(c.ending, id)
+}
+
+// isHome reports whether the job's home rack is owned here.
+func (c *Controller) isHome(j *job) bool {
+	r := c.racks[j.home]
+	return r != nil && r.phase == phaseActive
+}
+
+// checkHomes looks at every job at home in a rack that was taken over.
+func (c *Controller) checkHomes(r *rack) {
+	for _, j := range c.sortedJobs() {
+		if j.home == r.id {
+			c.checkEnd(j.id)
+		}
+	}
+}
+
+func (c *Controller) sortedJobs() []*job {
+	jobs := make([]*job, 0, len(c.jobs))
+	for _, j := range c.jobs {
+		jobs = append(jobs, j)
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		if a.id.Team != b.id.Team {
+			return compareStrings(string(a.id.Team), string(b.id.Team))
+		}
+		return compareStrings(string(a.id.Name), string(b.id.Name))
+	})
+	return jobs
+}
+
+func compareStrings(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// ingestRemote keeps the rows of other owners that the end of a job depends on.
+func (c *Controller) ingestRemote(row platform.Row, id cluster.JobID, v assignRow) {
+	old, ok := c.remote[row.Key]
+	j := c.jobs[id]
+	if !ok || row.Version <= old.version || j == nil {
+		return
+	}
+	if row.Deleted {
+		v = assignRow{}
+	}
+	c.remote[row.Key] = remoteRow{version: row.Version, row: v, deleted: row.Deleted}
+	c.checkEnd(id)
+}
+
+// tellHome sends a row whose tasks have all ended to the owner of the job's home rack.
+func (c *Controller) tellHome(a *assignment) {
+	j := c.jobs[a.id]
+	if j == nil || a.dirty || a.ended < len(a.tasks) {
+		return
+	}
+	c.checkEnd(a.id)
+	home := c.racks[j.home]
+	if home == nil || home.owner == c.cfg.Self || home.owner == "" {
+		return
+	}
+	value, err := a.encode()
+	if err != nil {
+		return
+	}
+	row := platform.Row{Key: assignKey(a.rack.id, a.id), Value: value, Version: a.version}
+	c.send(home.owner, &peer.AssignNotice{Rack: a.rack.id, Rows: []platform.Row{row}})
+}
+
+// endJobs writes the end of each job whose tasks have all ended.
+func (c *Controller) endJobs() {
+	if len(c.ending) == 0 {
+		return
+	}
+	ids := c.ending
+	c.ending = nil
+	var missing []string
+	for _, id := range ids {
+		j := c.jobs[id]
+		if j == nil {
+			continue
+		}
+		j.queued = false
+		if !j.active() || !c.isHome(j) {
+			continue
+		}
+		if j.writing || !c.writable() || c.now.Before(j.notBefore) {
+			c.checkEnd(id)
+			continue
+		}
+		missing = append(missing, c.endJob(j)...)
+	}
+	if len(missing) > 0 {
+		c.readRemote(missing)
+	}
+}
+
+// readRemote reads rows of other owners for the first time; the poll keeps them up to date.
+func (c *Controller) readRemote(keys []string) {
+	c.read(platform.ReadRequest{Keys: keys}, func(reply platform.ReadReply, err error) {
+		if err != nil {
+			for _, key := range keys {
+				delete(c.remote, key)
+				if _, id, ok := parseAssign(key); ok {
+					c.checkEnd(id)
+				}
+			}
+			return
+		}
+		c.store.floor = min(c.store.floor, reply.AsOf)
+		for _, row := range reply.Rows {
+			c.ingest(row)
+		}
+	})
+}
+
+// endJob ends a job if every task has ended; it returns the rows that have to be read first.
+func (c *Controller) endJob(j *job) (missing []string) {
+	total, _ := j.spec.TaskCount()
+	states := make(map[int]cluster.TaskState, total)
+	change := journal.Change{Checks: []platform.Check{
+		{Key: jobKey(j.id), Version: j.version}, {Key: rackKey(j.home), Version: c.racks[j.home].version},
+	}}
+	settled := true
+	for _, id := range j.racks {
+		key := assignKey(id, j.id)
+		version, ok := c.gather(c.racks[id], j, key, states, &missing)
+		settled = settled && ok
+		change.Checks = append(change.Checks, platform.Check{Key: key, Version: version})
+		if version != 0 {
+			change.Deletes = append(change.Deletes, key)
+		}
+	}
+	if !settled || len(missing) > 0 {
+		return missing
+	}
+	for i := range total {
+		if s, ok := states[i]; !ok && !j.cancel || ok && !s.Terminal() {
+			return nil
+		}
+	}
+	if c.isService(j.id) && !j.cancel {
+		return nil
+	}
+	c.writeEnd(j, states, change)
+	return nil
+}
+
+// gather adds the states of a job's tasks in one rack; false if they are not durable yet.
+func (c *Controller) gather(r *rack, j *job, key string, states map[int]cluster.TaskState, missing *[]string) (cluster.Version, bool) {
+	if r != nil && r.phase == phaseActive {
+		delete(c.remote, key)
+		a := r.assignments[j.id]
+		if a == nil {
+			return 0, true
+		}
+		for _, t := range a.tasks {
+			states[t.index] = t.state
+		}
+		if a.ended == len(a.tasks) && (a.dirty || len(a.acks) > 0 || r.flushing || a.moving) {
+			// The row is about to be written; the check is repeated afterwards.
+			c.checkEnd(j.id)
+			return 0, false
+		}
+		return a.version, a.ended == len(a.tasks)
+	}
+	remote, ok := c.remote[key]
+	if !ok {
+		c.remote[key] = remoteRow{}
+		*missing = append(*missing, key)
+		return 0, false
+	}
+	for _, tr := range remote.row.Tasks {
+		states[int(tr.Index)] = cluster.TaskState(tr.State)
+	}
+	if remote.deleted {
+		return 0, true
+	}
+	return remote.version, true
+}
+
+func (c *Controller) writeEnd(j *job, states map[int]cluster.TaskState, change journal.Change) {
+	next := *j
+	next.counts = make([]int, cluster.TaskStopped+1)
+	for _, s := range states {
+		next.counts[s]++
+	}
+	next.state, next.ended = endState(j, next.counts), c.now
+	value, err := next.encode()
+	if err != nil {
+		c.malformed(jobKey(j.id), err)
+		return
+	}
+	change.Puts = append(change.Puts, platform.Put{Key: jobKey(j.id), Value: value})
+	j.writing = true
+	c.commit(change, func(version cluster.Version, err error) {
+		j.writing = false
+		if err != nil {
+			c.endFailed(j, err)
+			return
+		}
+		c.cfg.Log.Info().Str("job", j.id.String()).Str("state", next.state.String()).Dur("took", c.now.Sub(j.submitted)).
+			Msg("rack: job ended")
+		c.ingest(platform.Row{Key: jobKey(j.id), Value: value, Version: version})
+		c.forgetAssignments(j, version)
+	})
+}
+
+func (c *Controller) endFailed(j *job, err error) {
+	j.notBefore = c.now.Add(c.jitter(claimDelay))
+	c.cfg.Log.Warn().Err(err).Str("job", j.id.String()).Msg("rack: could not write the end of a job")
+	if journal.IsKind(err, journal.KindUnavailable) {
+		c.checkEnd(j.id)
+		return
+	}
+	// One of the rows has changed; all of them are read again.
+	keys := []string{jobKey(j.id)}
+	for _, id := range j.racks {
+		keys = append(keys, assignKey(id, j.id))
+	}
+	c.read(platform.ReadRequest{Keys: keys}, func(reply platform.ReadReply, err error) {
+		for _, row := range reply.Rows {
+			c.ingest(row)
+		}
+		c.checkEnd(j.id)
+	})
+}
+
+// forgetAssignments drops the assignments of a job whose rows were deleted.
+func (c *Controller) forgetAssignments(j *job, version cluster.Version) {
+	for _, id := range j.racks {
+		delete(c.remote, assignKey(id, j.id))
+		if r := c.racks[id]; r != nil {
+			if a := r.assignments[j.id]; a != nil && a.version < version {
+				c.dropAssignment(a)
+			}
+		}
+	}
+}
+
+func endState(j *job, counts []int) JobState {
+	switch {
+	case counts[cluster.TaskUnknown] > 0:
+		return JobUnknown
+	case j.cancel:
+		return JobCancelled
+	case counts[cluster.TaskFailed] > 0:
+		return JobFailed
+	case counts[cluster.TaskStopped] > 0:
+		return JobCancelled
+	}
+	return JobFinished
+}
+
+// expire deletes the rows of jobs that ended longer than the retention time ago.
+func (c *Controller) expire() {
+	if len(c.expiring) == 0 || !c.writable() {
+		return
+	}
+	var change journal.Change
+	kept := c.expiring[:0]
+	var due []expiry
+	for _, e := range c.expiring {
+		j := c.jobs[e.job]
+		switch {
+		case j == nil || j.active():
+		case c.now.Before(e.at) || len(due) >= maxExpired:
+			kept = append(kept, e)
+		case !c.isHome(j) || j.writing:
+			kept = append(kept, expiry{c.now.Add(foreignExpiry), e.job})
+		default:
+			due = append(due, e)
+			j.writing = true
+			change.Checks = append(change.Checks, platform.Check{Key: jobKey(e.job), Version: j.version})
+			change.Deletes = append(change.Deletes, jobKey(e.job))
+		}
+	}
+	c.expiring = kept
+	if len(due) == 0 {
+		return
+	}
+	c.commit(change, func(version cluster.Version, err error) {
+		for _, e := range due {
+			if j := c.jobs[e.job]; j != nil {
+				j.writing = false
+			}
+			if err != nil {
+				c.expiring = append(c.expiring, expiry{c.now.Add(c.jitter(foreignExpiry)), e.job})
+				continue
+			}
+			c.ingest(platform.Row{Key: jobKey(e.job), Version: version, Deleted: true})
+		}
+	})
+}
--- /dev/null
+++ b/cluster/rack/listing.go
@@ -0,0 +1,211 @@
+package rack
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+)
+
+// View returns the listings for the HTTP API.
+func (c *Controller) View() View {
+	return View{Jobs: c.jobViews(), Workers: c.workerViews(), Teams: c.teamViews(), Racks: c.rackViews()}
+}
+
+func (c *Controller) jobViews() []JobView {
+	jobs := c.sortedJobs()
+	views := make([]JobView, len(jobs))
+	for i, j := range jobs {
+		views[i] = c.jobView(j)
+	}
+	return views
+}
+
+// Job returns the listing of one job.
+func (c *Controller) Job(id cluster.JobID) (JobView, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return JobView{}, false
+	}
+	return c.jobView(j), true
+}
+
+func (c *Controller) jobView(j *job) JobView {
+	v := JobView{
+		ID: j.id, Queue: j.spec.Queue, Kind: kindOf(j.spec), State: j.state, Priority: j.spec.Priority,
+		Submitted: j.submitted, Home: j.home,
+	}
+	for s, n := range j.counts {
+		if s < len(v.Tasks) {
+			v.Tasks[s] += n
+		}
+	}
+	if !j.active() {
+		return v
+	}
+	for _, id := range j.racks {
+		r := c.racks[id]
+		if r == nil || r.assignments[j.id] == nil {
+			continue
+		}
+		for _, t := range r.assignments[j.id].tasks {
+			v.Tasks[t.state]++
+		}
+	}
+	v.Waits = c.waits(j)
+	return v
+}
+
+func kindOf(spec *cluster.JobSpec) string {
+	switch spec.Workload.(type) {
+	case *cluster.Service:
+		return "service"
+	case *cluster.Batch:
+		return "batch"
+	case *cluster.Gang:
+		return "gang"
+	}
+	return ""
+}
+
+// Explain says why a job's tasks wait; false if the job is not known here.
+func (c *Controller) Explain(id cluster.JobID) (string, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if !j.active() {
+		return "the job has ended: " + j.state.String(), true
+	}
+	if why := c.waits(j); why != "" {
+		return why, true
+	}
+	return "no task of the job waits on the racks of this daemon", true
+}
+
+// waits says why tasks of an active job wait, rack by rack.
+func (c *Controller) waits(j *job) string {
+	if !c.fitsSomeWorker(c.declaredSize(j)) {
+		return "a task is larger than every worker of the fleet: " + c.declaredSize(j).String()
+	}
+	var reasons []string
+	for _, id := range j.racks {
+		r := c.racks[id]
+		if r == nil {
+			continue
+		}
+		if r.phase == phaseElsewhere {
+			if r.owner == "" || !c.isLive(r.owner) {
+				reasons = append(reasons, fmt.Sprintf("rack %s: its owner is gone and nobody has taken it over yet", id))
+			}
+			continue
+		}
+		if a := r.assignments[j.id]; r.phase != phaseActive {
+			reasons = append(reasons, fmt.Sprintf("rack %s: the takeover is %s", id, r.phase))
+		} else if a != nil && a.pending > 0 {
+			reasons = append(reasons, fmt.Sprintf("rack %s: %d tasks wait: %s", id, a.pending, c.waitReason(r, a, j)))
+		}
+	}
+	return strings.Join(reasons, "; ")
+}
+
+func (c *Controller) waitReason(r *rack, a *assignment, j *job) string {
+	if r.unfenced {
+		return "workers of the rack are not fenced yet and may still run them"
+	}
+	if !a.size.IsZero() && !a.size.Fits(c.available(r, j.id.Team)) {
+		return fmt.Sprintf("the team's limit of %s leaves too little grant here: %s", c.limit(j.id.Team), c.available(r, j.id.Team))
+	}
+	if a.waits != "" {
+		return a.waits
+	}
+	return r.queue.State(a.id).String()
+}
+
+func (c *Controller) workerViews() []WorkerView {
+	var views []WorkerView
+	for _, r := range c.rackOrder {
+		if r.phase == phaseElsewhere {
+			continue
+		}
+		for _, w := range r.order {
+			views = append(views, WorkerView{
+				ID: w.id, Rack: r.id, Place: w.place, Capacity: w.capacity, Used: r.load(w), Tasks: len(w.tasks),
+				Closed: r.closed(w), Epoch: w.epoch,
+			})
+		}
+	}
+	return views
+}
+
+func (c *Controller) teamViews() []TeamView {
+	names := map[cluster.TeamName]bool{}
+	for name := range c.config.Teams {
+		names[name] = true
+	}
+	var views []TeamView
+	for _, name := range sortedTeams(names) {
+		t := c.config.Teams[name]
+		v := TeamView{Name: name, Share: t.Share, Limit: t.Limit}
+		for _, r := range c.rackOrder {
+			if r.phase != phaseActive {
+				continue
+			}
+			v.Running = v.Running.Add(r.usedBy(name))
+			v.Grant = v.Grant.Add(c.effective(r, name))
+			for _, a := range r.list {
+				if a.id.Team == name {
+					v.Pending += a.pending
+				}
+			}
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+func (c *Controller) rackViews() []RackView {
+	views := make([]RackView, 0, len(c.rackOrder))
+	for _, r := range c.rackOrder {
+		v := RackView{ID: r.id, Owner: r.owner, Epoch: r.epoch, Phase: r.phase.String(), Workers: len(r.order)}
+		_, v.Free, _ = r.openCapacity()
+		for _, a := range r.list {
+			v.Pending += a.pending
+		}
+		views = append(views, v)
+	}
+	return views
+}
+
+// Digest returns the free capacity of the owned racks for the next ping. A
+// rack that is not fully fenced has none, so that new work goes elsewhere.
+func (c *Controller) Digest() []peer.RackDigest {
+	var digests []peer.RackDigest
+	for _, r := range c.rackOrder {
+		if r.phase == phaseElsewhere || r.owner != c.cfg.Self {
+			continue
+		}
+		d := peer.RackDigest{Rack: r.id}
+		if r.phase == phaseActive && !r.unfenced && !r.handover {
+			_, d.Free, d.LargestFree = r.openCapacity()
+		}
+		for _, a := range r.list {
+			d.Pending += a.pending
+		}
+		digests = append(digests, d)
+	}
+	return slices.Clip(digests)
+}
+
+// Owns returns the number of racks that this daemon owns.
+func (c *Controller) Owns() int {
+	n := 0
+	for _, r := range c.rackOrder {
+		if r.phase != phaseElsewhere {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/cluster/rack/ownership.go
@@ -0,0 +1,250 @@
+package rack
+
+import (
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+const (
+	// handoverDelay keeps a member that comes and goes from moving racks back and forth.
+	handoverDelay = 3 * time.Second
+	// claimDelay separates attempts to claim a rack after a conflict or an outage.
+	claimDelay = 500 * time.Millisecond
+	// renewalInterval is how often the leases of a dead owner's rack are renewed while the store is down.
+	renewalInterval = 5 * time.Second
+)
+
+func (c *Controller) ingestRack(row platform.Row) {
+	r := c.rackFor(cluster.RackID(row.Key[len(prefixRack):]))
+	if row.Version <= r.version {
+		return
+	}
+	var v rackRow
+	if !row.Deleted {
+		if err := decode(row.Key, row.Value, &v); err != nil {
+			c.malformed(row.Key, err)
+			return
+		}
+	}
+	r.version = row.Version
+	c.rackRowIs(r, cluster.DaemonID(v.Owner), cluster.Epoch(v.Epoch))
+}
+
+// rackRowIs acts on the owner and epoch that the rack's row has.
+func (c *Controller) rackRowIs(r *rack, owner cluster.DaemonID, epoch cluster.Epoch) {
+	changed := owner != r.owner || epoch != r.epoch
+	r.owner, r.epoch = owner, epoch
+	if owner != c.cfg.Self {
+		c.lose(r, "the row names another owner")
+		return
+	}
+	if changed || r.phase == phaseElsewhere || r.phase == phaseRecheck {
+		c.beginFencing(r)
+	}
+}
+
+// lose forgets a rack that another daemon owns.
+func (c *Controller) lose(r *rack, why string) {
+	if r.phase == phaseElsewhere {
+		return
+	}
+	c.cfg.Log.Info().Str("rack", string(r.id)).Str("owner", string(r.owner)).Uint64("epoch", uint64(r.epoch)).
+		Str("reason", why).Msg("rack: stopped owning a rack")
+	c.leaveTable(r)
+	r.phase, r.since = phaseElsewhere, c.now
+}
+
+// leaveTable drops everything that is known of the work in a rack.
+func (c *Controller) leaveTable(r *rack) {
+	r.reset()
+	r.generation++
+}
+
+// own claims racks of dead owners, hands racks over and renews leases of racks that can't be claimed.
+func (c *Controller) own() {
+	if !c.store.synced {
+		return
+	}
+	for _, r := range c.rackOrder {
+		switch r.phase {
+		case phaseElsewhere:
+			c.claim(r)
+			c.renewFor(r)
+		case phaseRecheck:
+			c.recheck(r)
+		default:
+			c.handOver(r)
+		}
+	}
+}
+
+// claim takes over a rack without a live owner.
+func (c *Controller) claim(r *rack) {
+	if r.claiming || c.draining || !c.writable() || c.now.Before(r.notBefore) {
+		return
+	}
+	if r.owner != "" && r.owner != c.cfg.Self && c.isLive(r.owner) || c.preferred(r) != c.cfg.Self {
+		return
+	}
+	epoch := r.epoch + 1
+	from := r.owner
+	c.writeRackRow(r, c.cfg.Self, epoch, func(cluster.Version) {
+		c.cfg.Log.Info().Str("rack", string(r.id)).Str("from", string(from)).Uint64("epoch", uint64(epoch)).
+			Msg("rack: took over a rack")
+		c.cfg.Metrics.Counter("rack_takeovers").Inc(1)
+	})
+}
+
+// writeRackRow writes a rack's row on the condition that it is as last read.
+func (c *Controller) writeRackRow(r *rack, owner cluster.DaemonID, epoch cluster.Epoch, then func(cluster.Version)) {
+	value, err := encode(&rackRow{Owner: string(owner), Epoch: uint64(epoch)})
+	if err != nil {
+		c.malformed(rackKey(r.id), err)
+		return
+	}
+	r.claiming = true
+	c.commit(journal.Change{
+		Checks: []platform.Check{{Key: rackKey(r.id), Version: r.version}},
+		Puts:   []platform.Put{{Key: rackKey(r.id), Value: value}},
+	}, func(version cluster.Version, err error) {
+		r.claiming = false
+		if err != nil {
+			c.rackWriteFailed(r, err)
+			return
+		}
+		then(version)
+		if version > r.version {
+			r.version = version
+			c.rackRowIs(r, owner, epoch)
+		}
+	})
+}
+
+func (c *Controller) rackWriteFailed(r *rack, err error) {
+	r.notBefore = c.now.Add(c.jitter(claimDelay))
+	r.handover = false
+	if !journal.IsKind(err, journal.KindUnavailable) {
+		// The row is not as it was last read, or may not be: it is read before the next attempt.
+		c.readRackRow(r)
+	}
+	c.cfg.Log.Warn().Err(err).Str("rack", string(r.id)).Msg("rack: could not write the row of a rack")
+}
+
+func (c *Controller) readRackRow(r *rack) {
+	if r.reading {
+		return
+	}
+	r.reading = true
+	c.read(platform.ReadRequest{Keys: []string{rackKey(r.id)}}, func(reply platform.ReadReply, err error) {
+		r.reading = false
+		if err != nil {
+			r.notBefore = c.now.Add(c.jitter(claimDelay))
+			return
+		}
+		for _, row := range reply.Rows {
+			if row.Version >= r.version {
+				r.version = 0
+				c.ingest(row)
+			}
+		}
+	})
+}
+
+// recheck reads the row of a rack that this daemon may no longer own.
+func (c *Controller) recheck(r *rack) {
+	if !c.now.Before(r.notBefore) && !c.now.Before(c.store.downUntil) {
+		c.readRackRow(r)
+	}
+}
+
+// doubt stops all work on a rack until its row was read again.
+func (c *Controller) doubt(r *rack, why string) {
+	if r.phase == phaseElsewhere || r.phase == phaseRecheck {
+		return
+	}
+	c.cfg.Log.Warn().Str("rack", string(r.id)).Str("reason", why).Msg("rack: reads the row of a rack again before acting")
+	c.leaveTable(r)
+	r.phase, r.since, r.notBefore = phaseRecheck, c.now, c.now
+}
+
+// afterPause re-reads before acting: after a pause longer than a lease other daemons have taken the racks over.
+func (c *Controller) afterPause(pause time.Duration) {
+	c.cfg.Log.Warn().Dur("pause", pause).Msg("rack: paused for longer than a lease")
+	for _, r := range c.rackOrder {
+		c.doubt(r, "paused for longer than a lease")
+	}
+	c.store.synced = false
+	c.store.nextPoll = c.now
+	c.members.changed = c.now
+}
+
+// handOver gives a rack to the member that should own it, after the last results are written.
+func (c *Controller) handOver(r *rack) {
+	to := c.preferred(r)
+	leaving := c.draining
+	if to == c.cfg.Self || r.claiming || !c.writable() || c.now.Before(r.notBefore) {
+		r.handover = r.handover && r.claiming
+		return
+	}
+	if !leaving && (r.phase != phaseActive || c.now.Sub(c.members.changed) < handoverDelay) {
+		return
+	}
+	r.handover = true
+	if r.phase == phaseActive && (r.flushing || r.exchanging || r.dirty()) {
+		return
+	}
+	epoch := r.epoch + 1
+	c.writeRackRow(r, to, epoch, func(version cluster.Version) {
+		c.cfg.Log.Info().Str("rack", string(r.id)).Str("to", string(to)).Msg("rack: handed a rack over")
+		c.notifyRackRow(r, to, epoch, version)
+	})
+}
+
+// notifyRackRow tells the new owner of a rack, which finds the row with its next poll otherwise.
+func (c *Controller) notifyRackRow(r *rack, to cluster.DaemonID, epoch cluster.Epoch, version cluster.Version) {
+	value, err := encode(&rackRow{Owner: string(to), Epoch: uint64(epoch)})
+	if err != nil || to == "" {
+		return
+	}
+	c.send(to, &peer.AssignNotice{Rack: r.id, Rows: []platform.Row{{Key: rackKey(r.id), Value: value, Version: version}}})
+}
+
+func (r *rack) dirty() bool {
+	for _, a := range r.list {
+		if a.dirty || len(a.acks) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// renewFor renews leases on behalf of a dead owner while the store is down and nobody can take its rack over.
+func (c *Controller) renewFor(r *rack) {
+	if c.store.up || c.draining || r.owner == "" || r.owner == c.cfg.Self || c.isLive(r.owner) || c.now.Before(r.nextRenewal) {
+		return
+	}
+	if c.preferred(r) != c.cfg.Self {
+		return
+	}
+	r.nextRenewal = c.now.Add(renewalInterval)
+	c.callRack(platform.ExchangeRequest{Rack: r.id, Owner: r.owner, Epoch: r.epoch, Lease: c.cfg.Lease}, func(*ExchangeDone) {})
+	c.cfg.Metrics.Counter("rack_renewals_for_peer").Inc(1)
+}
+
+// finishDrain reports that no rack is left.
+func (c *Controller) finishDrain() {
+	if !c.draining || c.drained {
+		return
+	}
+	for _, r := range c.rackOrder {
+		if r.phase != phaseElsewhere || r.claiming {
+			return
+		}
+	}
+	c.drained = true
+	c.emit(&Drained{})
+}
--- /dev/null
+++ b/cluster/rack/rack_test.go
@@ -0,0 +1,26 @@
+package rack
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+// Guards against a break anywhere on the path from submission to the recorded end of a job.
+func TestBatchJobRunsToItsEnd(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		c := newCell(t, 1, 3, 3, 2, 4)
+		c.run(5 * time.Second)
+		c.submit(c.daemons[0], batch("b", 30, cluster.Core, idempotent))
+		c.run(20 * time.Second)
+		is.Equal(c.submits[cluster.JobID{Team: "a", Name: "b"}].Outcome, Accepted)
+		is.Equal(c.job("b").state, JobFinished)
+		is.Equal(c.racks.starts, 30)
+		c.run(15 * time.Minute)
+		is.Equal(c.job("b"), nil) // the row is deleted after the retention time
+	}
+}
--- /dev/null
+++ b/cluster/rack/stop.go
@@ -0,0 +1,55 @@
+package rack
+
+import (
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// stopTask ends a task of a cancelled job.
+func (c *Controller) stopTask(t *task) {
+	switch {
+	case t.state.Terminal():
+	case t.state == cluster.TaskPending && t.zombies == 0 && !t.suspect:
+		c.endTask(t, cluster.TaskStopped, "its job was cancelled")
+	case t.state == cluster.TaskStarting && t.pinned() && !t.pinDurable:
+		c.backToPending(t, c.now)
+		c.endTask(t, cluster.TaskStopped, "its job was cancelled")
+	case t.worker == nil:
+		// The task may run on a worker that is not fenced; it ends once that is known.
+		t.drop = true
+	default:
+		t.stop = true
+		c.orderStop(t)
+	}
+}
+
+// interrupt stops a task that is to run again later, with its state if it can be kept.
+func (c *Controller) interrupt(t *task, why string) {
+	t.stop = true
+	j := c.jobs[t.of.id]
+	c.cfg.Log.Info().Str("task", t.id().String()).Str("worker", string(t.worker.id)).Str("reason", why).
+		Bool("checkpoint", j.spec.Checkpoints).Msg("rack: interrupts a task")
+	c.cfg.Metrics.Counter("rack_interrupts").Inc(1)
+	if j.spec.Checkpoints {
+		t.checkpoint = true
+		c.order(t.of.rack, command{
+			order: &platform.CheckpointTask{Worker: t.worker.id, Attempt: t.attemptID()}, task: t, attempt: t.attemptID(),
+		})
+		return
+	}
+	c.orderStop(t)
+}
+
+func (c *Controller) orderStop(t *task) {
+	c.order(t.of.rack, command{
+		order: &platform.StopTask{Worker: t.worker.id, Attempt: t.attemptID()}, task: t, attempt: t.attemptID(),
+	})
+}
+
+// attemptOver finishes the interruption of a task that has no attempt any more.
+func (c *Controller) attemptOver(t *task) {
+	j := c.jobs[t.of.id]
+	if t.state == cluster.TaskPending && (t.drop || j != nil && j.cancel) {
+		c.endTask(t, cluster.TaskStopped, "its job was cancelled")
+	}
+}
--- /dev/null
+++ b/cluster/rack/submission.go
@@ -0,0 +1,253 @@
+package rack
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/record"
+)
+
+// defaultDeadline is how long a caller waits that names no deadline.
+const defaultDeadline = 10 * time.Second
+
+// submission is a job on its way into the table service.
+type submission struct {
+	spec      *cluster.JobSpec
+	submitted time.Time
+	callers   []caller
+	declared  bool
+	// committing says that a transaction is in flight, reading that the existing row is being read.
+	committing, reading bool
+	done                bool
+	attempts            int
+	notBefore           time.Time
+}
+
+type caller struct {
+	token    Token
+	deadline time.Time
+}
+
+func (c *Controller) addSubmission(e *Submit) {
+	at := caller{e.Token, e.Deadline}
+	if at.deadline.IsZero() {
+		at.deadline = c.now.Add(defaultDeadline)
+	}
+	id := e.Spec.ID
+	if s := c.submissions[id]; s != nil && !s.done && sameSpec(s.spec, e.Spec) {
+		s.callers = append(s.callers, at)
+		return
+	}
+	outcome, reason := c.admit(e.Spec)
+	if outcome != Accepted {
+		c.emit(&SubmitResult{Token: e.Token, Job: id, Outcome: outcome, Reason: reason})
+		return
+	}
+	if c.submissions[id] != nil {
+		c.emit(&SubmitResult{Token: e.Token, Job: id, Outcome: Refused, Reason: "a job with this id and another specification is being submitted"})
+		return
+	}
+	c.addToSubmit(&submission{spec: e.Spec, submitted: e.Submitted, callers: []caller{at}})
+}
+
+func (c *Controller) addToSubmit(s *submission) {
+	if s.submitted.IsZero() {
+		s.submitted = c.now
+	}
+	c.submissions[s.spec.ID] = s
+	c.submitOrder = append(c.submitOrder, s)
+}
+
+func sameSpec(a, b *cluster.JobSpec) bool {
+	x, errX := record.EncodeJob(a)
+	y, errY := record.EncodeJob(b)
+	return errX == nil && errY == nil && bytes.Equal(x, y)
+}
+
+// admit checks a job against the configuration and the fleet.
+func (c *Controller) admit(spec *cluster.JobSpec) (Outcome, string) {
+	if j := c.jobs[spec.ID]; j != nil {
+		return c.repeated(j.spec, spec)
+	}
+	n, size := spec.TaskCount()
+	team, queue := c.config.Teams[spec.ID.Team], c.config.Queues[spec.Queue]
+	switch {
+	case c.draining:
+		return Unavailable, "the daemon is shutting down"
+	case team == nil:
+		return Refused, "the team is not configured"
+	case queue == nil:
+		return Refused, "the queue is not configured"
+	case queue.Team != "" && queue.Team != spec.ID.Team:
+		return Refused, "the queue is for another team"
+	case n <= 0 || size.Negative() || size.IsZero():
+		return Refused, "a job needs at least one task of a positive size"
+	case !size.Fits(team.Limit):
+		return Refused, "a task is larger than the team's limit of " + team.Limit.String()
+	case !c.fitsSomeWorker(size):
+		return Refused, "a task is larger than every worker: " + size.String()
+	case len(c.vms) == 0:
+		return Unavailable, "no workers are known yet"
+	case !c.writable():
+		return Unavailable, "the table service is down"
+	}
+	if _, gang := spec.Workload.(*cluster.Gang); gang && !size.Times(int64(n)).Fits(team.Limit) {
+		return Refused, "all tasks together are larger than the team's limit of " + team.Limit.String()
+	}
+	return Accepted, ""
+}
+
+func (c *Controller) repeated(old, spec *cluster.JobSpec) (Outcome, string) {
+	if sameSpec(old, spec) {
+		return Duplicate, ""
+	}
+	return Refused, "a job with this id and another specification exists"
+}
+
+// submit commits the waiting submissions and answers callers whose deadline has passed.
+func (c *Controller) submit() {
+	kept := c.submitOrder[:0]
+	for _, s := range c.submitOrder {
+		c.expireCallers(s)
+		if !s.done && !s.committing && !s.reading && !c.now.Before(s.notBefore) {
+			c.commitSubmission(s)
+		}
+		if s.done {
+			delete(c.submissions, s.spec.ID)
+			continue
+		}
+		kept = append(kept, s)
+	}
+	clear(c.submitOrder[len(kept):])
+	c.submitOrder = kept
+}
+
+func (c *Controller) expireCallers(s *submission) {
+	kept := s.callers[:0]
+	for _, at := range s.callers {
+		if c.now.Before(at.deadline) {
+			kept = append(kept, at)
+			continue
+		}
+		outcome, reason := Unavailable, "the deadline has passed"
+		if s.committing || s.reading {
+			outcome, reason = Unknown, "the table service did not answer in time"
+		}
+		c.emit(&SubmitResult{Token: at.token, Job: s.spec.ID, Outcome: outcome, Reason: reason})
+	}
+	s.callers = kept
+}
+
+func (c *Controller) finishSubmission(s *submission, outcome Outcome, reason string) {
+	s.done = true
+	for i, at := range s.callers {
+		if i > 0 && outcome == Accepted {
+			outcome = Duplicate
+		}
+		c.emit(&SubmitResult{Token: at.token, Job: s.spec.ID, Outcome: outcome, Reason: reason})
+	}
+	s.callers = nil
+}
+
+// commitSubmission chooses racks and commits the job and its assignments.
+func (c *Controller) commitSubmission(s *submission) {
+	parts := c.spreadJob(s.spec)
+	if len(parts) == 0 {
+		c.finishSubmission(s, Unavailable, "no rack can take the job")
+		return
+	}
+	j := &job{id: s.spec.ID, spec: s.spec, submitted: s.submitted, declared: s.declared, home: parts[0].rack}
+	for _, p := range parts {
+		j.racks = append(j.racks, p.rack)
+	}
+	change, rows, err := newJobChange(j, parts)
+	if err != nil {
+		c.finishSubmission(s, Refused, err.Error())
+		return
+	}
+	s.committing = true
+	c.commit(change, func(version cluster.Version, err error) {
+		s.committing = false
+		switch {
+		case err == nil:
+			c.jobAccepted(s, parts, rows, version)
+		case journal.IsKind(err, journal.KindConflict):
+			c.readSubmitted(s)
+		case journal.IsKind(err, journal.KindUnavailable), journal.IsKind(err, journal.KindClosed):
+			c.finishSubmission(s, Unavailable, "the table service is down")
+		case journal.IsKind(err, journal.KindInvalid):
+			c.finishSubmission(s, Refused, err.Error())
+		default:
+			c.finishSubmission(s, Unknown, "the table service did not answer in time")
+		}
+	})
+}
+
+// newJobChange returns the transaction that creates a job, and its rows: the job first.
+func newJobChange(j *job, parts []part) (journal.Change, []platform.Row, error) {
+	var change journal.Change
+	value, err := j.encode()
+	if err != nil {
+		return change, nil, err
+	}
+	rows := []platform.Row{{Key: jobKey(j.id), Value: value}}
+	for _, p := range parts {
+		value, err := encode(&assignRow{Submitted: j.submitted.UnixNano(), Tasks: newTasks(p.indexes)})
+		if err != nil {
+			return change, nil, err
+		}
+		rows = append(rows, platform.Row{Key: assignKey(p.rack, j.id), Value: value})
+	}
+	for _, row := range rows {
+		change.Checks = append(change.Checks, platform.Check{Key: row.Key})
+		change.Puts = append(change.Puts, platform.Put{Key: row.Key, Value: row.Value})
+	}
+	return change, rows, nil
+}
+
+// jobAccepted answers the caller and tells the owners of the racks.
+func (c *Controller) jobAccepted(s *submission, parts []part, rows []platform.Row, version cluster.Version) {
+	for i := range rows {
+		rows[i].Version = version
+		c.ingest(rows[i])
+	}
+	for i, p := range parts {
+		if r := c.racks[p.rack]; r != nil {
+			r.promised = r.promised.Add(p.size.Times(int64(len(p.indexes))))
+			c.send(r.owner, &peer.AssignNotice{Rack: p.rack, Rows: []platform.Row{rows[0], rows[i+1]}})
+		}
+	}
+	c.cfg.Log.Info().Str("job", s.spec.ID.String()).Str("home", string(parts[0].rack)).Int("racks", len(parts)).
+		Msg("rack: accepted a job")
+	c.cfg.Metrics.Counter("rack_jobs_accepted").Inc(1)
+	c.finishSubmission(s, Accepted, "")
+}
+
+// readSubmitted finds out why the rows of a job existed already.
+func (c *Controller) readSubmitted(s *submission) {
+	s.reading = true
+	s.attempts++
+	c.read(platform.ReadRequest{Keys: []string{jobKey(s.spec.ID)}}, func(reply platform.ReadReply, err error) {
+		s.reading = false
+		if err != nil {
+			c.finishSubmission(s, Unavailable, "the table service is down")
+			return
+		}
+		for _, row := range reply.Rows {
+			c.ingest(row)
+		}
+		if j := c.jobs[s.spec.ID]; j != nil {
+			outcome, reason := c.repeated(j.spec, s.spec)
+			c.finishSubmission(s, outcome, reason)
+			return
+		}
+		// The job's row was deleted in the meantime, or an assignment row is left over.
+		if s.attempts >= 3 {
+			c.finishSubmission(s, Unavailable, "rows of an earlier job with this id are still being deleted")
+		}
+	})
+}
--- /dev/null
+++ b/cluster/rack/timer.go
@@ -0,0 +1,28 @@
+package rack
+
+import "time"
+
+// timer is a call that is due at a time.
+type timer struct {
+	at   time.Time
+	call func()
+}
+
+// later calls f in the first step at or after a time.
+func (c *Controller) later(at time.Time, f func()) { c.timers = append(c.timers, timer{at, f}) }
+
+// runTimers makes the calls that are due, in the order in which they were asked for.
+func (c *Controller) runTimers() {
+	if len(c.timers) == 0 {
+		return
+	}
+	due := c.timers
+	c.timers = nil
+	for _, t := range due {
+		if c.now.Before(t.at) {
+			c.timers = append(c.timers, t)
+			continue
+		}
+		t.call()
+	}
+}
