--- a/cluster/note/convert.go
+++ b/cluster/note/convert.go
@@ -47,56 +47,43 @@
 	p.note.at[id] = position{p.lineOf(field), field}
 }
 
-func (p *noteParser) add(e cluster.Entity, field string) {
-	p.place(cluster.Identify(e), field)
-	p.note.Add = append(p.note.Add, e)
-}
-
-func (p *noteParser) change(e cluster.Entity, expect uint64, field string) {
-	p.place(cluster.Identify(e), field)
-	p.note.Change = append(p.note.Change, Change{Entity: e, Expect: cluster.Version(expect)})
-}
-
 func at(group string, i int) string { return fmt.Sprintf("%s[%d]", group, i) }
 
 func (p *noteParser) convertAdd(w *groupYAML) {
-	for i := range w.Teams {
-		p.add(p.team(at("add.teams", i), &w.Teams[i]), at("add.teams", i))
-	}
-	for i := range w.Keys {
-		p.add(p.key(at("add.keys", i), &w.Keys[i]), at("add.keys", i))
-	}
-	for i := range w.Queues {
-		p.add(p.queue(at("add.queues", i), &w.Queues[i]), at("add.queues", i))
-	}
-	for i := range w.Services {
-		p.add(p.service(at("add.services", i), &w.Services[i]), at("add.services", i))
-	}
-	for i := range w.Jobs {
-		p.add(p.job(at("add.jobs", i), &w.Jobs[i]), at("add.jobs", i))
-	}
+	p.convertGroup("add", w, func(e cluster.Entity, expect uint64, field string) {
+		p.check(field+".expect", expect == 0, "is allowed only under change")
+		p.place(cluster.Identify(e), field)
+		p.note.Add = append(p.note.Add, e)
+	})
+}
+
+func (p *noteParser) convertChange(w *groupYAML) {
+	p.convertGroup("change", w, func(e cluster.Entity, expect uint64, field string) {
+		p.place(cluster.Identify(e), field)
+		p.note.Change = append(p.note.Change, Change{Entity: e, Expect: cluster.Version(expect)})
+	})
 }
 
-func (p *noteParser) convertChange(w *changeYAML) {
+func (p *noteParser) convertGroup(group string, w *groupYAML, take func(e cluster.Entity, expect uint64, field string)) {
 	for i := range w.Teams {
-		field := at("change.teams", i)
-		p.change(p.team(field, &w.Teams[i].teamYAML), w.Teams[i].Expect, field)
+		field := at(group+".teams", i)
+		take(p.team(field, &w.Teams[i]), w.Teams[i].Expect, field)
 	}
 	for i := range w.Keys {
-		field := at("change.keys", i)
-		p.change(p.key(field, &w.Keys[i].keyYAML), w.Keys[i].Expect, field)
+		field := at(group+".keys", i)
+		take(p.key(field, &w.Keys[i]), w.Keys[i].Expect, field)
 	}
 	for i := range w.Queues {
-		field := at("change.queues", i)
-		p.change(p.queue(field, &w.Queues[i].queueYAML), w.Queues[i].Expect, field)
+		field := at(group+".queues", i)
+		take(p.queue(field, &w.Queues[i]), w.Queues[i].Expect, field)
 	}
 	for i := range w.Services {
-		field := at("change.services", i)
-		p.change(p.service(field, &w.Services[i].serviceYAML), w.Services[i].Expect, field)
+		field := at(group+".services", i)
+		take(p.service(field, &w.Services[i]), w.Services[i].Expect, field)
 	}
 	for i := range w.Jobs {
-		field := at("change.jobs", i)
-		p.change(p.job(field, &w.Jobs[i].jobYAML), w.Jobs[i].Expect, field)
+		field := at(group+".jobs", i)
+		take(p.job(field, &w.Jobs[i]), w.Jobs[i].Expect, field)
 	}
 }
 
--- a/cluster/note/parse.go
+++ b/cluster/note/parse.go
@@ -171,8 +171,12 @@
 	line := y.GetToken().Position.Line
 	message := y.GetMessage()
 	var unknown *yaml.UnknownFieldError
-	if errors.As(err, &unknown) {
+	var mistyped *yaml.TypeError
+	switch {
+	case errors.As(err, &unknown):
 		message = "unknown field"
+	case errors.As(err, &mistyped):
+		message = fmt.Sprintf("is a %s instead of a %s", mistyped.SrcType.Kind(), mistyped.DstType.Kind())
 	}
 	p.fail(line, p.fieldAt(line, y.GetToken().Value), errors.New(message))
 }
--- a/cluster/note/yaml.go
+++ b/cluster/note/yaml.go
@@ -1,12 +1,12 @@
 package note
 
-// Wire types of a note. Sizes and durations are strings, so that an error can name their field.
+// Wire types of a note. Expect is allowed only under change. Sizes and durations are strings, so that an error can name their field.
 
 type noteYAML struct {
-	Summary  string     `yaml:"summary"`
-	Add      groupYAML  `yaml:"add"`
-	Change   changeYAML `yaml:"change"`
-	Withdraw namesYAML  `yaml:"withdraw"`
+	Summary  string    `yaml:"summary"`
+	Add      groupYAML `yaml:"add"`
+	Change   groupYAML `yaml:"change"`
+	Withdraw namesYAML `yaml:"withdraw"`
 }
 
 type groupYAML struct {
@@ -17,39 +17,6 @@
 	Jobs     []jobYAML     `yaml:"jobs"`
 }
 
-type changeYAML struct {
-	Teams    []teamChange    `yaml:"teams"`
-	Keys     []keyChange     `yaml:"keys"`
-	Queues   []queueChange   `yaml:"queues"`
-	Services []serviceChange `yaml:"services"`
-	Jobs     []jobChange     `yaml:"jobs"`
-}
-
-type teamChange struct {
-	teamYAML `yaml:",inline"`
-	Expect   uint64 `yaml:"expect"`
-}
-
-type keyChange struct {
-	keyYAML `yaml:",inline"`
-	Expect  uint64 `yaml:"expect"`
-}
-
-type queueChange struct {
-	queueYAML `yaml:",inline"`
-	Expect    uint64 `yaml:"expect"`
-}
-
-type serviceChange struct {
-	serviceYAML `yaml:",inline"`
-	Expect      uint64 `yaml:"expect"`
-}
-
-type jobChange struct {
-	jobYAML `yaml:",inline"`
-	Expect  uint64 `yaml:"expect"`
-}
-
 type namesYAML struct {
 	Teams    []string `yaml:"teams"`
 	Keys     []string `yaml:"keys"`
@@ -64,6 +31,7 @@
 	Share       int           `yaml:"share"`
 	Limit       resourcesYAML `yaml:"limit"`
 	MaxRequests int           `yaml:"maxRequests"`
+	Expect      uint64        `yaml:"expect"`
 }
 
 type resourcesYAML struct {
@@ -73,9 +41,10 @@
 }
 
 type keyYAML struct {
-	Name string `yaml:"name"`
-	Team string `yaml:"team"`
-	Hash string `yaml:"hash"`
+	Name   string `yaml:"name"`
+	Team   string `yaml:"team"`
+	Hash   string `yaml:"hash"`
+	Expect uint64 `yaml:"expect"`
 }
 
 type queueYAML struct {
@@ -84,6 +53,7 @@
 	Team     string `yaml:"team"`
 	Priority string `yaml:"priority"`
 	MaxWait  string `yaml:"maxWait"`
+	Expect   uint64 `yaml:"expect"`
 }
 
 type serviceYAML struct {
@@ -92,6 +62,7 @@
 	Timeout   string `yaml:"timeout"`
 	MaxAnswer string `yaml:"maxAnswer"`
 	MaxBody   string `yaml:"maxBody"`
+	Expect    uint64 `yaml:"expect"`
 }
 
 type jobYAML struct {
@@ -110,4 +81,5 @@
 	Checkpoints  bool     `yaml:"checkpoints"`
 	MaxAttempts  int      `yaml:"maxAttempts"`
 	Command      []string `yaml:"command"`
+	Expect       uint64   `yaml:"expect"`
 }
