fix: doubtful notes survive a repeat, and pauses are logged

Cause: a repeat of a request with an unknown outcome lifted the doubt for a second; the daemon needs the check on its own row. Change: the first doubt of a request stays; Manager.Check; pause watch in Run; push to all only by the daemon that accepted the note.

--- a/cluster/member/manager.go
+++ b/cluster/member/manager.go
@@ -19,6 +19,10 @@
 	listInterval = 10 * time.Second
 	// sweepInterval is the time between searches for rows left behind.
 	sweepInterval = time.Minute
+	// pauseInterval is the time between observations of the clock, and a longer
+	// gap than pauseLimit is logged as a pause.
+	pauseInterval = time.Second
+	pauseLimit    = 2 * time.Second
 	retryFirst    = 100 * time.Millisecond
 	retryMax      = 5 * time.Second
 	callTimeout   = 3 * time.Second
@@ -33,8 +37,10 @@
 	Self  Member
 	Store platform.TableService
 	// VMs may be nil; members are then gone only when they said so.
-	VMs     platform.VMLister
-	Table   *Table
+	VMs   platform.VMLister
+	Table *Table
+	// Now is the clock that pauses of this process are measured with; nil means time.Now.
+	Now     func() time.Time
 	Log     zerolog.Logger
 	Metrics tally.Scope
 	// Random returns a number in [0, 1) for the jitter of retries.
@@ -45,6 +51,7 @@
 type Manager struct {
 	cfg     Config
 	missing map[cluster.DaemonID]int
+	pauses  *PauseWatch
 
 	mu   sync.Mutex
 	self Member
@@ -58,7 +65,10 @@
 	if cfg.Random == nil {
 		cfg.Random = func() float64 { return 0.5 }
 	}
-	return &Manager{cfg: cfg, self: cfg.Self, missing: map[cluster.DaemonID]int{}}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Manager{cfg: cfg, self: cfg.Self, missing: map[cluster.DaemonID]int{}, pauses: NewPauseWatch(pauseLimit)}
 }
 
 // Self returns the member that this process is, with the version of its row.
@@ -68,6 +78,13 @@
 	return m.self
 }
 
+// Check returns the check that holds as long as nobody has removed this process
+// from the cell. Transactions that only a member may commit include it.
+func (m *Manager) Check() platform.Check {
+	self := m.Self()
+	return platform.Check{Key: Key(self.ID), Version: self.Version}
+}
+
 func (m *Manager) setSelf(self Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -200,26 +217,42 @@
 // gone, until ctx ends. Only the live member with the lowest identifier removes
 // rows, so that the store is read once for the whole cell.
 func (m *Manager) Run(ctx context.Context) {
-	last := time.Duration(0)
-	for round := 0; sleep(ctx, listInterval); round++ {
-		first := m.first()
-		if m.cfg.VMs != nil && (first || m.Self().VM == "") {
-			m.checkList(ctx, first)
+	sinceList, sinceSweep := time.Duration(0), time.Duration(0)
+	for sleep(ctx, pauseInterval) {
+		if gap := m.pauses.Observe(m.cfg.Now()); gap > 0 {
+			m.cfg.Metrics.Counter("member_pauses").Inc(1)
+			m.cfg.Log.Warn().Dur("gap", gap).Msg("member: this process was paused")
 		}
-		if !first {
-			clear(m.missing)
+		if sinceList += pauseInterval; sinceList < listInterval {
 			continue
 		}
-		for _, left := range m.cfg.Table.Left() {
-			m.removeGone(ctx, left.ID, "it said that it leaves")
+		sinceList = 0
+		if !m.checkMembers(ctx) {
+			continue
 		}
-		if last += listInterval; last >= sweepInterval {
-			last = 0
+		if sinceSweep += listInterval; sinceSweep >= sweepInterval {
+			sinceSweep = 0
 			m.sweep(ctx)
 		}
 	}
 }
 
+// checkMembers reports whether this process is the one that removes rows.
+func (m *Manager) checkMembers(ctx context.Context) bool {
+	first := m.first()
+	if m.cfg.VMs != nil && (first || m.Self().VM == "") {
+		m.checkList(ctx, first)
+	}
+	if !first {
+		clear(m.missing)
+		return false
+	}
+	for _, left := range m.cfg.Table.Left() {
+		m.removeGone(ctx, left.ID, "it said that it leaves")
+	}
+	return true
+}
+
 func (m *Manager) first() bool {
 	live := m.cfg.Table.Live()
 	return len(live) > 0 && live[0].ID == m.cfg.Self.ID
--- a/cluster/rollout/guard.go
+++ b/cluster/rollout/guard.go
@@ -24,6 +24,8 @@
 	since time.Time
 	// accepted is the version of the note once it is known to be accepted.
 	accepted cluster.Version
+	// unknown says that the applier gave up on finding out the outcome.
+	unknown bool
 	// counts says that the grace is over and the note counts as accepted where that is safer.
 	counts bool
 }
@@ -57,7 +59,7 @@
 	}
 	g.r.beginDoubt(req)
 	done := make(chan applied, 1)
-	g.r.work.Go(func() {
+	g.r.notes.Go(func() {
 		result, err := g.next.Apply(context.WithoutCancel(ctx), req)
 		g.r.endDoubt(req.ID, result, err)
 		<-g.r.noteLock
@@ -91,7 +93,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.cfg.Clock()
-	r.doubts[req.ID] = &doubt{note: req.Note, since: now}
+	if r.doubts[req.ID] == nil {
+		r.doubts[req.ID] = &doubt{note: req.Note, since: now}
+	}
 	r.publish(now, false)
 }
 
@@ -103,10 +107,11 @@
 	case err == nil:
 		d.accepted = result.Version
 		// The note is accepted; reading it at once shortens the time until it is in force here.
-		r.relay.readNow = true
+		r.relay.readNow, r.relay.acceptedHere = true, true
 	case note.IsKind(err, note.KindUnknown):
+		d.unknown = true
 		r.cfg.Log.Error().Err(err).Str("note", id).Msg("rollout: the outcome of a note is unknown")
-	default:
+	case !d.unknown:
 		delete(r.doubts, id)
 	}
 	changed := r.settleDoubts()
--- a/cluster/rollout/relay.go
+++ b/cluster/rollout/relay.go
@@ -69,6 +69,8 @@
 	// pushAfter is the commit after which changes are to be pushed; push says whether there are any.
 	push      bool
 	pushAfter cluster.Version
+	// acceptedHere says that a note accepted by this daemon is to be pushed, for PushByAcceptor.
+	acceptedHere bool
 }
 
 type pollSent struct {
@@ -250,7 +252,8 @@
 		return nil
 	}
 	r.relay.push = false
-	everywhere := r.cfg.Strategy == PushByAcceptor
+	everywhere := r.cfg.Strategy == PushByAcceptor && r.relay.acceptedHere
+	r.relay.acceptedHere = false
 	if !everywhere && (relayID != r.cfg.Self || r.cfg.Strategy != RelayPerRegion) {
 		return nil
 	}
--- a/cluster/rollout/rollout.go
+++ b/cluster/rollout/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,7 @@
 	noteLock chan struct{}
 	wake     chan struct{}
 	work     conc.WaitGroup
+	notes    conc.WaitGroup
 }
 
 // published is the state that Authorize reads without a lock.
@@ -107,6 +109,10 @@
 	}
 }
 
+// Close waits for the note in flight. The journal that commits it must be
+// closed before, and no note may follow.
+func (r *Rollout) Close() { r.notes.Wait() }
+
 // Snapshot returns the configuration in force; it is never nil. While the
 // outcome of a note is unknown, keys named in it are left out and limits that
 // it lowers are lowered.
@@ -181,6 +187,7 @@
 	if changed {
 		r.cfg.Metrics.Gauge("config_version").Update(float64(r.replica.head))
 		r.relay.changedAfter(before)
+		maps.DeleteFunc(r.relay.progress, func(id cluster.DaemonID, _ cluster.Version) bool { return !r.fresh.known(id) })
 	}
 	r.publish(now, changed)
 	return true
