feat: platformd demo runs; metrics in a registry of their own

Cause: several daemons in one process registered the same metrics twice and panicked. Change: one Prometheus registry per daemon; demo wired to the stand-in's runners.

--- a/cluster/daemon/daemon.go
+++ b/cluster/daemon/daemon.go
@@ -69,7 +69,7 @@
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	metrics, closer, handler := newMetrics()
+	metrics, closer, handler := newMetrics(d.log)
 	d.metrics = metrics
 	d.closers = append(d.closers, func() { _ = closer.Close() })
 	d.invariants = invariant.New(invariant.Config{Log: d.log, Metrics: metrics, Fail: cfg.Fail})
--- a/cluster/daemon/metrics.go
+++ b/cluster/daemon/metrics.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -13,8 +15,16 @@
 const metricsInterval = time.Second
 
 // newMetrics returns the root scope, its closer and the handler that serves it in Prometheus format.
-func newMetrics() (tally.Scope, io.Closer, http.Handler) {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+func newMetrics(log zerolog.Logger) (tally.Scope, io.Closer, http.Handler) {
+	// A registry of its own lets several daemons run in one process.
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		OnRegisterError: func(err error) {
+			log.Error().Err(err).Msg("daemon: metric was not registered")
+		},
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:                 "goldcrest",
 		CachedReporter:         reporter,
--- a/platformd/democell.go
+++ b/platformd/democell.go
@@ -38,6 +38,9 @@
 	done chan error
 }
 
+// demoRequestWork is how long a runner works on a request.
+const demoRequestWork = 5 * time.Millisecond
+
 // loopback listens on a free port.
 func loopback() (net.Listener, netip.AddrPort, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -51,7 +54,7 @@
 // startCell starts the stand-in, its runners and the daemons.
 func startCell(layout standin.Cell, daemons int, log zerolog.Logger) (*demoCell, error) {
 	c := &demoCell{platform: standin.New(standin.Config{Cell: layout, Seed: 1})}
-	runners, err := standin.StartRunners(c.platform, standin.RunnersConfig{Seed: 1})
+	runners, err := standin.StartRunners(c.platform, netip.MustParseAddr("127.0.0.1"), 0, demoRequestWork)
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +95,7 @@
 	settings.HTTPAddr, settings.PeerAddr = httpAddr, peerAddr
 	c.platform.AddEntry(fmt.Sprintf("entry-%d", i+1), settings.Place, peerAddr)
 	d, err := daemon.New(daemon.Config{
-		Settings: settings, Log: log.With().Str("vm", settings.Name).Logger(), Version: version,
+		Settings: settings, Log: log.With().Str("vm", settings.Name).Logger(),
 		HTTPListener: httpListener, PeerListener: peerListener, Fail: c.violated,
 	})
 	if err != nil {
--- a/platformd/democmd.go
+++ b/platformd/democmd.go
@@ -48,10 +48,10 @@
 
 func runDemoCmd(cmd *cobra.Command, o *demoOptions) error {
 	if o.daemons < 1 || o.daemons > 20 {
-		return &usageError{fmt.Errorf("--daemons is %d; allowed: 1 to 20", o.daemons)}
+		return fmt.Errorf("--daemons is %d; allowed: 1 to 20", o.daemons)
 	}
 	if o.requests < 10 || o.requests > 100_000 {
-		return &usageError{fmt.Errorf("--requests is %d; allowed: 10 to 100000", o.requests)}
+		return fmt.Errorf("--requests is %d; allowed: 10 to 100000", o.requests)
 	}
 	log := zerolog.Nop()
 	if o.logs {
@@ -61,18 +61,18 @@
 	for _, scenario := range scenarios() {
 		text, err := os.ReadFile(filepath.Join(o.examples, scenario.cell.Name+".yaml"))
 		if err != nil {
-			return &usageError{fmt.Errorf("--examples: %w", err)}
+			return fmt.Errorf("--examples: %w", err)
 		}
 		ctx, cancel := context.WithTimeout(cmd.Context(), o.timeout)
 		report, err := runScenario(ctx, scenario, text, o, log)
 		cancel()
 		if err != nil {
-			return fmt.Errorf("cell %s: %w", scenario.cell.Name, err)
+			return &runError{"cell " + scenario.cell.Name, err}
 		}
 		failed += report.print(cmd.OutOrStdout())
 	}
 	if failed > 0 {
-		return fmt.Errorf("%d checks failed", failed)
+		return &runError{"demo", fmt.Errorf("%d checks failed", failed)}
 	}
 	return nil
 }
--- a/platformd/demorun.go
+++ b/platformd/demorun.go
@@ -119,7 +119,7 @@
 	if err := c.waitService(ctx, s, path); err != nil {
 		return err
 	}
-	before := c.runners.Executed()
+	before := len(c.runners.Executions())
 	histogram := hdrhistogram.New(1, time.Minute.Microseconds(), 3)
 	var mu sync.Mutex
 	var ok, wrong, repeats atomic.Int64
@@ -156,7 +156,7 @@
 	r.answered = int(ok.Load())
 	r.check("every request is answered", wrong.Load() == 0, "%d of %d were not", wrong.Load(), count)
 	r.check("a repeated Idempotency-Key returns the first answer", int(repeats.Load()) == (count+9)/10, "%d of %d did", repeats.Load(), (count+9)/10)
-	executed := c.runners.Executed() - before
+	executed := len(c.runners.Executions()) - before
 	r.check("each request executed exactly once", executed == count, "%d executions of %d requests", executed, count)
 	return nil
 }
--- a/platformd/rootcmd.go
+++ b/platformd/rootcmd.go
@@ -53,6 +53,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(newServeCmd())
+	cmd.AddCommand(newServeCmd(), newDemoCmd())
 	return cmd
 }
