feat: goldcrestctl

Cause: operators and callers need a command line for the HTTP API. A note has an identifier, so that a repeat after a lost answer counts as one note.

--- /dev/null
+++ b/goldcrestctl/applycmd.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+)
+
+const (
+	flagNoteID = "note-id"
+	flagAuthor = "author"
+)
+
+func (c *config) newApplyCmd() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Apply a release note",
+		Long: `Apply a release note to the whole fleet.
+
+Each note has an identifier. If the answer is lost, repeat the command with the
+identifier from the error message; a note that was accepted is not applied twice.`,
+		Example: `  goldcrestctl apply notes/2026-03-01-quota.yaml --author ruth
+  goldcrestctl apply notes/2026-03-01-quota.yaml --note-id 4QZ7K2VXN3JYHMB5T6RDWAECUF`,
+		Args: cobra.ExactArgs(1),
+		RunE: c.runApplyCmd,
+	}
+	cmd.Flags().String(flagNoteID, "", "identifier of the note, to repeat an apply; random if empty")
+	cmd.Flags().String(flagAuthor, os.Getenv("USER"), "name of the author")
+	return cmd
+}
+
+func (c *config) runApplyCmd(cmd *cobra.Command, args []string) error {
+	req, err := c.noteRequest(args[0], "notes")
+	if err != nil {
+		return err
+	}
+	id, _ := cmd.Flags().GetString(flagNoteID)
+	author, _ := cmd.Flags().GetString(flagAuthor)
+	if id == "" {
+		id = rand.Text()
+	}
+	if err := api.CheckName(id); err != nil {
+		return fmt.Errorf("--%s: %w", flagNoteID, err)
+	}
+	if author == "" {
+		return fmt.Errorf("--%s is missing", flagAuthor)
+	}
+	req.header.Set(api.HeaderNoteID, id)
+	req.header.Set(api.HeaderAuthor, author)
+	var note api.NoteStatus
+	if err := c.fetch(cmd.Context(), req, &note); err != nil {
+		var failed *callError
+		if errors.As(err, &failed) && failed.sent {
+			return fmt.Errorf("%w; repeat with --%s %s", err, flagNoteID, id)
+		}
+		return err
+	}
+	return c.print(note, noteTable([]api.NoteStatus{note}))
+}
--- /dev/null
+++ b/goldcrestctl/main_test.go
@@ -0,0 +1,124 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"goldcrestctl": main})
+}
+
+// TestScripts runs the command line against a fake daemon. Its answers are the
+// script's files answers/METHOD_path with a status line and a body; calls are
+// appended to the file calls.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(env *testscript.Env) error {
+			daemon := httptest.NewServer(&fakeDaemon{dir: env.WorkDir})
+			env.Defer(daemon.Close)
+			broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+			env.Defer(broken.Close)
+			closed, err := closedAddr()
+			if err != nil {
+				return err
+			}
+			env.Setenv("GOLDCRESTCTL_SERVER", daemon.URL)
+			env.Setenv("DAEMON", daemon.URL)
+			env.Setenv("BROKEN", broken.URL)
+			env.Setenv("CLOSED", "http://"+closed)
+			env.Setenv("USER", "ruth")
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"exitcode": exitCode},
+	})
+}
+
+// closedAddr returns a loopback address that refuses connections.
+func closedAddr() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	return l.Addr().String(), l.Close()
+}
+
+// exitCode runs a command and requires its exit code: exitcode 1 goldcrestctl apply note.yaml.
+func exitCode(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exitcode code command [args...]")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	if err := ts.Exec(args[1], args[2:]...); err != nil {
+		var code int
+		if _, scanErr := fmt.Sscanf(err.Error(), "exit status %d", &code); scanErr != nil {
+			ts.Fatalf("%v", err)
+		}
+		got = code
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
+
+type fakeDaemon struct{ dir string }
+
+// ServeHTTP answers from the script's files.
+func (d *fakeDaemon) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = d.record(r, body)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	name := r.Method + strings.ReplaceAll(r.URL.Path, "/", "_")
+	data, err := os.ReadFile(filepath.Join(d.dir, "answers", name))
+	if err != nil {
+		http.Error(w, "no file "+name, http.StatusNotFound)
+		return
+	}
+	first, rest, _ := strings.Cut(string(data), "\n")
+	status, err := strconv.Atoi(first)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if status >= http.StatusBadRequest {
+		w.Header().Set("Content-Type", api.ContentTypeProblem)
+	}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, rest)
+}
+
+func (d *fakeDaemon) record(r *http.Request, body []byte) error {
+	f, err := os.OpenFile(filepath.Join(d.dir, "calls"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(f, "%s %s\n", r.Method, r.URL.RequestURI())
+	for _, name := range []string{"Authorization", api.HeaderNoteID, api.HeaderAuthor, api.HeaderIdempotencyKey, "X-Till"} {
+		if v := r.Header.Get(name); v != "" {
+			fmt.Fprintf(f, "%s: %s\n", name, v)
+		}
+	}
+	fmt.Fprintf(f, "%s\n", body)
+	return f.Close()
+}
--- /dev/null
+++ b/goldcrestctl/note.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+)
+
+// maxNote limits the size of a release note.
+const maxNote = 1 << 20
+
+// readFile reads a file, or the standard input for "-".
+func (c *config) readFile(name string, limit int64) ([]byte, error) {
+	in := c.stdin
+	if name != "-" {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		defer f.Close()
+		in = f
+	}
+	data, err := io.ReadAll(io.LimitReader(in, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(data)) > limit {
+		return nil, fmt.Errorf("%s has more than %d bytes", name, limit)
+	}
+	if len(data) == 0 {
+		return nil, errors.New(name + " is empty")
+	}
+	return data, nil
+}
+
+// noteRequest returns a request with the note in a file.
+func (c *config) noteRequest(file string, segments ...string) (request, error) {
+	text, err := c.readFile(file, maxNote)
+	if err != nil {
+		return request{}, err
+	}
+	header := http.Header{}
+	header.Set("Content-Type", api.ContentTypeNote)
+	return request{method: http.MethodPost, path: path(segments...), header: header, body: text}, nil
+}
+
+// planNote sends a note to be checked or planned and prints the changes.
+func (c *config) planNote(cmd *cobra.Command, file, call string) error {
+	req, err := c.noteRequest(file, "notes", call)
+	if err != nil {
+		return err
+	}
+	var plan api.Plan
+	if err := c.fetch(cmd.Context(), req, &plan); err != nil {
+		return err
+	}
+	return c.printPlan(plan)
+}
