test: polls of the stand-in's table, latencies and partitions

Cause: a poll must not lose a delete when tombstones are collected. Change: a rapid test compares two followers that poll with the table, under commits, deletes, wrong checks and passing time; seed 1 unless -rapid.seed names another.

--- /dev/null
+++ b/cluster/platform/standin/table_test.go
@@ -0,0 +1,143 @@
+package standin_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform/standin"
+)
+
+// follower keeps a copy of the table by polling for changes.
+type follower struct {
+	rows map[string]string
+	asOf cluster.Version
+}
+
+func (f *follower) poll(t *rapid.T, store platform.TableService) {
+	reply, err := store.Read(context.Background(), platform.ReadRequest{Prefixes: []string{""}, SinceVersion: f.asOf})
+	if platform.IsKind(err, platform.KindExpired) {
+		*f = follower{rows: map[string]string{}}
+		f.poll(t, store)
+		return
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range reply.Rows {
+		if r.Deleted {
+			delete(f.rows, r.Key)
+			continue
+		}
+		f.rows[r.Key] = string(r.Value)
+	}
+	f.asOf = reply.AsOf
+}
+
+// Guards against a poll that loses a change or a delete to the collection of
+// tombstones or to the rebuilding of the log, and against a check that holds for the wrong version.
+func TestFollowersAgree(t *testing.T) {
+	// A fixed seed unless the flag names another.
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		if err := f.Value.Set("1"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		clock := standin.NewManualClock(time.Unix(1_700_000_000, 0))
+		faults := standin.DefaultFaults()
+		faults.WriteRate, faults.ReadRate = 1e9, 1e9
+		store := standin.New(standin.Config{Cell: standin.Small(), Clock: clock.Now, Faults: &faults}).Caller(cluster.Place{})
+		model, versions := map[string]string{}, map[string]cluster.Version{}
+		followers := []*follower{{rows: map[string]string{}}, {rows: map[string]string{}}}
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			key := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "key"))
+			version, value := versions[key], fmt.Sprint(step)
+			txn := platform.Txn{Checks: []platform.Check{{Key: key, Version: version}}}
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				txn.Puts = []platform.Put{{Key: key, Value: []byte(value)}}
+				v, err := store.Commit(context.Background(), txn)
+				if err != nil {
+					t.Fatal(err)
+				}
+				model[key], versions[key] = value, v
+			case 2:
+				txn.Deletes = []string{key}
+				if _, err := store.Commit(context.Background(), txn); err != nil {
+					t.Fatal(err)
+				}
+				delete(model, key)
+				delete(versions, key)
+			case 3:
+				txn.Checks[0].Version += 1000
+				txn.Deletes = []string{key}
+				if _, err := store.Commit(context.Background(), txn); !platform.IsKind(err, platform.KindConflict) {
+					t.Fatalf("commit with a wrong version: %v", err)
+				}
+			case 4:
+				clock.Advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "minutes")) * time.Minute)
+			case 5:
+				followers[rapid.IntRange(0, 1).Draw(t, "follower")].poll(t, store)
+			}
+		}
+		for i, f := range followers {
+			f.poll(t, store)
+			if !maps.Equal(f.rows, model) {
+				t.Fatalf("follower %d has %v, the table %v", i, f.rows, model)
+			}
+		}
+	})
+}
+
+// Guards against calls that are faster than the distance to the stores, and
+// against traffic between regions that have lost contact.
+func TestLatenciesAndPartitions(t *testing.T) {
+	is := is.New(t)
+	slept := time.Duration(0)
+	p := standin.New(standin.Config{
+		Cell:  standin.Erzaehlwerk(),
+		Sleep: func(_ context.Context, d time.Duration) error { slept += d; return nil },
+	})
+	near := p.Caller(cluster.Place{Region: "deutschschweiz", Zone: "ds-2"})
+	far := p.Caller(cluster.Place{Region: "romandie", Zone: "ro-1"})
+	read := func(c *standin.Caller) (time.Duration, error) {
+		slept = 0
+		_, err := c.Read(t.Context(), platform.ReadRequest{Keys: []string{"a"}})
+		return slept, err
+	}
+	exchange := func(c *standin.Caller, rack cluster.RackID) (time.Duration, error) {
+		slept = 0
+		_, err := c.Exchange(t.Context(), platform.ExchangeRequest{Rack: rack, Epoch: 1, Lease: lease})
+		return slept, err
+	}
+	d, err := read(near)
+	is.NoErr(err)
+	is.Equal(d, 2*time.Millisecond)
+	d, err = read(far)
+	is.NoErr(err)
+	is.Equal(d, 60*time.Millisecond)
+	d, err = exchange(far, "ds-1-r1")
+	is.NoErr(err)
+	is.Equal(d, 60*time.Millisecond)
+	d, err = exchange(far, "ro-1-r1")
+	is.NoErr(err)
+	is.Equal(d, time.Duration(0))
+	p.SetFaults(func(f *standin.Faults) { f.CutRegions = []cluster.Region{"romandie"} })
+	_, err = read(far)
+	is.True(platform.IsKind(err, platform.KindUnavailable))
+	_, err = exchange(near, "ro-1-r1")
+	is.True(platform.IsKind(err, platform.KindUnavailable))
+	_, err = exchange(far, "ro-1-r1")
+	is.NoErr(err)
+	_, err = read(near)
+	is.NoErr(err)
+}
