test: pauses, silent connections and commit latency of the stand-in

Cause: trial changes to the stand-in that broke these three went unnoticed: progress during a pause, silent runner connections, latency of commits. Change: a contract case for pauses, a deterministic test of silent connections that watches a counter, and the latency of a commit.

--- a/cluster/platform/standin/adminwire.go
+++ b/cluster/platform/standin/adminwire.go
@@ -122,6 +122,7 @@
 	Executed           int64 `json:"executed"`
 	Refused            int64 `json:"refused"`
 	ConnectionsRefused int64 `json:"connectionsRefused"`
+	Silenced           int64 `json:"silenced"`
 	PeakInFlight       int   `json:"peakInFlight"`
 	PeakConnections    int   `json:"peakConnections"`
 }
--- a/cluster/platform/standin/rackcontract_test.go
+++ b/cluster/platform/standin/rackcontract_test.go
@@ -147,6 +147,29 @@
 		b.Equal(report(reply, w1).Ended[0].Outcome, platform.OutcomeLeaseLapsed)
 		b.Equal(report(reply, w2).Ended[0].Outcome, platform.OutcomeLeaseLapsed)
 	}},
+	// Guards against tasks that go on while their worker is paused, and against a
+	// false overlap with a task that is frozen and will be stopped.
+	{"pause", func(b *bench) {
+		b.results(1, start(w1, attempt(0, 1), 1000, "10s"), start(w1, attempt(1, 1), 1000))
+		b.clock.Advance(2 * time.Second)
+		pause := func(paused bool) {
+			b.p.SetWorkerFaults(w1, func(f *standin.WorkerFaults) { f.Paused = paused })
+		}
+		pause(true)
+		b.clock.Advance(5 * time.Second)
+		pause(false)
+		b.clock.Advance(7 * time.Second)
+		b.Equal(len(report(b.exchange(1, 0), w1).Running), 2)
+		b.clock.Advance(time.Second)
+		b.Equal(report(b.exchange(1, 0), w1).Ended[0].RunTime, 15*time.Second)
+		pause(true)
+		b.clock.Advance(lease + time.Second)
+		b.Equal(b.p.UseOfTeam("archive").CPU, cluster.CPU(0))
+		b.results(1, start(w2, attempt(1, 2), 1000))
+		b.Equal(len(b.p.Overlaps()), 0)
+		pause(false)
+		b.Equal(b.p.UseOfTeam("archive").CPU, cluster.CPU(1000))
+	}},
 	// Guards against an overlap of two attempts that goes unseen.
 	{"overlaps are recorded", func(b *bench) {
 		b.results(1, start(w1, attempt(0, 1), 1000, "30s"), start(w2, attempt(0, 2), 1000, "30s"))
--- a/cluster/platform/standin/runner.go
+++ b/cluster/platform/standin/runner.go
@@ -117,8 +117,10 @@
 	Refused int64
 	// ConnectionsRefused counts connections beyond the limit.
 	ConnectionsRefused int64
-	PeakInFlight       int
-	PeakConnections    int
+	// Silenced counts requests on silent connections.
+	Silenced        int64
+	PeakInFlight    int
+	PeakConnections int
 }
 
 // runnerConn is the state of one connection.
@@ -255,7 +257,7 @@
 	}
 }
 
-// silent reports whether the request came on a silent connection.
+// silent reports whether the request came on a silent connection, and counts it.
 func (r *Runner) silent(req *http.Request) bool {
 	conn, ok := req.Context().Value(connKey{}).(net.Conn)
 	if !ok {
@@ -264,12 +266,16 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.conns[conn]
-	return c != nil && c.silent
+	if c == nil || !c.silent {
+		return false
+	}
+	r.stats.Silenced++
+	return true
 }
 
 func (r *Runner) handle(w http.ResponseWriter, req *http.Request) {
 	faults := r.Faults()
-	if r.silent(req) && !faults.SilentRuns {
+	if !faults.SilentRuns && r.silent(req) {
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
--- a/cluster/platform/standin/runner_test.go
+++ b/cluster/platform/standin/runner_test.go
@@ -112,25 +112,34 @@
 
 // Guards against a silent connection that answers, and against new connections that are silent too.
 func TestRunnerSilence(t *testing.T) {
-	b := newRunnerBench(t)
-	_, _, err := b.post(b.ctx, "first", "0s")
-	b.NoErr(err)
-	b.r.SetFaults(func(f *standin.RunnerFaults) { f.SilentRuns = true })
-	b.r.Silence()
-	ctx, cancel := context.WithCancel(b.ctx)
-	done := make(chan error, 1)
-	go func() {
-		_, _, err := b.post(ctx, "second", "0s")
-		done <- err
-	}()
-	for b.r.Stats().Executed < 2 {
-		runtime.Gosched()
+	for _, runs := range []bool{false, true} {
+		b := newRunnerBench(t)
+		_, _, err := b.post(b.ctx, "first", "0s")
+		b.NoErr(err)
+		b.r.SetFaults(func(f *standin.RunnerFaults) { f.SilentRuns = runs })
+		b.r.Silence()
+		ctx, cancel := context.WithCancel(b.ctx)
+		defer cancel()
+		done := make(chan error, 1)
+		go func() {
+			_, _, err := b.post(ctx, "second", "0s")
+			done <- err
+		}()
+		for b.r.Stats().Silenced == 0 {
+			select {
+			case err := <-done:
+				t.Fatalf("a silent connection answered: %v", err)
+			default:
+				runtime.Gosched()
+			}
+		}
+		cancel()
+		b.True(<-done != nil)
+		b.Equal(len(b.r.Executions()) == 2, runs)
+		_, body, err := b.post(b.ctx, "third", "0s")
+		b.NoErr(err)
+		b.Equal(body, "third")
 	}
-	cancel()
-	b.True(<-done != nil)
-	_, body, err := b.post(b.ctx, "third", "0s")
-	b.NoErr(err)
-	b.Equal(body, "third")
 }
 
 // Guards against a killed runner that still answers or comes back elsewhere.
--- a/cluster/platform/standin/table_test.go
+++ b/cluster/platform/standin/table_test.go
@@ -125,6 +125,10 @@
 	d, err = read(far)
 	is.NoErr(err)
 	is.Equal(d, 60*time.Millisecond)
+	slept = 0
+	_, err = far.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: "a"}}})
+	is.NoErr(err)
+	is.Equal(slept, 60*time.Millisecond)
 	d, err = exchange(far, "ds-1-r1")
 	is.NoErr(err)
 	is.Equal(d, 60*time.Millisecond)
