--- a/cluster/gateway/gateway.go
+++ b/cluster/gateway/gateway.go
@@ -174,7 +174,7 @@
 	defer g.mu.Unlock()
 	listed := map[cluster.UpstreamID]bool{}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleRunner && vm.Service != "" {
+		if vm.Role == platform.RoleRunner && vm.Service != "" && vm.Addr.IsValid() {
 			listed[cluster.UpstreamID(vm.ID)] = true
 			g.setUpstream(vm)
 		}
--- a/cluster/journal/journal.go
+++ b/cluster/journal/journal.go
@@ -21,6 +21,11 @@
 	DefaultTimeout    = 3 * time.Second
 	DefaultRetryFirst = 50 * time.Millisecond
 	DefaultRetryMax   = 2 * time.Second
+	// throttleDelay is the pause after a commit over the store's rate limit;
+	// changes that arrive meanwhile join the next transaction.
+	throttleDelay = 100 * time.Millisecond
+	// throttlePatience is how long a change is retried over the rate limit.
+	throttlePatience = 3 * time.Second
 )
 
 // Change is a set of checks and writes that applies as a whole.
@@ -63,6 +68,7 @@
 type pending struct {
 	change Change
 	done   func(cluster.Version, error)
+	queued time.Time
 }
 
 // New starts a journal; Close stops it.
@@ -98,7 +104,7 @@
 func (j *Journal) Submit(change Change, done func(cluster.Version, error)) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	p := &pending{change, done}
+	p := &pending{change, done, time.Now()}
 	if j.closed {
 		go done(0, &Error{Op: "commit", Kind: KindClosed})
 		return
@@ -147,7 +153,9 @@
 
 // gather waits for the first change and collects more until the gather time or the row limit.
 func (j *Journal) gather(carry []*pending) (batch, rest []*pending, ok bool) {
-	if len(carry) == 0 {
+	if len(carry) > 0 {
+		carry = j.take(carry)
+	} else {
 		select {
 		case <-j.ctx.Done():
 			return nil, nil, false
@@ -171,6 +179,19 @@
 	return split(carry, j.cfg.MaxRows)
 }
 
+// take adds the changes that are waiting already.
+func (j *Journal) take(carry []*pending) []*pending {
+	for rows(carry) < j.cfg.MaxRows {
+		select {
+		case p := <-j.queue:
+			carry = append(carry, p)
+		default:
+			return carry
+		}
+	}
+	return carry
+}
+
 func rows(batch []*pending) int {
 	n := 0
 	for _, p := range batch {
@@ -234,7 +255,9 @@
 	switch {
 	case platform.IsKind(err, platform.KindConflict):
 		return j.conflict(batch, err)
-	case platform.IsKind(err, platform.KindUnavailable), platform.IsKind(err, platform.KindThrottled):
+	case platform.IsKind(err, platform.KindThrottled):
+		return j.throttled(batch, err)
+	case platform.IsKind(err, platform.KindUnavailable):
 		finish(batch, 0, &Error{Op: "commit", Kind: KindUnavailable, Err: err})
 		return nil
 	case platform.IsKind(err, platform.KindInvalid):
@@ -245,6 +268,25 @@
 	return nil
 }
 
+// throttled waits after a commit over the rate limit, fails the changes that
+// have waited too long and returns the others.
+func (j *Journal) throttled(batch []*pending, err error) []*pending {
+	j.cfg.Metrics.Counter("journal_throttled").Inc(1)
+	select {
+	case <-time.After(throttleDelay):
+	case <-j.ctx.Done():
+	}
+	var again []*pending
+	for _, p := range batch {
+		if j.ctx.Err() != nil || time.Since(p.queued) > throttlePatience {
+			p.done(0, &Error{Op: "commit", Kind: KindUnavailable, Err: err})
+			continue
+		}
+		again = append(again, p)
+	}
+	return again
+}
+
 func (j *Journal) transaction(batch []*pending) platform.Txn {
 	var txn platform.Txn
 	for _, p := range batch {
