--- /dev/null
+++ b/cluster/placement/bench_test.go
@@ -0,0 +1,241 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+// kind is a kind of task in the mix of a user.
+type kind struct {
+	name     string
+	team     cluster.TeamName
+	priority cluster.Priority
+	cpu      cluster.CPU
+	memory   cluster.Bytes
+	gang     int
+	service  bool
+	runTime  time.Duration
+	maxWait  time.Duration
+	// weight is the part of the kind among submitted jobs.
+	weight int
+}
+
+// erzaehlwerk and caroni are the mixes of the two users; sizes are as declared.
+var (
+	erzaehlwerk = []kind{
+		{name: "booking", team: "bern", cpu: 2000, memory: 4 * cluster.GiB, service: true, priority: cluster.PriorityUrgent, weight: 6},
+		{name: "transcription", team: "basel", cpu: 4000, memory: 16 * cluster.GiB, runTime: 2 * time.Hour, weight: 20},
+		{name: "transcription-long", team: "zuerich", cpu: 8000, memory: 24 * cluster.GiB, runTime: 6 * time.Hour, weight: 8},
+		{name: "assembly", team: "bern", cpu: 1000, memory: 6 * cluster.GiB, runTime: 20 * time.Minute, weight: 30},
+		{name: "preview", team: "chur", cpu: 500, memory: 1 * cluster.GiB, runTime: 5 * time.Minute, weight: 30, priority: cluster.PriorityUrgent},
+		{name: "model", team: "zuerich", cpu: 8000, memory: 32 * cluster.GiB, gang: 8, runTime: time.Hour, weight: 1, priority: cluster.PriorityDeferrable, maxWait: 4 * time.Hour},
+	}
+	caroni = []kind{
+		{name: "settlement", team: "tunapuna", cpu: 2000, memory: 2 * cluster.GiB, service: true, priority: cluster.PriorityUrgent, weight: 6},
+		{name: "reconciliation", team: "chaguanas", cpu: 8000, memory: 16 * cluster.GiB, runTime: 40 * time.Minute, weight: 20},
+		{name: "statement", team: "arima", cpu: 2000, memory: 2 * cluster.GiB, runTime: 10 * time.Minute, weight: 30, priority: cluster.PriorityDeferrable, maxWait: 2 * time.Hour},
+		{name: "till-check", team: "couva", cpu: 1000, memory: 1 * cluster.GiB, runTime: 2 * time.Minute, weight: 20, priority: cluster.PriorityUrgent},
+		{name: "analysis", team: "arima", cpu: 16000, memory: 48 * cluster.GiB, runTime: 3 * time.Hour, weight: 4},
+	}
+	bothMixes = append(append([]kind{}, erzaehlwerk...), caroni...)
+)
+
+func (k *kind) size() cluster.Resources { return cluster.Resources{CPU: k.cpu, Memory: k.memory} }
+
+// draw returns a kind according to the weights.
+func draw(r *rand.Rand, mix []kind) *kind {
+	sum := 0
+	for i := range mix {
+		sum += mix[i].weight
+	}
+	at := r.IntN(sum)
+	for i := range mix {
+		if at -= mix[i].weight; at < 0 {
+			return &mix[i]
+		}
+	}
+	return nil
+}
+
+// fleet returns a table of n empty workers, half of 16 and half of 32 cores, 8 to a rack, over two regions.
+func fleet(n int) *Table {
+	t := NewTable()
+	for i := range n {
+		rack := i / 8
+		cores := cluster.CPU(16000)
+		region := cluster.Region("deutschschweiz")
+		if rack%2 == 1 {
+			cores, region = 32000, "tt-north"
+		}
+		t.Set(Worker{
+			ID:       cluster.WorkerID(fmt.Sprintf("w%05d", i)),
+			Rack:     cluster.RackID(fmt.Sprintf("r%04d", rack)),
+			Place:    cluster.Place{Region: region, Zone: cluster.Zone(fmt.Sprintf("%s-%d", region, rack/2%3))},
+			Capacity: cluster.Resources{CPU: cores, Memory: 64 * cluster.GiB},
+		})
+	}
+	return t
+}
+
+var fleetSizes = []int{50, 590, 5900}
+
+const pendingItems = 10_000
+
+// churn is a full fleet whose tasks end one after another, with a queue of 10,000 items.
+type churn struct {
+	table   *Table
+	queue   *Queue
+	policy  Policy
+	random  *rand.Rand
+	now     time.Time
+	running []churnTask
+	serial  int
+	// one holds the job names, made in advance so that they are not counted as allocations.
+	names []cluster.JobName
+}
+
+type churnTask struct {
+	worker cluster.WorkerID
+	team   cluster.TeamName
+	size   cluster.Resources
+}
+
+// newChurn fills a fleet until it has the given number of running tasks, or until nothing pending fits if it is zero.
+func newChurn(workers, running int, policy Policy) *churn {
+	c := &churn{
+		table: fleet(workers), policy: policy, random: rand.New(rand.NewPCG(1, 2)),
+		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+	}
+	c.queue = NewQueue(QueueConfig{Total: c.table.Total()})
+	for i := range 4 * pendingItems {
+		c.names = append(c.names, cluster.JobName(fmt.Sprintf("job-%d", i)))
+	}
+	for {
+		for c.queue.Len() < pendingItems {
+			c.submit()
+		}
+		if running > 0 && len(c.running) >= running || !c.step() && c.saturated() {
+			return c
+		}
+	}
+}
+
+func (c *churn) saturated() bool {
+	_, ok := c.queue.Next(c.now)
+	return !ok
+}
+
+func (c *churn) submit() {
+	k := draw(c.random, bothMixes)
+	c.serial++
+	c.queue.Add(Item{
+		Job: cluster.JobID{Team: k.team, Name: c.names[c.serial%len(c.names)]}, Size: k.size(), Tasks: 1,
+		Priority: k.priority, Submitted: c.now, RunTime: k.runTime, MaxWait: k.maxWait,
+	})
+}
+
+// step makes one decision and reports whether it placed a task.
+func (c *churn) step() bool {
+	pick, ok := c.queue.Next(c.now)
+	if !ok {
+		return false
+	}
+	id, reason := c.policy.Place(c.table, Request{Size: pick.Item.Size, Job: pick.Item.Job})
+	if reason != Placed {
+		c.queue.Blocked(pick.Item.Job, c.now)
+		return false
+	}
+	c.table.Occupy(id, pick.Item.Size)
+	c.queue.Started(pick.Item.Job, 1)
+	c.running = append(c.running, churnTask{id, pick.Item.Job.Team, pick.Item.Size})
+	return true
+}
+
+// finish ends a random task.
+func (c *churn) finish() {
+	at := c.random.IntN(len(c.running))
+	done := c.running[at]
+	c.running[at] = c.running[len(c.running)-1]
+	c.running = c.running[:len(c.running)-1]
+	c.table.Release(done.worker, done.size)
+	c.queue.Release(done.team, done.size)
+	w, _ := c.table.Get(done.worker)
+	c.queue.Freed(w.Free())
+}
+
+// BenchmarkDecision measures one decision (Queue.Next, Place, Occupy and Started)
+// with 10,000 pending items; tasks end and arrive between decisions. The fleet is
+// either full, or has 2,600 running tasks for 590 workers and room for more.
+func BenchmarkDecision(b *testing.B) {
+	policies := []struct {
+		name   string
+		policy Policy
+	}{{"indexed", Indexed{}}, {"firstfit", FirstFit{}}, {"bestfit", BestFit{}}}
+	for _, full := range []bool{false, true} {
+		for _, p := range policies {
+			for _, n := range fleetSizes {
+				b.Run(fmt.Sprintf("full=%t/%s/workers=%d", full, p.name, n), func(b *testing.B) {
+					running := 2600 * n / 590
+					if full {
+						running = 0
+					}
+					benchmarkDecision(b, newChurn(n, running, p.policy), full)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkDecision(b *testing.B, c *churn, full bool) {
+	histogram := hdrhistogram.New(1, int64(time.Minute), 3)
+	placed, spent := 0, time.Duration(0)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		c.finish()
+		for c.queue.Len() < pendingItems {
+			c.submit()
+		}
+		for {
+			start := time.Now()
+			ok := c.step()
+			took := time.Since(start)
+			spent += took
+			_ = histogram.RecordValue(int64(took))
+			if ok {
+				placed++
+			}
+			if ok && !full || !ok && c.saturated() {
+				break
+			}
+		}
+	}
+	b.ReportMetric(float64(placed)/spent.Seconds(), "placements/s")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50)), "p50-ns")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(99)), "p99-ns")
+	b.ReportMetric(float64(len(c.running)), "running")
+}
+
+// BenchmarkPlace measures Place, Occupy and Release alone, in a full fleet, for its allocations.
+func BenchmarkPlace(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			c := newChurn(n, 2600*n/590, Indexed{})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				size := bothMixes[i%len(bothMixes)].size()
+				if id, reason := c.table.Place(Request{Size: size}); reason == Placed {
+					c.table.Occupy(id, size)
+					c.table.Release(id, size)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/cluster/placement/prop_test.go
@@ -0,0 +1,322 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+// The seed is fixed, so that a run in CI can be repeated; -rapid.seed overrides it.
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+var epoch = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+var (
+	genSize = rapid.Custom(func(t *rapid.T) cluster.Resources {
+		return cluster.Resources{
+			CPU:          cluster.CPU(rapid.IntRange(0, 18).Draw(t, "cpu") * 500),
+			Memory:       cluster.Bytes(rapid.IntRange(0, 18).Draw(t, "memory")) * cluster.GiB / 2,
+			Accelerators: int64(max(0, rapid.IntRange(-8, 3).Draw(t, "accelerators"))),
+		}
+	})
+	genWorker = rapid.Custom(func(t *rapid.T) Worker {
+		id := rapid.IntRange(0, 11).Draw(t, "worker")
+		return Worker{
+			ID: cluster.WorkerID(fmt.Sprint("w", id)), Rack: cluster.RackID(fmt.Sprint("r", id/3)),
+			Place: cluster.Place{Zone: cluster.Zone(fmt.Sprint("z", id/6))},
+			Capacity: cluster.Resources{
+				CPU:          cluster.CPU(rapid.SampledFrom([]int{4000, 8000, 8100}).Draw(t, "cores")),
+				Memory:       rapid.SampledFrom([]cluster.Bytes{4 * cluster.GiB, 8 * cluster.GiB}).Draw(t, "memory"),
+				Accelerators: rapid.SampledFrom([]int64{0, 0, 2}).Draw(t, "accelerators"),
+			},
+			Closed: rapid.IntRange(0, 5).Draw(t, "closed") == 0,
+		}
+	})
+)
+
+// scan answers a request by looking at every worker.
+func scan(t *Table, req Request) (fits bool, reason Reason) {
+	reason = TooLarge
+	for i := range t.workers {
+		w := &t.workers[i]
+		switch {
+		case !req.Size.Fits(w.Capacity):
+		case w.Closed:
+			if reason == TooLarge {
+				reason = AllClosed
+			}
+		case req.Size.Fits(t.freeFor(t.nodes[i], &req)):
+			return true, Placed
+		default:
+			reason = NoRoomNow
+		}
+	}
+	return false, reason
+}
+
+// Guards against an index that loses a worker, overfills one, gives a wrong
+// reason, or places differently after another history with the same outcome.
+func TestTableMatchesScan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			w, size := genWorker.Draw(t, "worker"), genSize.Draw(t, "size")
+			req := Request{Size: size, Spread: rapid.Bool().Draw(t, "spread")}
+			switch rapid.IntRange(0, 9).Draw(t, "op") {
+			case 0, 1:
+				table.Set(w)
+			case 2:
+				table.Remove(w.ID)
+			case 3:
+				table.SetClosed(w.ID, w.Closed)
+			case 4:
+				table.Release(w.ID, size)
+			default:
+				id, reason := table.Place(req)
+				if fits, want := scan(table, req); fits != (reason == Placed) || reason != want {
+					t.Fatalf("place %v: %v, but a scan says %v", size, reason, want)
+				}
+				if e := table.Explain(req); (e.Fits > 0) != (reason == Placed) {
+					t.Fatalf("place %v: %v, but explained as %v", size, reason, e)
+				}
+				if reason == Placed && !table.Occupy(id, size) {
+					t.Fatalf("placed %v on %s, which has no room", size, id)
+				}
+			}
+			for _, w := range table.Workers() {
+				if !w.Used.Fits(w.Capacity) {
+					t.Fatalf("%s uses %v of %v", w.ID, w.Used, w.Capacity)
+				}
+			}
+		}
+		rebuilt, req := NewTable(), Request{Size: genSize.Draw(t, "last")}
+		for _, w := range slices.Backward(table.Workers()) {
+			rebuilt.Set(w)
+		}
+		for _, req.Spread = range []bool{false, true} {
+			if a, _ := table.Place(req); a != func() cluster.WorkerID { b, _ := rebuilt.Place(req); return b }() {
+				t.Fatalf("the same workers in another order place %v elsewhere than %s", req.Size, a)
+			}
+		}
+	})
+}
+
+// Guards against a gang job that is placed in part, or that leaves workers occupied.
+func TestPlaceAllIsWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		for _, w := range rapid.SliceOfN(genWorker, 1, 12).Draw(t, "workers") {
+			table.Set(w)
+		}
+		before := slices.Clone(table.Workers())
+		req, n := Request{Size: genSize.Draw(t, "size")}, rapid.IntRange(1, 20).Draw(t, "tasks")
+		ids, reason := table.PlaceAll(req, n)
+		if !slices.Equal(before, table.Workers()) {
+			t.Fatalf("workers changed from %v to %v", before, table.Workers())
+		}
+		if reason == Placed && len(ids) != n {
+			t.Fatalf("placed %d of %d", len(ids), n)
+		}
+		for _, id := range ids {
+			if !table.Occupy(id, req.Size) {
+				t.Fatalf("%s is overfull", id)
+			}
+		}
+	})
+}
+
+// Guards against backfill that delays the job that a reservation is for: with
+// run times as expected the holder starts at the planned time.
+func TestBackfillNeverDelaysReservation(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, now := NewTable(), epoch
+		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+			table.Set(Worker{
+				ID: cluster.WorkerID(fmt.Sprint("w", i)), Rack: "r",
+				Capacity: cluster.Resources{CPU: 8000, Memory: 8 * cluster.GiB},
+			})
+		}
+		var running []Ending
+		start := func(req Request) {
+			if id, reason := table.Place(req); reason == Placed && table.Occupy(id, req.Size) {
+				running = append(running, Ending{Worker: id, Size: req.Size, End: req.End})
+			}
+		}
+		task := func(withEnd bool) Request {
+			req := Request{Size: genSize.Draw(t, "size")}
+			if withEnd {
+				req.End = now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "minutes")) * time.Minute)
+			}
+			return req
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "before") {
+			start(task(true))
+		}
+		gang := Request{Job: cluster.JobID{Team: "a", Name: "gang"}, Size: cluster.Resources{CPU: 5000, Memory: 2 * cluster.GiB}}
+		n := rapid.IntRange(1, len(table.Workers())).Draw(t, "tasks")
+		ids, planned, ok := table.PlanReservation(gang, n, running, now)
+		if !ok || !table.Reserve(Reservation{Job: gang.Job, Size: gang.Size, Workers: ids, Start: planned, Until: planned.Add(time.Hour)}) {
+			t.Fatalf("no reservation for %d tasks on %v", n, table.Workers())
+		}
+		for now.Before(planned) {
+			for range rapid.IntRange(0, 5).Draw(t, "arrivals") {
+				start(task(rapid.Bool().Draw(t, "known end")))
+			}
+			now = now.Add(time.Minute)
+			running = slices.DeleteFunc(running, func(e Ending) bool {
+				done := !e.End.IsZero() && !e.End.After(now)
+				if done {
+					table.Release(e.Worker, e.Size)
+				}
+				return done
+			})
+		}
+		if _, reason := table.PlaceAll(gang, n); reason != Placed {
+			t.Fatalf("the gang job does not start at %v: %v", planned, table.Explain(gang))
+		}
+	})
+}
+
+// Guards against shares that do not add up, exceed a demand, or favour a team by its order.
+func TestWaterFilling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, demand := NewQueue(QueueConfig{Total: cluster.Resources{CPU: 100_000}}), 0.0
+		for i := range rapid.IntRange(1, 32).Draw(t, "teams") {
+			team := cluster.TeamName(fmt.Sprint("t", i))
+			q.SetTeam(team, TeamConfig{Weight: rapid.IntRange(1, 10).Draw(t, "weight")})
+			cpu := rapid.IntRange(0, 60_000).Draw(t, "cpu")
+			q.Use(team, cluster.Resources{CPU: cluster.CPU(cpu)})
+			demand += float64(cpu) / 100_000
+		}
+		sum, lowest, highest := 0.0, 1.0, 0.0
+		for _, s := range q.Shares() {
+			if s.Entitled > s.Demand+1e-9 {
+				t.Fatalf("%s is entitled to %v but demands %v", s.Team, s.Entitled, s.Demand)
+			}
+			perWeight := s.Entitled / float64(q.teams[s.Team].cfg.Weight)
+			sum, highest = sum+s.Entitled, max(highest, perWeight)
+			if s.Entitled < s.Demand-1e-9 {
+				lowest = min(lowest, perWeight)
+			}
+		}
+		if want := min(1, demand); sum < want-1e-9 || sum > want+1e-9 {
+			t.Fatalf("shares sum to %v, want %v", sum, want)
+		}
+		if lowest < highest-1e-9 {
+			t.Fatalf("a team short of its demand has %v per weight and another one %v", lowest, highest)
+		}
+	})
+}
+
+// Guards against starvation of deferrable work by a stream of urgent and normal
+// work: once due, an item starts within eight starts for each due item before it.
+func TestDueWorkIsNotStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q, now := NewQueue(QueueConfig{Total: cluster.Resources{CPU: 1000}, MaxWait: time.Hour}), epoch
+		allowed, serial := -1, 0
+		add := func(priority cluster.Priority) cluster.JobID {
+			serial++
+			job := cluster.JobID{Team: cluster.TeamName(fmt.Sprint("t", rapid.IntRange(0, 3).Draw(t, "team"))), Name: cluster.JobName(fmt.Sprint(serial))}
+			q.Add(Item{Job: job, Priority: priority, Size: cluster.Resources{CPU: 10}, Tasks: 1, Submitted: now})
+			return job
+		}
+		for range rapid.IntRange(0, 20).Draw(t, "before") {
+			add(cluster.PriorityDeferrable)
+		}
+		watched := add(cluster.PriorityDeferrable)
+		ahead := q.Len()
+		for range 400 {
+			for range 2 {
+				add(cluster.Priority(rapid.IntRange(0, 2).Draw(t, "priority")))
+			}
+			now = now.Add(time.Minute)
+			if allowed < 0 && !now.Before(epoch.Add(time.Hour)) {
+				allowed = dueTurn * ahead
+			}
+			pick, _ := q.Next(now)
+			q.Started(pick.Item.Job, 1)
+			if pick.Item.Job == watched {
+				return
+			}
+			if allowed == 0 {
+				t.Fatalf("due item not started within %d starts", dueTurn*ahead)
+			}
+			allowed--
+			if rapid.Bool().Draw(t, "ends") {
+				q.Release(pick.Item.Job.Team, pick.Item.Size)
+			}
+		}
+		t.Fatal("due item not started")
+	})
+}
+
+// Guards against starvation of a large item by small ones that fit into every gap.
+func TestLargeItemIsNotStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const skips = 20
+		table, now := NewTable(), epoch
+		table.Set(Worker{ID: "w", Rack: "r", Capacity: cluster.Resources{CPU: 8000}})
+		q := NewQueue(QueueConfig{Total: table.Total(), MaxSkips: skips})
+		large := Item{Job: cluster.JobID{Team: "b", Name: "large"}, Size: cluster.Resources{CPU: 8000}, Tasks: 1, Submitted: now}
+		var running []Ending
+		starts, last := 0, -1
+		for minute := range 300 {
+			for i := range 4 {
+				job := cluster.JobID{Team: "a", Name: cluster.JobName(fmt.Sprint(minute, "-", i))}
+				q.Add(Item{Job: job, Size: cluster.Resources{CPU: 1000}, Tasks: 1, Submitted: now, RunTime: 5 * time.Minute})
+			}
+			if minute == 10 {
+				q.Add(large)
+			}
+			now = now.Add(time.Minute)
+			running = slices.DeleteFunc(running, func(e Ending) bool {
+				if !e.End.After(now) {
+					table.Release(e.Worker, e.Size)
+					return true
+				}
+				return false
+			})
+			q.Freed(table.workers[0].Free())
+			for pick, ok := q.Next(now); ok; pick, ok = q.Next(now) {
+				item := pick.Item
+				req := Request{Job: item.Job, Size: item.Size, End: now.Add(time.Duration(rapid.IntRange(1, 5).Draw(t, "minutes")) * time.Minute)}
+				id, reason := table.Place(req)
+				switch {
+				case reason == Placed && item.Job == large.Job:
+					return
+				case reason == Placed:
+					table.Occupy(id, item.Size)
+					table.Unreserve(item.Job)
+					q.Started(item.Job, 1)
+					running = append(running, Ending{Worker: id, Size: item.Size, End: req.End})
+					if starts++; last >= 0 && starts > last {
+						t.Fatalf("the large item was passed over more than %d times", starts)
+					}
+				case pick.Reserve:
+					ids, start, _ := table.PlanReservation(req, 1, running, now)
+					if table.Reserve(Reservation{Job: item.Job, Size: item.Size, Workers: ids, Start: start, Until: start.Add(time.Hour)}) {
+						q.Reserved(item.Job)
+					} else {
+						q.Blocked(item.Job, now)
+					}
+				default:
+					q.Blocked(item.Job, now)
+					if item.Job == large.Job && last < 0 {
+						// After the skips allowed, only tasks that end within the 5 minutes before the start fit in: at most 8 at a time.
+						last = starts + skips + 5*8
+					}
+				}
+			}
+		}
+		t.Fatal("the large item did not start")
+	})
+}
--- a/cluster/placement/queue.go
+++ b/cluster/placement/queue.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -19,6 +20,9 @@
 	// share. It bounds the wait of due work and limits what a team gains by submitting
 	// more deferrable work than its share can run.
 	dueTurn = 8
+	// startSlack is the part of the run time that work with a deadline may wait for
+	// room once it is due: in a full fleet it starts only when running tasks end.
+	startSlack = 0.25
 )
 
 // QueueConfig configures a Queue.
@@ -64,7 +68,7 @@
 	sequence uint64
 	stale    bool
 	// fill is the scratch space of refresh.
-	fill []level
+	fill []claim
 }
 
 // NewQueue returns an empty queue.
@@ -285,7 +289,7 @@
 // meets its deadline, or the end of the wait that its priority allows.
 func (q *Queue) latestStart(item *Item) time.Time {
 	if !item.Deadline.IsZero() {
-		return item.Deadline.Add(-item.RunTime)
+		return item.Deadline.Add(-q.timeNeeded(item))
 	}
 	if item.Priority != cluster.PriorityDeferrable {
 		return item.Submitted.Add(q.cfg.NormalWait)
@@ -295,3 +299,20 @@
 	}
 	return item.Submitted.Add(q.cfg.MaxWait)
 }
+
+// timeNeeded returns how long before its deadline an item must start. A job that
+// is larger than its team's share of the fleet runs its tasks in several waves.
+func (q *Queue) timeNeeded(item *Item) time.Duration {
+	waves := 1.0
+	if !item.Gang {
+		weights := 0
+		for _, t := range q.order {
+			weights += t.cfg.Weight
+		}
+		t := q.team(item.Job.Team)
+		share := float64(t.cfg.Weight) / float64(max(weights, t.cfg.Weight))
+		demand := item.Size.Times(int64(item.Tasks)).DominantShare(q.cfg.Total)
+		waves = max(1, min(math.Ceil(demand/share), float64(item.Tasks)))
+	}
+	return time.Duration(float64(item.RunTime) * (waves + startSlack))
+}
--- a/cluster/placement/queuenext.go
+++ b/cluster/placement/queuenext.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
 
 // Next returns the item to try next, without removing it.
@@ -14,6 +12,9 @@
 // their share, or of any team once in eight starts; then the team with the
 // lowest dominant share for its weight, and within it urgent work first and the
 // rest by latest start.
+//
+// Normal work without a deadline is never due: under a sustained overload all of
+// it would be, and shares would give way to first come, first served.
 func (q *Queue) Next(now time.Time) (Pick, bool) {
 	for _, e := range q.reserved {
 		t := q.teams[e.item.Job.Team]
@@ -26,20 +27,23 @@
 		return Pick{Item: e.item, Reserve: true}, true
 	}
 	q.refresh()
-	var urgent, due, rest *entry
-	var urgentTeam, restTeam *team
+	var hurry, due, firstDue, rest *entry
+	var hurryTeam, restTeam *team
 	for _, t := range q.order {
 		if t.held {
 			continue
 		}
 		below := t.dominant(q.cfg.Total) < t.entitled
-		if e := t.headUrgent(); e != nil {
-			if below && (urgent == nil || t.ratio(q.cfg.Total) < urgentTeam.ratio(q.cfg.Total)) {
-				urgent, urgentTeam = e, t
+		if e := t.first(urgent); e != nil && below {
+			if hurry == nil || t.ratio(q.cfg.Total) < hurryTeam.ratio(q.cfg.Total) {
+				hurry, hurryTeam = e, t
 			}
 		}
-		if e := t.headOther(); e != nil && q.isDue(e, now) {
-			if (below || q.sinceDue >= dueTurn-1) && (due == nil || e.before(due)) {
+		if e := t.first(dueLater); e != nil && !e.key.After(now) {
+			if firstDue == nil || e.before(firstDue) {
+				firstDue = e
+			}
+			if below && (due == nil || e.before(due)) {
 				due = e
 			}
 		}
@@ -47,32 +51,22 @@
 			rest, restTeam = e, t
 		}
 	}
+	next := rest
 	switch {
-	case due != nil && q.sinceDue >= dueTurn-1:
-		return q.pick(due, true)
-	case urgent != nil:
-		return q.pick(urgent, false)
+	case firstDue != nil && q.sinceDue >= dueTurn-1:
+		next = firstDue
+	case hurry != nil:
+		next = hurry
 	case due != nil:
-		return q.pick(due, true)
-	case rest != nil:
-		return q.pick(rest, false)
+		next = due
 	}
-	return Pick{}, false
-}
-
-func (q *Queue) pick(e *entry, due bool) (Pick, bool) {
-	e.due = due
-	return Pick{Item: e.item}, true
-}
-
-// isDue reports whether an item's wait must end now. Normal work without a
-// deadline is never due: under a sustained overload all of it would be, and
-// shares would give way to first come, first served.
-func (q *Queue) isDue(e *entry, now time.Time) bool {
-	if e.item.Deadline.IsZero() && e.item.Priority != cluster.PriorityDeferrable {
-		return false
+	if next == nil {
+		return Pick{}, false
 	}
-	return !e.key.After(now)
+	// Only the start of the first due item begins a new turn: due work of teams
+	// below their share must not put off older due work of the others.
+	next.due = next == firstDue
+	return Pick{Item: next.item}, true
 }
 
 // firstOvertaken returns the item that has been blocked for too long, if another reservation is allowed.
--- a/cluster/placement/queueteam.go
+++ b/cluster/placement/queueteam.go
@@ -69,9 +69,32 @@
 
 // shape is what the items of a group have in common: if one does not fit, none does.
 type shape struct {
-	size   cluster.Resources
-	tasks  int
-	urgent bool
+	size  cluster.Resources
+	tasks int
+	rush  rush
+}
+
+// rush is the kind of order that an item is subject to.
+type rush int
+
+const (
+	// urgent items go first while the team is below its share.
+	urgent rush = iota
+	// normal items only have a place in their team's order.
+	normal
+	// dueLater items go first once their latest start is reached.
+	dueLater
+	rushes
+)
+
+func rushOf(item *Item) rush {
+	switch {
+	case item.Priority == cluster.PriorityUrgent:
+		return urgent
+	case !item.Deadline.IsZero() || item.Priority == cluster.PriorityDeferrable:
+		return dueLater
+	}
+	return normal
 }
 
 // group holds the items of a team with one shape, the next one first.
@@ -94,8 +117,9 @@
 	used, pending cluster.Resources
 	entitled      float64
 	groups        map[shape]*group
-	// urgent and other hold the groups that are not blocked.
-	urgent, other groupHeap
+	// active holds the groups that are not blocked. Normal items are kept apart: an
+	// old one at the head of a common heap would hide a due item.
+	active [rushes]groupHeap
 }
 
 func (q *Queue) team(name cluster.TeamName) *team {
@@ -132,15 +156,10 @@
 	return t.dominant(total) / float64(t.cfg.Weight)
 }
 
-func (t *team) heapOf(g *group) *groupHeap {
-	if g.urgent {
-		return &t.urgent
-	}
-	return &t.other
-}
+func (t *team) heapOf(g *group) *groupHeap { return &t.active[g.rush] }
 
 func (t *team) insert(e *entry) {
-	s := shape{size: e.item.Size, urgent: e.item.Priority == cluster.PriorityUrgent}
+	s := shape{size: e.item.Size, rush: rushOf(&e.item)}
 	if e.item.Gang {
 		s.tasks = e.item.Tasks
 	}
@@ -187,20 +206,21 @@
 
 func (t *team) resume(g *group) { heap.Push(t.heapOf(g), g) }
 
-// headUrgent returns the first urgent item that is neither blocked nor over the team's limit.
-func (t *team) headUrgent() *entry { return t.first(t.urgent) }
-
-// headOther returns the first item that is not urgent, not blocked and not over the team's limit.
-func (t *team) headOther() *entry { return t.first(t.other) }
-
+// head returns the item that the team would start next: urgent work first, the rest by latest start.
 func (t *team) head() *entry {
-	if e := t.headUrgent(); e != nil {
+	if e := t.first(urgent); e != nil {
 		return e
 	}
-	return t.headOther()
+	e, d := t.first(normal), t.first(dueLater)
+	if e == nil || d != nil && d.before(e) {
+		return d
+	}
+	return e
 }
 
-func (t *team) first(groups groupHeap) *entry {
+// first returns the first item of a kind that is neither blocked nor over the team's limit.
+func (t *team) first(kind rush) *entry {
+	groups := t.active[kind]
 	if len(groups) == 0 {
 		return nil
 	}
--- a/cluster/placement/shares.go
+++ b/cluster/placement/shares.go
@@ -30,7 +30,7 @@
 	for _, t := range q.order {
 		t.entitled = 0
 		if demand := t.used.Add(t.pending).DominantShare(q.cfg.Total); demand > 0 {
-			q.fill = append(q.fill, level{team: t, weight: float64(t.cfg.Weight), demand: demand})
+			q.fill = append(q.fill, claim{team: t, weight: float64(t.cfg.Weight), demand: demand})
 		}
 	}
 	waterFill(q.fill)
@@ -39,8 +39,8 @@
 	}
 }
 
-// level is a team's part in water filling.
-type level struct {
+// claim is a team's part in water filling.
+type claim struct {
 	team           *team
 	weight, demand float64
 	entitled       float64
@@ -48,15 +48,15 @@
 
 // waterFill divides one whole fleet by weight; what a team does not demand goes to the others.
 // The entitled shares sum to one, or to the sum of the demands if that is less.
-func waterFill(levels []level) {
+func waterFill(claims []claim) {
 	weights := 0.0
-	for i := range levels {
-		weights += levels[i].weight
+	for i := range claims {
+		weights += claims[i].weight
 	}
-	slices.SortFunc(levels, func(a, b level) int { return cmp.Compare(a.demand*b.weight, b.demand*a.weight) })
+	slices.SortFunc(claims, func(a, b claim) int { return cmp.Compare(a.demand*b.weight, b.demand*a.weight) })
 	left := 1.0
-	for i := range levels {
-		l := &levels[i]
+	for i := range claims {
+		l := &claims[i]
 		l.entitled = min(l.demand, left*l.weight/weights)
 		left -= l.entitled
 		weights -= l.weight
