--- a/cluster/peer/conn.go
+++ b/cluster/peer/conn.go
@@ -28,8 +28,10 @@
 	nc      net.Conn
 	dialled bool
 	remote  *remote
-	ctx     context.Context
-	stop    context.CancelFunc
+	// region is the region of the peer.
+	region cluster.Region
+	ctx    context.Context
+	stop   context.CancelFunc
 
 	sender   digestSender
 	receiver digestReceiver
@@ -52,12 +54,12 @@
 }
 
 // handshake exchanges Hello messages; the side that dialled speaks first.
-func (c *conn) handshake() (*Hello, error) {
+func (c *conn) handshake(dialledRegion cluster.Region) (*Hello, error) {
 	stop := context.AfterFunc(c.ctx, func() { _ = c.nc.Close() })
 	defer stop()
 	self := c.t.cfg.Self
 	if c.dialled {
-		if err := c.write(&self, self.Place.Region); err != nil {
+		if err := c.write(&self, dialledRegion); err != nil {
 			return nil, err
 		}
 	}
@@ -102,7 +104,7 @@
 			return err
 		}
 		c.t.heard(c)
-		c.t.cfg.PaidLink.Count(causeOf(m), c.remote.place.Region, n)
+		c.t.cfg.PaidLink.Count(causeOf(m), c.region, n)
 		if p, ok := m.(*Ping); ok {
 			if err := c.receivePing(p); err != nil {
 				return err
@@ -139,12 +141,12 @@
 		case <-c.ctx.Done():
 			return nil
 		case <-timer.C:
-			if err := c.write(c.nextPing(), c.remote.place.Region); err != nil {
+			if err := c.write(c.nextPing(), c.region); err != nil {
 				return err
 			}
 			timer.Reset(c.t.pingInterval())
 		case m := <-c.remote.queue:
-			if err := c.write(m, c.remote.place.Region); err != nil {
+			if err := c.write(m, c.region); err != nil {
 				return err
 			}
 		}
--- a/cluster/peer/transport.go
+++ b/cluster/peer/transport.go
@@ -31,7 +31,6 @@
 // remote is the state kept for a peer across its connections.
 type remote struct {
 	id    cluster.DaemonID
-	place cluster.Place
 	addr  netip.AddrPort
 	queue chan Message
 	heard time.Time
@@ -98,7 +97,7 @@
 
 // want starts to dial a peer.
 func (t *Transport) want(p Peer) {
-	r := t.remote(p.ID, p.Place)
+	r := t.remote(p.ID)
 	if r.wanted && r.addr == p.Addr {
 		return
 	}
@@ -106,14 +105,14 @@
 		r.cancel()
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
-	r.wanted, r.addr, r.place, r.cancel = true, p.Addr, p.Place, cancel
-	t.wg.Go(func() { t.dialLoop(ctx, r) })
+	r.wanted, r.addr, r.cancel = true, p.Addr, cancel
+	t.wg.Go(func() { t.dialLoop(ctx, r, p) })
 }
 
-func (t *Transport) remote(id cluster.DaemonID, place cluster.Place) *remote {
+func (t *Transport) remote(id cluster.DaemonID) *remote {
 	r := t.peers[id]
 	if r == nil {
-		r = &remote{id: id, place: place, queue: make(chan Message, queueLength)}
+		r = &remote{id: id, queue: make(chan Message, queueLength)}
 		t.peers[id] = r
 	}
 	return r
@@ -195,7 +194,7 @@
 		}
 		t.wg.Go(func() {
 			defer t.release()
-			t.serve(nc, false, "")
+			t.serve(nc, Peer{})
 		})
 	}
 }
@@ -217,7 +216,7 @@
 }
 
 // dialLoop keeps a connection to a peer until ctx ends.
-func (t *Transport) dialLoop(ctx context.Context, r *remote) {
+func (t *Transport) dialLoop(ctx context.Context, r *remote, p Peer) {
 	delay := redialFirst
 	for ctx.Err() == nil {
 		if t.connected(r) {
@@ -226,12 +225,12 @@
 		}
 		start := t.cfg.Now()
 		dialCtx, cancel := context.WithTimeout(ctx, SilenceLimit)
-		nc, err := t.cfg.Dial(dialCtx, r.addr)
+		nc, err := t.cfg.Dial(dialCtx, p.Addr)
 		cancel()
 		if err != nil {
 			t.cfg.Log.Debug().Err(err).Str("peer", string(r.id)).Msg("peer: dial failed")
 		} else {
-			t.serve(nc, true, r.id)
+			t.serve(nc, p)
 		}
 		if t.cfg.Now().Sub(start) > steadyAfter {
 			delay = redialFirst
@@ -257,19 +256,20 @@
 	}
 }
 
-// serve runs a connection until it fails; expect is the peer that was dialled.
-func (t *Transport) serve(nc net.Conn, dialled bool, expect cluster.DaemonID) {
+// serve runs a connection until it fails; expect is the peer that was dialled, or zero.
+func (t *Transport) serve(nc net.Conn, expect Peer) {
+	dialled := expect.ID != ""
 	c := newConn(t, nc, dialled)
 	defer c.close()
-	hello, err := c.handshake()
-	if err == nil && expect != "" && hello.From != expect {
-		err = &Error{Op: "connect", Kind: KindHandshake, Err: fmt.Errorf("dialled %s, reached %s", expect, hello.From)}
+	hello, err := c.handshake(expect.Place.Region)
+	if err == nil && dialled && hello.From != expect.ID {
+		err = &Error{Op: "connect", Kind: KindHandshake, Err: fmt.Errorf("dialled %s, reached %s", expect.ID, hello.From)}
 	}
 	if err == nil && (hello.From == "" || hello.From == t.cfg.Self.From) {
 		err = &Error{Op: "connect", Kind: KindHandshake, Err: fmt.Errorf("the peer has the name %q", hello.From)}
 	}
 	if err != nil {
-		t.logClosed(string(expect), nc, err)
+		t.logClosed(string(expect.ID), nc, err)
 		return
 	}
 	if !t.attach(c, hello) {
@@ -298,7 +298,7 @@
 	if t.closed {
 		return false
 	}
-	r := t.remote(hello.From, hello.Place)
+	r := t.remote(hello.From)
 	if old := r.conn; old != nil {
 		lowerDials := t.cfg.Self.From < hello.From
 		if old.dialled != c.dialled && old.dialled == lowerDials {
@@ -306,7 +306,7 @@
 		}
 		old.close()
 	}
-	c.remote, r.conn, r.heard, r.place = r, c, t.cfg.Now(), hello.Place
+	c.remote, c.region, r.conn, r.heard = r, hello.Place.Region, c, t.cfg.Now()
 	return true
 }
 
--- /dev/null
+++ b/cluster/rollout/main_test.go
@@ -0,0 +1,30 @@
+package rollout
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+// TestMain fixes the seed and the number of the random runs unless flags set
+// them; -rapid.checks=100000 -rapid.seed=0 is the long run with random seeds.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	set := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "4000", "rapid.nofailfile": "true"} {
+		if !set[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	if code := m.Run(); code != 0 {
+		os.Exit(code)
+	}
+	if err := goleak.Find(); err != nil {
+		panic(err)
+	}
+}
