test: daemons killed, paused, stopped and started without a platform

Cause: a killed or paused owner must lose and repeat nothing, a planned stop must cut no request. Change: tests that run the built programs as processes on loopback.

--- /dev/null
+++ b/goldcrestd/cell_test.go
@@ -0,0 +1,276 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+)
+
+// smallPlaces holds region and zone of the places of the stand-in's small cell; the store is in the first.
+var smallPlaces = [][2]string{{"north", "n-1"}, {"south", "s-1"}}
+
+// waitLimit ends a test that hangs; no test depends on how long a step takes.
+const waitLimit = 2 * time.Minute
+
+var buildOnce = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "goldcrestd-test-")
+	if err != nil {
+		return "", err
+	}
+	for _, program := range []string{"goldcrestd", "platformd"} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, program), "../"+program).CombinedOutput()
+		if err != nil {
+			return dir, fmt.Errorf("build %s: %w\n%s", program, err, out)
+		}
+	}
+	return dir, nil
+})
+
+// cell is a stand-in for the platform and several daemons, each a process of its own.
+type cell struct {
+	t        *testing.T
+	is       *is.I
+	dir      string
+	platform string
+	admin    string
+	daemons  []*process
+}
+
+// process is a daemon that the test may kill or pause.
+type process struct {
+	cmd  *exec.Cmd
+	url  string
+	done chan struct{}
+	log  *bytes.Buffer
+}
+
+// freeAddr returns a loopback address whose port was free a moment ago.
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs a built program until the test ends.
+func (c *cell) start(program string, args ...string) *process {
+	p := &process{cmd: exec.Command(filepath.Join(c.dir, program), args...), done: make(chan struct{}), log: &bytes.Buffer{}}
+	p.cmd.Stderr = p.log
+	c.is.NoErr(p.cmd.Start())
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	c.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		<-p.done
+		if c.t.Failed() {
+			tail := p.log.Bytes()
+			c.t.Logf("%s, end of its log:\n%s", program, tail[max(0, len(tail)-6000):])
+		}
+	})
+	return p
+}
+
+// newCell starts a stand-in with the small cell and the given number of daemons, and applies the note.
+func newCell(t *testing.T, daemons int, note string, platformArgs ...string) *cell {
+	dir, err := buildOnce()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cell{t: t, is: is.New(t), dir: dir, platform: freeAddr(t), admin: "http://" + freeAddr(t)}
+	args := append([]string{"serve", "--cell", "small", "--listen", c.platform, "--admin-listen", strings.TrimPrefix(c.admin, "http://")}, platformArgs...)
+	c.start("platformd", args...)
+	c.eventually("the platform answers", func() bool { return c.get(c.admin+"/admin/stats", nil) == nil })
+	for i := range daemons {
+		c.daemons = append(c.daemons, c.startDaemon(i))
+	}
+	for _, d := range c.daemons {
+		c.eventually("a daemon is ready", func() bool { return c.get(d.url+"/readyz", nil) == nil })
+	}
+	c.eventually("the note is accepted", func() bool {
+		status, _ := c.send(http.MethodPost, c.daemons[0].url+"/v1/notes", "", map[string]string{api.HeaderNoteID: "first"}, []byte(note))
+		return status == http.StatusCreated || status == http.StatusOK
+	})
+	return c
+}
+
+func (c *cell) startDaemon(i int) *process {
+	place := smallPlaces[i%len(smallPlaces)]
+	httpAddr, peerAddr := freeAddr(c.t), freeAddr(c.t)
+	p := c.start("goldcrestd", "serve", "--http-addr", httpAddr, "--peer-addr", peerAddr,
+		"--region", place[0], "--zone", place[1], "--store-region", smallPlaces[0][0],
+		"--platform-url", "http://"+c.platform, "--name", fmt.Sprintf("entry-%d", i), "--seed", fmt.Sprint(i+1))
+	p.url = "http://" + httpAddr
+	return p
+}
+
+// eventually polls until f returns true.
+func (c *cell) eventually(what string, f func() bool) {
+	c.t.Helper()
+	for begin := time.Now(); time.Since(begin) < waitLimit; time.Sleep(50 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	c.t.Fatalf("waited %s for: %s", waitLimit, what)
+}
+
+// send makes one HTTP call; a call that fails has status 0.
+func (c *cell) send(method, url, secret string, header map[string]string, body []byte) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	c.is.NoErr(err)
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	if secret != "" {
+		req.Header.Set("Authorization", "Bearer "+secret)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, []byte(err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, []byte(err.Error())
+	}
+	return resp.StatusCode, data
+}
+
+// get decodes a JSON answer with status 200.
+func (c *cell) get(url string, v any) error {
+	status, data := c.send(http.MethodGet, url, "", nil, nil)
+	if status != http.StatusOK {
+		return fmt.Errorf("GET %s: %d %s", url, status, data)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(data, v)
+}
+
+// submit hands in a job until a daemon has accepted it; each try goes to the next live daemon.
+func (c *cell) submit(secret, queue string, job api.JobRequest) {
+	body, err := json.Marshal(job)
+	c.is.NoErr(err)
+	next := 0
+	c.eventually("job "+job.ID+" is accepted", func() bool {
+		d := c.daemons[next%len(c.daemons)]
+		next++
+		status, data := c.send(http.MethodPost, d.url+"/v1/queues/"+queue+"/jobs", secret, nil, body)
+		if status == http.StatusUnprocessableEntity || status == http.StatusUnauthorized {
+			c.t.Fatalf("job %s: %d %s", job.ID, status, data)
+		}
+		return status == http.StatusCreated || status == http.StatusOK
+	})
+}
+
+// finished returns the number of finished tasks of each job, as a live daemon lists them.
+func (c *cell) finished(d *process) map[string]int {
+	var list api.JobList
+	if c.get(d.url+"/v1/jobs", &list) != nil {
+		return nil
+	}
+	counts := map[string]int{}
+	for _, j := range list.Jobs {
+		counts[j.Team+"/"+j.ID] = j.Tasks.Finished
+	}
+	return counts
+}
+
+// attempt is an attempt as the stand-in's workers saw it.
+type attempt struct {
+	Attempt string `json:"attempt"`
+	Worker  string `json:"worker"`
+	Owner   string `json:"owner"`
+	Outcome string `json:"outcome"`
+}
+
+// succeeded returns how often each task ran to its end.
+func (c *cell) succeeded() map[string]int {
+	var list []attempt
+	c.is.NoErr(c.get(c.admin+"/admin/attempts", &list))
+	counts := map[string]int{}
+	for _, a := range list {
+		task, _, _ := strings.Cut(a.Attempt, "@")
+		if a.Outcome == "succeeded" {
+			counts[task]++
+		}
+	}
+	return counts
+}
+
+type platformStats struct {
+	Overlaps         int   `json:"overlaps"`
+	CapacityRefusals int64 `json:"capacityRefusals"`
+	Running          int   `json:"running"`
+	Starts           int64 `json:"starts"`
+	RowsWritten      int64 `json:"rowsWritten"`
+	RowsRead         int64 `json:"rowsRead"`
+}
+
+func (c *cell) stats() platformStats {
+	var s platformStats
+	c.is.NoErr(c.get(c.admin+"/admin/stats", &s))
+	return s
+}
+
+// signal sends a signal to a daemon of this test.
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (c *cell) patchFaults(body string) {
+	status, data := c.send(http.MethodPatch, c.admin+"/admin/faults", "", nil, []byte(body))
+	if status != http.StatusOK && status != http.StatusNoContent {
+		c.t.Fatalf("faults: %d %s", status, data)
+	}
+}
+
+type execution struct {
+	Method string `json:"method"`
+	Body   string `json:"body"`
+}
+
+// runners returns the ids of the stand-in's runners.
+func (c *cell) runners() []string {
+	var list []struct {
+		ID string `json:"id"`
+	}
+	c.is.NoErr(c.get(c.admin+"/admin/runners", &list))
+	var ids []string
+	for _, r := range list {
+		ids = append(ids, r.ID)
+	}
+	return ids
+}
+
+// executions returns the requests that a runner executed.
+func (c *cell) executions(runner string) []execution {
+	var list []execution
+	c.is.NoErr(c.get(c.admin+"/admin/runners/"+runner+"/executions", &list))
+	return list
+}
--- /dev/null
+++ b/goldcrestd/crash_test.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+)
+
+const (
+	testSecret = "demo-berghof"
+	testNote   = `
+summary: Cell of the crash tests
+add:
+  teams:
+    - {name: archive, share: 1, limit: {cpus: 64, memory: 256GiB}, maxRequests: 64}
+  keys:
+    # The SHA-256 of demo-berghof.
+    - {name: archive-1, team: archive, hash: 72508983e63b5b539c2610acf0f15e1664c0944bb821d85a1a0a8212ab02379a}
+  queues:
+    - {name: work, priority: normal}
+  services:
+    - {name: echo, queue: work, timeout: 10s, maxAnswer: 1MiB, maxBody: 1MiB}
+`
+)
+
+func testJob(id string, tasks int) api.JobRequest {
+	return api.JobRequest{
+		ID: id, Workload: api.WorkloadBatch, Tasks: tasks, CPUs: 0.5, Memory: "512MiB",
+		RunTime: "1s", Command: []string{"1s"}, Idempotent: true,
+	}
+}
+
+// runJobs hands in jobs, runs the fault while they run, and checks that every task ran to its end exactly once.
+func (c *cell) runJobs(prefix string, jobs, tasks int, fault func()) {
+	for i := range jobs {
+		c.submit(testSecret, "work", testJob(fmt.Sprintf("%s-%d", prefix, i), tasks))
+	}
+	c.eventually("tasks start", func() bool { return c.stats().Starts > 0 })
+	fault()
+	watched := c.daemons[len(c.daemons)-1]
+	c.eventually("all jobs finish", func() bool {
+		finished := c.finished(watched)
+		for i := range jobs {
+			if finished[fmt.Sprintf("archive/%s-%d", prefix, i)] != tasks {
+				return false
+			}
+		}
+		return true
+	})
+	succeeded := c.succeeded()
+	for i := range jobs {
+		for index := range tasks {
+			task := fmt.Sprintf("archive/%s-%d#%d", prefix, i, index)
+			if succeeded[task] != 1 {
+				c.t.Errorf("task %s ran to its end %d times", task, succeeded[task])
+			}
+		}
+	}
+	stats := c.stats()
+	c.is.Equal(stats.Overlaps, 0)
+	c.is.Equal(stats.CapacityRefusals, int64(0))
+}
+
+// Guards against work that is lost or run twice when the daemon that owns it is killed.
+func TestKilledDaemonLosesAndRepeatsNothing(t *testing.T) {
+	for victim := range 3 {
+		t.Run(fmt.Sprintf("victim %d", victim), func(t *testing.T) {
+			c := newCell(t, 3, testNote)
+			c.runJobs("job", 6, 20, func() {
+				c.daemons[victim].signal(t, syscall.SIGKILL)
+				c.daemons = append(c.daemons[:victim:victim], c.daemons[victim+1:]...)
+			})
+		})
+	}
+}
+
+// Guards against an owner that is paused beyond its lease and then goes on as
+// if it still owned its racks.
+func TestPausedDaemonDoesNotRepeatWork(t *testing.T) {
+	c := newCell(t, 3, testNote)
+	paused := c.daemons[0]
+	c.daemons = c.daemons[1:]
+	c.runJobs("job", 6, 20, func() {
+		paused.signal(t, syscall.SIGSTOP)
+		time.AfterFunc(4*time.Second, func() { _ = paused.cmd.Process.Signal(syscall.SIGCONT) })
+	})
+}
+
+// Guards against a planned stop that cuts a request or leaves its racks behind.
+func TestStoppedDaemonCutsNoRequest(t *testing.T) {
+	c := newCell(t, 3, testNote, "--runner-work", "100ms")
+	path := "/v1/services/echo/confirm"
+	for _, d := range c.daemons {
+		c.eventually("the service answers", func() bool {
+			status, _ := c.send(http.MethodGet, d.url+path, testSecret, nil, nil)
+			return status == http.StatusOK
+		})
+	}
+	stopped := c.daemons[0]
+	var wg sync.WaitGroup
+	var answered, refused, wrong atomic.Int64
+	stop := make(chan struct{})
+	for worker := range 8 {
+		wg.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				body := fmt.Sprintf("%d-%d", worker, i)
+				status, data := c.send(http.MethodPost, stopped.url+path, testSecret, nil, []byte(body))
+				switch {
+				case status == http.StatusOK && string(data) == body:
+					answered.Add(1)
+				case status == http.StatusServiceUnavailable:
+					refused.Add(1)
+					return
+				case status == 0:
+					// The listener is closed: the request was not taken.
+					return
+				default:
+					wrong.Add(1)
+					t.Errorf("request %s: %d %s", body, status, data)
+				}
+			}
+		})
+	}
+	c.eventually("requests are answered", func() bool { return answered.Load() > 20 })
+	stopped.signal(t, syscall.SIGTERM)
+	<-stopped.done
+	close(stop)
+	wg.Wait()
+	c.is.Equal(wrong.Load(), int64(0))
+	c.is.Equal(stopped.cmd.ProcessState.ExitCode(), 0)
+	executed := map[string]int{}
+	for _, runner := range c.runners() {
+		for _, e := range c.executions(runner) {
+			if e.Method == http.MethodPost {
+				executed[e.Body]++
+			}
+		}
+	}
+	for body, times := range executed {
+		if times != 1 {
+			t.Errorf("request %s executed %d times", body, times)
+		}
+	}
+	c.is.Equal(int64(len(executed)), answered.Load())
+}
+
+// Guards against a daemon that gives up, or says that it is ready, while the platform is down at its start.
+func TestDaemonWaitsForThePlatform(t *testing.T) {
+	c := newCell(t, 1, testNote)
+	c.patchFaults(`{"storeDown":true,"vmListDown":true}`)
+	late := c.startDaemon(1)
+	c.eventually("the late daemon says that it is not ready", func() bool {
+		status, _ := c.send(http.MethodGet, late.url+"/readyz", "", nil, nil)
+		return status == http.StatusServiceUnavailable
+	})
+	status, _ := c.send(http.MethodGet, late.url+"/livez", "", nil, nil)
+	c.is.Equal(status, http.StatusOK)
+	c.patchFaults(`{"storeDown":false,"vmListDown":false}`)
+	c.eventually("the late daemon is ready", func() bool { return c.get(late.url+"/readyz", nil) == nil })
+}
