--- a/cluster/platform/standin/runner.go
+++ b/cluster/platform/standin/runner.go
@@ -406,8 +406,8 @@
 }
 
 // StartRunners starts every runner of the platform's cell on its own port of
-// host and enters the addresses into the VM list; port is the first port, or 0
-// to pick free ones. Close stops them.
+// host and enters the addresses into the VM list without its lag; port is the
+// first port, or 0 to pick free ones. Close stops them.
 func StartRunners(p *Platform, host netip.Addr, port uint16, work time.Duration) (*Runners, error) {
 	set := &Runners{p: p}
 	for _, vm := range p.VMs() {
@@ -424,7 +424,7 @@
 		}
 		set.list = append(set.list, r)
 		vm.Addr = r.Addr()
-		p.AddVM(vm)
+		p.listNow(vm)
 		if port != 0 {
 			port++
 		}
--- a/cluster/platform/standin/vmlist.go
+++ b/cluster/platform/standin/vmlist.go
@@ -123,6 +123,13 @@
 	p.addVM(vm, p.cfg.Clock())
 }
 
+// listNow changes the entry of a VM as if it had always been so.
+func (p *Platform) listNow(vm platform.VM) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.addVM(vm, time.Time{})
+}
+
 func (p *Platform) addVM(vm platform.VM, at time.Time) {
 	p.list.set(vm, at)
 	if vm.Role != platform.RoleWorker {
