--- a/cluster/journal/standin_test.go
+++ b/cluster/journal/standin_test.go
@@ -41,7 +41,7 @@
 				*f = standin.DefaultFaults()
 				f.StoreDown = rng.IntN(5) == 0
 				f.LostAnswers = rng.Float64() / 2
-				f.LostDelay = time.Duration(rng.IntN(2)) * 500 * time.Millisecond
+				f.LostDelay = time.Duration(rng.IntN(4)) * 500 * time.Millisecond
 				f.StoreDelay = time.Duration(rng.IntN(5)) * time.Second
 			})
 		}
@@ -52,7 +52,12 @@
 			results[i] = err
 			wg.Done()
 		})
-		time.Sleep(time.Duration(rng.IntN(200)) * time.Millisecond)
+		pause := time.Duration(rng.IntN(200)) * time.Millisecond
+		if rng.IntN(5) == 0 {
+			// Long enough that no later transaction overtakes a late one.
+			pause = 5 * time.Second
+		}
+		time.Sleep(pause)
 	}
 	p.SetFaults(func(f *standin.Faults) { *f = standin.DefaultFaults() })
 	wg.Wait()
