--- a/cluster/gateway/cell_test.go
+++ b/cluster/gateway/cell_test.go
@@ -34,6 +34,8 @@
 	homePlace = cluster.Place{Region: "deutschschweiz", Zone: "ds-1"}
 )
 
+const testRetention = 3 * time.Minute
+
 // memoryStore is a table service in memory with injected faults.
 type memoryStore struct {
 	mu      sync.Mutex
@@ -42,7 +44,7 @@
 	down    bool
 	// loseAnswers is how many commits apply without an answer.
 	loseAnswers int
-	history     func(platform.Txn)
+	delay       time.Duration
 }
 
 func (s *memoryStore) Read(_ context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
@@ -63,7 +65,10 @@
 }
 
 func (s *memoryStore) Commit(_ context.Context, txn platform.Txn) (cluster.Version, error) {
-	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay + 2*time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -85,9 +90,6 @@
 	for _, key := range txn.Deletes {
 		s.rows[key] = platform.Row{Key: key, Version: s.version, Deleted: true}
 	}
-	if s.history != nil {
-		s.history(txn)
-	}
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
 		return 0, &platform.Error{Op: "commit", Kind: platform.KindUnknown}
@@ -101,6 +103,12 @@
 	f(s)
 }
 
+func (s *memoryStore) deleted(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key].Deleted
+}
+
 // testAuthorizer honours the keys of a snapshot; a key's secret is its name.
 type testAuthorizer struct {
 	mu       sync.Mutex
@@ -358,7 +366,7 @@
 	paid := paidlink.New(paidlink.Config{Self: homePlace.Region})
 	g := New(Config{
 		Self: id, Place: homePlace, Authorizer: c.auth, Store: c.store, Journal: j, Dial: c.dial,
-		Sender: &testSender{c, id}, Random: rand.New(rand.NewPCG(uint64(i), 7)), QueueLimit: c.queue, PaidLink: paid,
+		Sender: &testSender{c, id}, Random: rand.New(rand.NewPCG(uint64(i), 7)), QueueLimit: c.queue, Retention: testRetention, PaidLink: paid,
 		Invariants: invariant.New(invariant.Config{Fail: func(m string) { c.t.Error(m) }}),
 	})
 	c.mu.Lock()
@@ -400,6 +408,8 @@
 		}
 		r.mu.Unlock()
 	}
+	// Messages under way and slots of requests given up on end first.
+	time.Sleep(time.Minute)
 }
 
 // ask sends a request of team archive through a daemon and returns the answer.
@@ -417,8 +427,7 @@
 		req.Header.Set(name, value)
 	}
 	w := httptest.NewRecorder()
-	trimmed, _, _ := strings.Cut(path, "?")
-	c.daemons()[daemon].ServeService(w, req, service, trimmed)
+	c.daemons()[daemon].ServeService(w, req, service, strings.TrimPrefix(req.URL.Path, "/v1/services/"+string(service)))
 	return w
 }
 
--- a/cluster/gateway/ledger.go
+++ b/cluster/gateway/ledger.go
@@ -20,6 +20,8 @@
 	teamPrefix = "team:"
 	// lentFor keeps a lender without demand from taking back at once what it has just lent.
 	lentFor = 10 * time.Second
+	// reserveFraction divides the fair part into what is kept without demand.
+	reserveFraction = 4
 )
 
 // unit is one thing whose slots are lent: a runner, or the request limit of a
@@ -335,9 +337,10 @@
 		return
 	}
 	limit, _ := l.totals()
+	l.lend = max(l.lend-l.unheld(), 0)
 	// All peers get the same request, so each gives its part of it.
 	others := max(len(f.sharing)-1, 1)
-	give := min((l.lend+others-1)/others, limit-max(l.peak, l.lastPeak))
+	give := min((l.lend+others-1)/others, limit-max(l.peak, l.lastPeak, l.reserve(f)))
 	if l.row.total(l.borrower) < l.fairTotal(f.sharing, l.borrower) {
 		// A peer below its fair part gets back what this daemon holds above its
 		// own, even if it is in use now.
@@ -356,6 +359,28 @@
 	}
 }
 
+// reserve is what a daemon keeps of a service's slots without demand, so that
+// its next request needn't wait for a commit. Small limits of teams have nothing to spare for that.
+func (l *ledger) reserve(f fleet) int {
+	if _, ok := l.team(); ok {
+		return 0
+	}
+	return (l.fairTotal(f.sharing, f.self) + reserveFraction - 1) / reserveFraction
+}
+
+// unheld is the number of slots that no daemon holds.
+func (l *ledger) unheld() int {
+	n := 0
+	for id, u := range l.units {
+		sum := 0
+		if h := l.row[id]; h != nil {
+			sum = h.sum()
+		}
+		n += max(u.capacity-sum, 0)
+	}
+	return n
+}
+
 // mostSpare picks the unit to give a slot of: one above its fair part first, then the one with the most unused.
 func (l *ledger) mostSpare(f fleet) *unit {
 	var best *unit
--- a/cluster/gateway/lend.go
+++ b/cluster/gateway/lend.go
@@ -163,11 +163,12 @@
 
 // ask requests slots from peers if too few are free.
 func (g *Gateway) ask(l *ledger, now time.Time) {
-	if l.wanted == 0 || !l.known || g.cfg.Sender == nil || len(g.fleet.all) < 2 || now.Sub(l.askedAt) < askEvery {
+	missing := l.wanted - l.unheld()
+	if missing <= 0 || !l.known || g.cfg.Sender == nil || len(g.fleet.all) < 2 || now.Sub(l.askedAt) < askEvery {
 		return
 	}
 	l.askedAt = now
-	g.cfg.Sender.Broadcast(&peer.SlotRequest{Service: cluster.ServiceName(l.name), Slots: l.wanted})
+	g.cfg.Sender.Broadcast(&peer.SlotRequest{Service: cluster.ServiceName(l.name), Slots: missing})
 }
 
 // propose commits the row that this daemon wants, if it differs from the known one.
