--- a/cluster/gateway/cell_test.go
+++ b/cluster/gateway/cell_test.go
@@ -152,6 +152,8 @@
 	requests int
 	probes   int
 	conns    []net.Conn
+	// ended is called at the end of each request.
+	ended func()
 }
 
 func (r *testRunner) set(b behaviour) {
@@ -172,8 +174,28 @@
 	return r.requests
 }
 
-func (r *testRunner) serve(conn net.Conn) {
-	defer conn.Close()
+// peaks returns the most requests and connections at once.
+func (r *testRunner) peaks() (requests, connections int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peak, r.peakOpen
+}
+
+// runnerConn ends the request on it with the first byte of the answer, because
+// the gateway may send the next one as soon as it has the answer.
+type runnerConn struct {
+	net.Conn
+	end func()
+}
+
+func (c *runnerConn) Write(p []byte) (int, error) {
+	c.end()
+	return c.Conn.Write(p)
+}
+
+func (r *testRunner) serve(raw net.Conn) {
+	defer raw.Close()
+	conn := &runnerConn{Conn: raw, end: func() {}}
 	r.mu.Lock()
 	r.open++
 	r.peakOpen = max(r.peakOpen, r.open)
@@ -197,7 +219,7 @@
 	}
 }
 
-func (r *testRunner) handle(conn net.Conn, req *http.Request, body []byte) bool {
+func (r *testRunner) handle(conn *runnerConn, req *http.Request, body []byte) bool {
 	if req.URL.Path == probePath {
 		r.mu.Lock()
 		r.probes++
@@ -213,11 +235,15 @@
 	}
 	behave := r.behave
 	r.mu.Unlock()
-	defer func() {
+	conn.end = sync.OnceFunc(func() {
 		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.inFlight--
-		r.mu.Unlock()
-	}()
+		if r.ended != nil {
+			r.ended()
+		}
+	})
+	defer conn.end()
 	return behave(conn, req, body)
 }
 
@@ -447,3 +473,9 @@
 		r.set(b)
 	}
 }
+
+func (s *memoryStore) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key].Value
+}
--- a/cluster/gateway/choose.go
+++ b/cluster/gateway/choose.go
@@ -1,10 +1,13 @@
 package gateway
 
-import "math/rand/v2"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // choose picks the less loaded of two random runners with a free slot in the
 // nearest tier that has any. Excluded is avoided; it is nil for a first attempt.
-func choose(runners []*runner, excluded *runner, random *rand.Rand) *runner {
+func choose(runners []*runner, excluded *runner, random *rand.Rand, now time.Time) *runner {
 	var found [tiers]sample
 	for _, r := range runners {
 		if r != excluded && r.free() {
@@ -12,7 +15,7 @@
 		}
 	}
 	for i := range found {
-		if r := found[i].pick(); r != nil {
+		if r := found[i].pick(now); r != nil {
 			return r
 		}
 	}
@@ -36,13 +39,15 @@
 	}
 }
 
-func (s *sample) pick() *runner {
+// pick returns the less loaded one. With equal loads the faster one is taken; an
+// old estimate decays, so that a slow runner is tried again.
+func (s *sample) pick(now time.Time) *runner {
 	a, b := s.taken[0], s.taken[1]
 	if a == nil || b == nil {
 		return a
 	}
 	la, lb := a.load(), b.load()
-	if lb < la || (lb == la && b.latency.mean < a.latency.mean) {
+	if lb < la || (lb == la && b.latency.value(now) < a.latency.value(now)) {
 		return b
 	}
 	return a
--- a/cluster/gateway/ledger.go
+++ b/cluster/gateway/ledger.go
@@ -19,7 +19,7 @@
 	// teamPrefix marks the ledger of a team's request limit; a service's name has no colon.
 	teamPrefix = "team:"
 	// lentFor keeps a lender without demand from taking back at once what it has just lent.
-	lentFor = 10 * time.Second
+	lentFor = 2 * time.Second
 	// reserveFraction divides the fair part into what is kept without demand.
 	reserveFraction = 4
 )
@@ -176,8 +176,10 @@
 	known bool
 	row   ledgerRow
 	units map[string]*unit
-	// wanted is how many more slots this daemon could use.
-	wanted int
+	// wanted is how many requests wait for a slot; missing is how much this daemon has less than its reserve.
+	wanted, missing int
+	// notBefore delays the next proposal after a conflict with another daemon's.
+	notBefore time.Time
 	// lend is how many slots peers asked for and who asked.
 	lend     int
 	borrower cluster.DaemonID
--- a/cluster/gateway/lend.go
+++ b/cluster/gateway/lend.go
@@ -156,24 +156,22 @@
 		l.lastPeak, l.peak = l.peak, inFlight+queued
 	}
 	l.wanted = min(queued, maxWanted)
-	if missing := l.fairTotal(g.fleet.sharing, g.cfg.Self) - limit; missing > 0 && !now.Before(l.keepFrom) {
-		l.wanted = max(l.wanted, missing)
-	}
+	l.missing = max(l.reserve(g.fleet)-limit, 0)
 }
 
 // ask requests slots from peers if too few are free.
 func (g *Gateway) ask(l *ledger, now time.Time) {
-	missing := l.wanted - l.unheld()
-	if missing <= 0 || !l.known || g.cfg.Sender == nil || len(g.fleet.all) < 2 || now.Sub(l.askedAt) < askEvery {
+	slots := max(l.wanted, l.missing) - l.unheld()
+	if slots <= 0 || !l.known || g.cfg.Sender == nil || len(g.fleet.all) < 2 || now.Sub(l.askedAt) < askEvery {
 		return
 	}
 	l.askedAt = now
-	g.cfg.Sender.Broadcast(&peer.SlotRequest{Service: cluster.ServiceName(l.name), Slots: missing})
+	g.cfg.Sender.Broadcast(&peer.SlotRequest{Service: cluster.ServiceName(l.name), Slots: slots})
 }
 
 // propose commits the row that this daemon wants, if it differs from the known one.
 func (g *Gateway) propose(l *ledger, now time.Time) {
-	if !l.known || l.busy {
+	if !l.known || l.busy || now.Before(l.notBefore) {
 		return
 	}
 	next := l.plan(g.fleet, now)
@@ -200,6 +198,9 @@
 	l.busy = false
 	if err != nil {
 		g.metrics.lendFailed.Inc(1)
+		// With many daemons proposing at once, one of them succeeds each time.
+		spread := g.cfg.Tick * time.Duration(g.memberCount()) / 2
+		l.notBefore = g.cfg.Clock().Add(time.Duration(g.cfg.Random.Int64N(int64(spread) + 1)))
 		g.cfg.Log.Warn().Err(err).Str("row", l.key()).Msg("gateway: slots not changed")
 		g.poke()
 		return
--- a/cluster/gateway/queue.go
+++ b/cluster/gateway/queue.go
@@ -210,9 +210,9 @@
 				"the service takes about %s", s.time.value(now)).retry(0)}
 			continue
 		}
-		r := choose(s.runners, t.excluded, g.cfg.Random)
+		r := choose(s.runners, t.excluded, g.cfg.Random, now)
 		if r == nil && t.excluded != nil && s.only(t.excluded) {
-			r = choose(s.runners, nil, g.cfg.Random)
+			r = choose(s.runners, nil, g.cfg.Random, now)
 		}
 		if r == nil {
 			blocked[q] = true
--- a/cluster/gateway/route_test.go
+++ b/cluster/gateway/route_test.go
@@ -11,8 +11,6 @@
 	"testing"
 	"time"
 
-	_ "pgregory.net/rapid"
-
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
 
