--- a/cluster/gateway/cell_test.go
+++ b/cluster/gateway/cell_test.go
@@ -34,6 +34,8 @@
 	homePlace = cluster.Place{Region: "deutschschweiz", Zone: "ds-1"}
 )
 
+const testRetention = 3 * time.Minute
+
 // memoryStore is a table service in memory with injected faults.
 type memoryStore struct {
 	mu      sync.Mutex
@@ -42,7 +44,7 @@
 	down    bool
 	// loseAnswers is how many commits apply without an answer.
 	loseAnswers int
-	history     func(platform.Txn)
+	delay       time.Duration
 }
 
 func (s *memoryStore) Read(_ context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
@@ -63,7 +65,10 @@
 }
 
 func (s *memoryStore) Commit(_ context.Context, txn platform.Txn) (cluster.Version, error) {
-	time.Sleep(2 * time.Millisecond)
+	s.mu.Lock()
+	delay := s.delay
+	s.mu.Unlock()
+	time.Sleep(delay + 2*time.Millisecond)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -85,9 +90,6 @@
 	for _, key := range txn.Deletes {
 		s.rows[key] = platform.Row{Key: key, Version: s.version, Deleted: true}
 	}
-	if s.history != nil {
-		s.history(txn)
-	}
 	if s.loseAnswers > 0 {
 		s.loseAnswers--
 		return 0, &platform.Error{Op: "commit", Kind: platform.KindUnknown}
@@ -101,6 +103,12 @@
 	f(s)
 }
 
+func (s *memoryStore) deleted(key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key].Deleted
+}
+
 // testAuthorizer honours the keys of a snapshot; a key's secret is its name.
 type testAuthorizer struct {
 	mu       sync.Mutex
@@ -144,6 +152,8 @@
 	requests int
 	probes   int
 	conns    []net.Conn
+	// ended is called at the end of each request.
+	ended func()
 }
 
 func (r *testRunner) set(b behaviour) {
@@ -164,8 +174,36 @@
 	return r.requests
 }
 
-func (r *testRunner) serve(conn net.Conn) {
-	defer conn.Close()
+// peaks returns the most requests and connections at once.
+func (r *testRunner) peaks() (requests, connections int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peak, r.peakOpen
+}
+
+// runnerConn ends the request on it with the first byte of the answer, because
+// the gateway may send the next one as soon as it has the answer.
+type runnerConn struct {
+	net.Conn
+	runner *testRunner
+	end    func()
+}
+
+func (c *runnerConn) Write(p []byte) (int, error) {
+	c.end()
+	return c.Conn.Write(p)
+}
+
+// notRun takes back that the runner ran a request.
+func (c *runnerConn) notRun(req *http.Request) {
+	c.runner.mu.Lock()
+	defer c.runner.mu.Unlock()
+	c.runner.ran[req.Header.Get("X-Token")]--
+}
+
+func (r *testRunner) serve(raw net.Conn) {
+	defer raw.Close()
+	conn := &runnerConn{Conn: raw, runner: r, end: func() {}}
 	r.mu.Lock()
 	r.open++
 	r.peakOpen = max(r.peakOpen, r.open)
@@ -189,7 +227,7 @@
 	}
 }
 
-func (r *testRunner) handle(conn net.Conn, req *http.Request, body []byte) bool {
+func (r *testRunner) handle(conn *runnerConn, req *http.Request, body []byte) bool {
 	if req.URL.Path == probePath {
 		r.mu.Lock()
 		r.probes++
@@ -205,11 +243,15 @@
 	}
 	behave := r.behave
 	r.mu.Unlock()
-	defer func() {
+	conn.end = sync.OnceFunc(func() {
 		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.inFlight--
-		r.mu.Unlock()
-	}()
+		if r.ended != nil {
+			r.ended()
+		}
+	})
+	defer conn.end()
 	return behave(conn, req, body)
 }
 
@@ -358,7 +400,7 @@
 	paid := paidlink.New(paidlink.Config{Self: homePlace.Region})
 	g := New(Config{
 		Self: id, Place: homePlace, Authorizer: c.auth, Store: c.store, Journal: j, Dial: c.dial,
-		Sender: &testSender{c, id}, Random: rand.New(rand.NewPCG(uint64(i), 7)), QueueLimit: c.queue, PaidLink: paid,
+		Sender: &testSender{c, id}, Random: rand.New(rand.NewPCG(uint64(i), 7)), QueueLimit: c.queue, Retention: testRetention, PaidLink: paid,
 		Invariants: invariant.New(invariant.Config{Fail: func(m string) { c.t.Error(m) }}),
 	})
 	c.mu.Lock()
@@ -400,6 +442,8 @@
 		}
 		r.mu.Unlock()
 	}
+	// Messages under way and slots of requests given up on end first.
+	time.Sleep(time.Minute)
 }
 
 // ask sends a request of team archive through a daemon and returns the answer.
@@ -417,8 +461,7 @@
 		req.Header.Set(name, value)
 	}
 	w := httptest.NewRecorder()
-	trimmed, _, _ := strings.Cut(path, "?")
-	c.daemons()[daemon].ServeService(w, req, service, trimmed)
+	c.daemons()[daemon].ServeService(w, req, service, strings.TrimPrefix(req.URL.Path, "/v1/services/"+string(service)))
 	return w
 }
 
@@ -438,3 +481,9 @@
 		r.set(b)
 	}
 }
+
+func (s *memoryStore) value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key].Value
+}
