fix: listings count each ended task once

Cause: every daemon that knows a job reported its recorded ends, and the merge added them up; 40 finished tasks were listed as 240 by six daemons. Change: recorded ends are reported apart, and the newest are taken.

--- a/cluster/daemon/listing.go
+++ b/cluster/daemon/listing.go
@@ -39,6 +39,8 @@
 type localJob struct {
 	api.JobStatus
 	Home string `json:"home,omitempty"`
+	// Recorded counts ended tasks of the whole job; every daemon that knows the job reports them.
+	Recorded api.TaskCounts `json:"recorded"`
 }
 
 type localRack struct {
@@ -86,15 +88,18 @@
 	return localJob{
 		JobStatus: api.JobStatus{
 			ID: string(j.ID.Name), Team: string(j.ID.Team), Queue: string(j.Queue), State: j.State.String(),
-			Workload: j.Kind, Submitted: j.Submitted, Reason: j.Waits,
-			Tasks: api.TaskCounts{
-				Pending: j.Tasks[cluster.TaskPending], Starting: j.Tasks[cluster.TaskStarting],
-				Running: j.Tasks[cluster.TaskRunning], Finished: j.Tasks[cluster.TaskFinished],
-				Failed: j.Tasks[cluster.TaskFailed], Unknown: j.Tasks[cluster.TaskUnknown],
-				Stopped: j.Tasks[cluster.TaskStopped],
-			},
+			Workload: j.Kind, Submitted: j.Submitted, Reason: j.Waits, Tasks: countsOf(j.Tasks),
 		},
-		Home: string(j.Home),
+		Home:     string(j.Home),
+		Recorded: countsOf(j.Recorded),
+	}
+}
+
+func countsOf(n [cluster.TaskStopped + 1]int) api.TaskCounts {
+	return api.TaskCounts{
+		Pending: n[cluster.TaskPending], Starting: n[cluster.TaskStarting], Running: n[cluster.TaskRunning],
+		Finished: n[cluster.TaskFinished], Failed: n[cluster.TaskFailed], Unknown: n[cluster.TaskUnknown],
+		Stopped: n[cluster.TaskStopped],
 	}
 }
 
@@ -161,7 +166,8 @@
 	return part, json.Unmarshal(body, &part)
 }
 
-// jobs merges the daemons' parts of each job; counts of tasks add up.
+// jobs merges the daemons' parts of each job: counts of tasks on their racks add
+// up, and of the recorded ends, which every part repeats, the newest are taken.
 func (l *listing) jobs() []api.JobStatus {
 	merged := map[string]*localJob{}
 	for _, part := range l.parts {
@@ -176,6 +182,7 @@
 	}
 	result := make([]api.JobStatus, 0, len(merged))
 	for _, j := range merged {
+		j.Tasks = combine(j.Tasks, j.Recorded, func(a, b int) int { return a + b })
 		result = append(result, j.JobStatus)
 	}
 	slices.SortFunc(result, func(a, b api.JobStatus) int {
@@ -185,14 +192,8 @@
 }
 
 func mergeJob(into, j *localJob) {
-	t := &into.Tasks
-	t.Pending += j.Tasks.Pending
-	t.Starting += j.Tasks.Starting
-	t.Running += j.Tasks.Running
-	t.Finished += j.Tasks.Finished
-	t.Failed += j.Tasks.Failed
-	t.Unknown += j.Tasks.Unknown
-	t.Stopped += j.Tasks.Stopped
+	into.Tasks = combine(into.Tasks, j.Tasks, func(a, b int) int { return a + b })
+	into.Recorded = combine(into.Recorded, j.Recorded, func(a, b int) int { return max(a, b) })
 	if into.State == rack.JobActive.String() {
 		into.State = j.State
 	}
@@ -204,6 +205,14 @@
 	}
 }
 
+func combine(a, b api.TaskCounts, f func(a, b int) int) api.TaskCounts {
+	return api.TaskCounts{
+		Pending: f(a.Pending, b.Pending), Starting: f(a.Starting, b.Starting), Running: f(a.Running, b.Running),
+		Finished: f(a.Finished, b.Finished), Failed: f(a.Failed, b.Failed), Unknown: f(a.Unknown, b.Unknown),
+		Stopped: f(a.Stopped, b.Stopped),
+	}
+}
+
 // explanations returns each job with the reasons of each daemon for the tasks that wait there.
 func (l *listing) explanations() []api.Explanation {
 	reasons := map[string][]api.Reason{}
--- a/cluster/rack/listing.go
+++ b/cluster/rack/listing.go
@@ -38,8 +38,8 @@
 		Submitted: j.submitted, Home: j.home,
 	}
 	for s, n := range j.counts {
-		if s < len(v.Tasks) {
-			v.Tasks[s] += n
+		if s < len(v.Recorded) {
+			v.Recorded[s] += n
 		}
 	}
 	if !j.active() {
--- a/cluster/rack/view.go
+++ b/cluster/rack/view.go
@@ -25,6 +25,8 @@
 	Home      cluster.RackID
 	// Tasks counts the job's tasks on this daemon's racks by state, indexed by cluster.TaskState.
 	Tasks [cluster.TaskStopped + 1]int
+	// Recorded counts the tasks of the whole job whose end is in the job's row, by state.
+	Recorded [cluster.TaskStopped + 1]int
 	// Waits says why pending tasks wait; empty if none do.
 	Waits string
 }
