--- a/cluster/journal/journal_test.go
+++ b/cluster/journal/journal_test.go
@@ -296,7 +296,9 @@
 			applied := make([]error, 40)
 			var wg sync.WaitGroup
 			for i := range applied {
-				wg.Go(func() { _, applied[i] = j.Commit(context.Background(), insert(fmt.Sprintf("a/%d", i/2), fmt.Sprint(i))) })
+				wg.Go(func() {
+					_, applied[i] = j.Commit(context.Background(), insert(fmt.Sprintf("a/%d", i/2), fmt.Sprint(i)))
+				})
 			}
 			wg.Wait()
 			s.deliver()
