--- a/cluster/api/status.go
+++ b/cluster/api/status.go
@@ -9,6 +9,8 @@
 const (
 	// HeaderNoteID carries an identifier of one apply, so that its repeat counts as one note.
 	HeaderNoteID = "Goldcrest-Note-Id"
+	// HeaderNoteFile names the file of a note in error messages.
+	HeaderNoteFile = "Goldcrest-Note-File"
 	// HeaderAuthor names the operator who applies a note.
 	HeaderAuthor = "Goldcrest-Author"
 	// HeaderIdempotencyKey names a request to a service that runs at most once.
--- a/cluster/daemon/listing.go
+++ b/cluster/daemon/listing.go
@@ -252,13 +252,17 @@
 		for _, t := range part.Teams {
 			used[t.Name] = used[t.Name].Add(t.Used.ToResources())
 			if have := merged[t.Name]; have != nil {
-				have.Running += t.Running
 				have.Pending += t.Pending
 				continue
 			}
 			merged[t.Name] = &t
 		}
 	}
+	for _, j := range l.jobs() {
+		if t := merged[j.Team]; t != nil {
+			t.Running += j.Tasks.Running
+		}
+	}
 	result := make([]api.TeamStatus, 0, len(merged))
 	for name, t := range merged {
 		t.Used = api.FromResources(used[name])
--- a/cluster/daemon/notes.go
+++ b/cluster/daemon/notes.go
@@ -25,8 +25,6 @@
 	applyTimeout = 15 * time.Second
 	// notesPage is the number of notes in a listing.
 	notesPage = 100
-	// headerFile names the note's file in error messages.
-	headerFile = "Goldcrest-Note-File"
 )
 
 // buildNotes builds the repository of notes and the appliers around it.
@@ -134,7 +132,7 @@
 		refuse(w, http.StatusRequestEntityTooLarge, "a note has at most "+strconv.Itoa(note.MaxText)+" bytes")
 		return note.Request{}, false
 	}
-	file := r.Header.Get(headerFile)
+	file := r.Header.Get(api.HeaderNoteFile)
 	if file == "" {
 		file = "note"
 	}
--- a/goldcrestctl/applycmd.go
+++ b/goldcrestctl/applycmd.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strconv"
 
 	"github.com/spf13/cobra"
 
@@ -14,6 +15,7 @@
 const (
 	flagNoteID = "note-id"
 	flagAuthor = "author"
+	flagBase   = "base"
 )
 
 func (c *config) newApplyCmd() *cobra.Command {
@@ -30,6 +32,7 @@
 		RunE: c.runApplyCmd,
 	}
 	cmd.Flags().String(flagNoteID, "", "identifier of the note, to repeat an apply; random if empty")
+	cmd.Flags().Uint64(flagBase, 0, "version that the note was planned against; entities written since then conflict")
 	cmd.Flags().String(flagAuthor, os.Getenv("USER"), "name of the author")
 	return cmd
 }
@@ -50,6 +53,9 @@
 	if author == "" {
 		return fmt.Errorf("--%s is missing", flagAuthor)
 	}
+	if base, _ := cmd.Flags().GetUint64(flagBase); base > 0 {
+		req.path += "?base=" + strconv.FormatUint(base, 10)
+	}
 	req.header.Set(api.HeaderNoteID, id)
 	req.header.Set(api.HeaderAuthor, author)
 	var note api.NoteStatus
--- a/goldcrestctl/note.go
+++ b/goldcrestctl/note.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"path/filepath"
 
 	"github.com/spf13/cobra"
 
@@ -47,6 +48,7 @@
 	}
 	header := http.Header{}
 	header.Set("Content-Type", api.ContentTypeNote)
+	header.Set(api.HeaderNoteFile, filepath.Base(file))
 	return request{method: http.MethodPost, path: path(segments...), header: header, body: text}, nil
 }
 
--- a/platformd/demorun.go
+++ b/platformd/demorun.go
@@ -142,7 +142,7 @@
 			_ = histogram.RecordValue(elapsed.Microseconds())
 			mu.Unlock()
 			if i%10 == 0 {
-				status, second, err := call(ctx, http.MethodPost, c.daemons[(i+1)%len(c.daemons)].url+path, secret, header, body)
+				status, second, err := repeatRequest(ctx, c.daemons[(i+1)%len(c.daemons)].url+path, secret, header, body)
 				if err == nil && status == http.StatusOK && string(second) == string(first) {
 					repeats.Add(1)
 				} else {
@@ -161,6 +161,16 @@
 	return nil
 }
 
+// repeatRequest sends a request again while the first answer is not recorded yet.
+func repeatRequest(ctx context.Context, url, secret string, header http.Header, body []byte) (status int, data []byte, err error) {
+	err = poll(ctx, func() (bool, error) {
+		var callErr error
+		status, data, callErr = call(ctx, http.MethodPost, url, secret, header, body)
+		return status != http.StatusConflict, callErr
+	})
+	return status, data, err
+}
+
 // waitService waits until every daemon may use slots of the service's runners.
 func (c *demoCell) waitService(ctx context.Context, s scenario, path string) error {
 	for _, d := range c.daemons {
