test: randomised runs of two faults together over the rack controller

Cause: takeover, fencing, grants and results interact, and single cases miss the combinations. Fixed on the way: results of jobs whose home changed hands, tasks pinned to vanished workers, remainders of a scarce limit spread over racks, reports of another owner's work.

--- a/cluster/rack/cell_test.go
+++ b/cluster/rack/cell_test.go
@@ -27,14 +27,19 @@
 	store   *fakeStore
 	racks   *fakeRacks
 	config  *cluster.Snapshot
-	daemons []*fakeDaemon
-	random  *rand.Rand
-	queue   callQueue
-	order   int
-	// lateCommit and lostExchange are the chances that an answer is lost.
+	version cluster.Version
+	// retention of the rows of ended jobs.
+	retention time.Duration
+	daemons   []*fakeDaemon
+	random    *rand.Rand
+	queue     callQueue
+	order     int
+	// lostExchange and lostSend are the chances that an answer or a message is lost.
 	lostExchange, lostSend float64
 	slow                   time.Duration
 	submits                map[cluster.JobID]SubmitResult
+	specs                  map[cluster.JobID]*cluster.JobSpec
+	cancelled              map[cluster.JobID]bool
 	token                  Token
 	log                    zerolog.Logger
 }
@@ -47,8 +52,9 @@
 	dead, paused bool
 	drained      bool
 	deadAt       time.Time
-	cut          bool
-	cancels      []CancelResult
+	// cut daemons do not reach the store, silent ones are not heard by the others.
+	cut, silent bool
+	cancels     []CancelResult
 }
 
 // call is something that happens later; calls at one time keep their order.
@@ -88,28 +94,45 @@
 	c := &cell{
 		t: t, now: testStart, store: &fakeStore{rows: map[string]platform.Row{}},
 		racks:  newFakeRacks(zones, racks, workers, cluster.Resources{CPU: 4 * cluster.Core, Memory: 16 * cluster.GiB}),
-		random: rand.New(rand.NewPCG(seed, 1)), submits: map[cluster.JobID]SubmitResult{}, log: zerolog.Nop(),
+		random: rand.New(rand.NewPCG(seed, 1)), submits: map[cluster.JobID]SubmitResult{}, log: zerolog.Nop(), retention: 10 * time.Minute,
+		specs: map[cluster.JobID]*cluster.JobSpec{}, cancelled: map[cluster.JobID]bool{},
 	}
 	c.racks.fail = func(m string) { t.Fatalf("at %s: %s", c.now.Sub(testStart), m) }
-	c.config = testConfig(&cluster.Team{Name: "a", Share: 1, Limit: cluster.Resources{CPU: 1000 * cluster.Core, Memory: cluster.Bytes(1) << 50}})
-	for i := range daemons {
+	c.setLimit(cluster.Resources{CPU: 1000 * cluster.Core, Memory: cluster.Bytes(1) << 50})
+	c.addDaemons(daemons, zones)
+	return c
+}
+
+func (c *cell) addDaemons(n, zones int) {
+	for i := range n {
 		c.addDaemon(cluster.DaemonID(fmt.Sprintf("d%d", i)), cluster.Place{Region: "north", Zone: cluster.Zone(fmt.Sprintf("z%d", i%zones))})
 	}
-	return c
+}
+
+// setLimit puts a limit of team a in force.
+func (c *cell) setLimit(limit cluster.Resources) {
+	c.config = testConfig(&cluster.Team{Name: "a", Share: 1, Limit: limit})
+	c.version++
+	c.config.Version = c.version
 }
 
 func (c *cell) addDaemon(id cluster.DaemonID, place cluster.Place) *fakeDaemon {
 	random := rand.New(rand.NewPCG(c.random.Uint64(), 2))
 	d := &fakeDaemon{id: id, place: place}
 	d.controller = New(Config{
-		Self: id, Place: place, Random: random.Float64, Log: c.log.With().Str("daemon", string(id)).Logger(),
-		Invariants: invariant.New(invariant.Config{Log: zerolog.Nop(), Fail: c.racks.fail}),
+		Self: id, Place: place, Retention: c.retention, Random: random.Float64, Log: c.log.With().Str("daemon", string(id)).Logger(),
+		Invariants: invariant.New(invariant.Config{Log: zerolog.Nop(), Fail: func(m string) { c.racks.fail(m) }}),
 	})
 	d.inbox = append(d.inbox, &ConfigChanged{c.config}, &PlatformList{c.racks.list()})
 	c.daemons = append(c.daemons, d)
 	return d
 }
 
+// replace starts a daemon in the place of another, under an id of its own.
+func (c *cell) replace(d *fakeDaemon) {
+	c.addDaemon(cluster.DaemonID(fmt.Sprintf("%s-%d", d.id, len(c.daemons))), d.place)
+}
+
 func (c *cell) after(d time.Duration, f func()) {
 	c.order++
 	heap.Push(&c.queue, call{c.now.Add(d), c.order, f})
@@ -145,10 +168,10 @@
 			if !silent {
 				other.deadAt = c.now
 			}
-			if !other.drained && c.now.Sub(other.deadAt) <= 2*time.Second {
+			if other == d || !other.drained && !other.silent && c.now.Sub(other.deadAt) <= 2*time.Second {
 				live = append(live, Member{ID: other.id, Place: other.place, LastHeard: other.deadAt})
 			}
-			if !silent && other != d && tick%5 == 0 {
+			if !silent && !other.silent && other != d && tick%5 == 0 {
 				d.inbox = append(d.inbox, &PeerDigest{other.id, peer.Digest{
 					Racks: other.controller.Digest(), Draining: other.controller.draining,
 				}})
--- a/cluster/rack/exchange.go
+++ b/cluster/rack/exchange.go
@@ -120,39 +120,44 @@
 		r.errSince, r.errDelay = time.Time{}, 0
 		r.syncWorkers()
 	}
-	r.lastOK = c.now
 	r.cursor = e.Reply.Cursor
 	sent := r.sent
 	r.sent = nil
-	if r.phase == phaseFencing {
-		c.fenceReplied(r, &e.Reply)
-	} else {
-		for _, report := range e.Reply.Workers {
-			w := c.updateWorker(r, report)
-			if r.phase != phaseActive {
-				r.reports[w.id] = report
-			}
-		}
-		for i, cmd := range sent {
-			if i < len(e.Reply.Results) {
-				c.commandDone(r, cmd, e.Reply.Results[i])
-			}
-		}
-		if r.phase == phaseActive {
-			for _, report := range e.Reply.Workers {
-				c.takeReport(r, r.workers[report.Worker], report)
-			}
-		}
+	for _, report := range e.Reply.Workers {
+		c.updateWorker(r, report)
 	}
 	if r.highest > r.epoch {
+		// What the workers report is the work of another owner.
 		c.doubt(r, "a worker has seen a higher epoch")
 		return
 	}
+	if r.phase == phaseActive {
+		c.takeReply(r, sent, &e.Reply)
+	} else {
+		for _, report := range e.Reply.Workers {
+			r.reports[report.Worker] = report
+		}
+	}
+	if r.phase == phaseFencing {
+		c.beginLoading(r)
+	}
 	r.nextExchange = c.now.Add(idleExchange)
 	if r.waiting() {
 		r.nextExchange = c.now.Add(busyExchange)
 	}
-	if r.phase == phaseActive && r.unfenced && r.allFenced() {
+}
+
+// takeReply takes in the outcomes of the commands, then the reports.
+func (c *Controller) takeReply(r *rack, sent []command, reply *platform.ExchangeReply) {
+	for i, cmd := range sent {
+		if i < len(reply.Results) {
+			c.commandDone(r, cmd, reply.Results[i])
+		}
+	}
+	for _, report := range reply.Workers {
+		c.takeReport(r, r.workers[report.Worker], report)
+	}
+	if r.unfenced && r.allFenced() {
 		c.resolveSuspects(r)
 	}
 }
--- a/cluster/rack/fake_test.go
+++ b/cluster/rack/fake_test.go
@@ -73,6 +73,7 @@
 	unreachable bool
 	dead        bool
 	failing     bool
+	everFailed  bool
 	changed     uint64
 	known       map[cluster.AttemptID]bool
 	running     map[cluster.AttemptID]*fakeRun
@@ -139,6 +140,7 @@
 			case now.After(run.lease):
 				f.end(w, id, platform.OutcomeLeaseLapsed)
 			case !now.Before(run.ends) && w.failing:
+				w.everFailed = true
 				f.end(w, id, platform.OutcomeFailed)
 			case !now.Before(run.ends):
 				f.end(w, id, platform.OutcomeSucceeded)
--- a/cluster/rack/fence.go
+++ b/cluster/rack/fence.go
@@ -20,19 +20,12 @@
 		if vm.Rack == r.id {
 			w := c.workerFor(r, id)
 			w.place, w.capacity = vm.Place, vm.Capacity
-			c.updateListed(w)
 		}
 	}
 	r.sortWorkers()
-}
-
-// fenceReplied takes in the first reply under a new epoch.
-func (c *Controller) fenceReplied(r *rack, reply *platform.ExchangeReply) {
-	for _, report := range reply.Workers {
-		r.reports[report.Worker] = report
-		c.updateWorker(r, report)
+	for _, w := range r.order {
+		c.updateListed(w)
 	}
-	c.beginLoading(r)
 }
 
 func (c *Controller) beginLoading(r *rack) {
@@ -140,20 +133,17 @@
 
 // suspectTasks holds back every task that may run on a worker that is not fenced yet.
 func (c *Controller) suspectTasks(r *rack) {
-	r.unfenced = false
-	for _, w := range r.order {
-		r.unfenced = r.unfenced || !w.fenced && !w.lapsed
-	}
-	if !r.unfenced {
-		c.resolveSuspects(r)
-		return
-	}
+	r.unfenced = !r.allFenced()
 	for _, a := range r.list {
 		for _, t := range a.tasks {
-			t.suspect = t.suspect || t.state == cluster.TaskPending
+			t.suspect = t.state == cluster.TaskPending
 		}
 		a.requeue = true
 	}
+	if !r.unfenced {
+		c.resolveSuspects(r)
+		return
+	}
 	for team, g := range c.grants {
 		r.frozen[team] = g.row[r.id]
 	}
@@ -161,11 +151,9 @@
 
 // resolveSuspects decides on the held back tasks once every worker is fenced or its leases have lapsed.
 func (c *Controller) resolveSuspects(r *rack) {
-	lapsed := map[cluster.WorkerID]bool{}
+	lost := false
 	for _, w := range r.order {
-		if !w.fenced {
-			lapsed[w.id] = true
-		}
+		lost = lost || !w.fenced
 	}
 	r.unfenced = false
 	clear(r.frozen)
@@ -173,25 +161,29 @@
 		for _, t := range a.tasks {
 			if t.suspect {
 				t.suspect = false
-				c.resolveSuspect(t, lapsed)
+				c.resolveSuspect(r, t, lost)
 			}
 		}
 		a.requeue = true
 	}
 }
 
-func (c *Controller) resolveSuspect(t *task, lapsed map[cluster.WorkerID]bool) {
-	if t.state != cluster.TaskPending || len(lapsed) == 0 {
+// resolveSuspect decides on one task that no fenced worker runs; lost says that some worker was not fenced.
+func (c *Controller) resolveSuspect(r *rack, t *task, lost bool) {
+	j := c.jobs[t.of.id]
+	if t.state != cluster.TaskPending || j == nil {
 		return
 	}
-	j := c.jobs[t.of.id]
+	w := r.workers[t.pin]
 	switch {
-	case j == nil:
-	case j.idempotent():
+	case !j.idempotent() && t.pinned() && (w == nil || !w.fenced):
+		// An earlier owner may have started it on a worker that can't be asked any more.
+		c.endTask(t, cluster.TaskUnknown, "its worker was lost with its owner")
+	case j.idempotent() && lost:
 		// The attempt may have run on a lapsed worker; a new number makes its late result void.
 		c.nextAttempt(t)
-	case lapsed[t.pin]:
-		c.endTask(t, cluster.TaskUnknown, "its worker was lost with its owner")
+	default:
+		c.attemptOver(t)
 	}
 }
 
--- a/cluster/rack/grant.go
+++ b/cluster/rack/grant.go
@@ -38,6 +38,8 @@
 	requests map[cluster.RackID]grantTarget
 	// overSince is when the sum was first found above the configured limit.
 	overSince time.Time
+	// yield holds owned racks that leave what becomes free to a request of work that goes first.
+	yield map[cluster.RackID]bool
 }
 
 // grantTarget is a grant that a rack of another owner wants to reach.
@@ -153,6 +155,9 @@
 
 // available returns what a team may still start in a rack.
 func (c *Controller) available(r *rack, team cluster.TeamName) cluster.Resources {
+	if g := c.grants[team]; g != nil && g.yield[r.id] {
+		return cluster.Resources{}
+	}
 	used := r.usedBy(team).Max(r.frozen[team])
 	return c.effective(r, team).Sub(used).Max(cluster.Resources{})
 }
@@ -171,7 +176,7 @@
 		}
 	}
 	for team, g := range c.grants {
-		if len(g.requests) > 0 || !g.sum().Fits(c.limit(team)) {
+		if len(g.requests) > 0 || len(g.yield) > 0 || !g.sum().Fits(c.limit(team)) {
 			teams[team] = true
 		}
 	}
@@ -219,6 +224,7 @@
 		next[id] = v
 	}
 	spare := limit.Sub(g.sum())
+	g.yield = nil
 	c.shed(g, next, &spare)
 	missing := c.raise(g, next, &spare)
 	c.serveRequests(g, next, &spare)
@@ -245,13 +251,56 @@
 	return true
 }
 
-// surplus returns the grant of an owned rack that no running or waiting work
-// needs; a rack that is not fully fenced has none.
-func (c *Controller) surplus(r *rack, g *grants, grant cluster.Resources) cluster.Resources {
+// movable returns the grant of an owned rack that may move to another rack:
+// what no running or waiting work needs, or all that is unused if the other
+// rack's work goes first. Without the latter, remainders of a scarce limit that
+// are too small for any task would stay on every rack. A rack that is not
+// fully fenced has none.
+func (c *Controller) movable(r *rack, to cluster.RackID, g *grants, grant cluster.Resources) cluster.Resources {
 	if r.phase != phaseActive || r.unfenced || r.handover || r.claiming {
 		return cluster.Resources{}
 	}
-	return grant.Sub(c.demand(r, g.team)).Max(cluster.Resources{})
+	keep := r.usedBy(g.team)
+	if !c.goesFirst(g.team, to, r.id) {
+		keep = keep.Max(c.demand(r, g.team))
+	}
+	return grant.Sub(keep).Max(cluster.Resources{})
+}
+
+// goesFirst reports whether a team's work on rack a goes before that on rack
+// b: by priority, then by age, then by rack. Every daemon sees the same job
+// rows, so that two racks do not pass a remainder back and forth.
+func (c *Controller) goesFirst(team cluster.TeamName, a, b cluster.RackID) bool {
+	var first, second *job
+	for _, j := range c.jobs {
+		if j.id.Team != team || !j.active() || j.cancel {
+			continue
+		}
+		if slices.Contains(j.racks, a) && (first == nil || j.before(first)) {
+			first = j
+		}
+		if slices.Contains(j.racks, b) && (second == nil || j.before(second)) {
+			second = j
+		}
+	}
+	switch {
+	case first == nil || second == nil:
+		return first != nil
+	case first == second:
+		return a < b
+	}
+	return first.before(second)
+}
+
+// before orders jobs of a team by priority and age.
+func (j *job) before(other *job) bool {
+	switch {
+	case j.spec.Priority != other.spec.Priority:
+		return j.spec.Priority > other.spec.Priority
+	case !j.submitted.Equal(other.submitted):
+		return j.submitted.Before(other.submitted)
+	}
+	return j.id.Name < other.id.Name
 }
 
 // shed lowers unused grants of owned racks while the sum is above the limit.
@@ -297,7 +346,7 @@
 		if r == to || lack.IsZero() {
 			continue
 		}
-		part := c.surplus(r, g, next[r.id]).Min(lack)
+		part := c.movable(r, to.id, g, next[r.id]).Min(lack)
 		next[r.id] = next[r.id].Sub(part)
 		next[to.id] = next[to.id].Add(part)
 		lack = lack.Sub(part)
@@ -326,10 +375,16 @@
 			if r.id == id {
 				continue
 			}
-			part := c.surplus(r, g, next[r.id]).Min(lack)
+			part := c.movable(r, id, g, next[r.id]).Min(lack)
 			next[r.id] = next[r.id].Sub(part)
 			next[id] = next[id].Add(part)
 			lack = lack.Sub(part)
+			if !lack.IsZero() && c.goesFirst(g.team, id, r.id) {
+				if g.yield == nil {
+					g.yield = map[cluster.RackID]bool{}
+				}
+				g.yield[r.id] = true
+			}
 		}
 	}
 }
--- a/cluster/rack/ownership.go
+++ b/cluster/rack/ownership.go
@@ -54,8 +54,13 @@
 	}
 	c.cfg.Log.Info().Str("rack", string(r.id)).Str("owner", string(r.owner)).Uint64("epoch", uint64(r.epoch)).
 		Str("reason", why).Msg("rack: stopped owning a rack")
+	parts := r.list
 	c.leaveTable(r)
 	r.phase, r.since = phaseElsewhere, c.now
+	for _, a := range parts {
+		// A job at home in another rack owned here now depends on a row of another owner.
+		c.checkEnd(a.id)
+	}
 }
 
 // leaveTable drops everything that is known of the work in a rack.
--- a/cluster/rack/recovery.go
+++ b/cluster/rack/recovery.go
@@ -38,13 +38,15 @@
 			c.lapseWorker(r, w)
 			changed = true
 		}
-		if !w.listed {
-			r.removeWorker(w)
-		}
 	}
 	if changed && r.unfenced && r.allFenced() {
 		c.resolveSuspects(r)
 	}
+	for _, w := range slices.Clone(r.order) {
+		if w.lapsed && !w.listed && !r.unfenced {
+			r.removeWorker(w)
+		}
+	}
 }
 
 // goneSince returns when the last lease of a worker may have been renewed; zero if it is being renewed.
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -182,7 +182,6 @@
 	// errSince is when exchanges began to fail; zero while they succeed.
 	errSince  time.Time
 	errDelay  time.Duration
-	lastOK    time.Time
 	unfenced  bool
 	flushing  bool
 	nextFlush time.Time
@@ -254,7 +253,6 @@
 	r.unfenced, r.loading = false, false
 	r.cursor, r.commands, r.sent, r.retries = 0, nil, nil, nil
 	r.exchanging, r.flushing, r.handover = false, false, false
-	r.nextExchange, r.nextFlush, r.errSince, r.lastOK = time.Time{}, time.Time{}, time.Time{}, time.Time{}
 	r.errDelay, r.flushAfter = 0, time.Time{}
 }
 
