--- a/cluster/rack/cancel.go
+++ b/cluster/rack/cancel.go
@@ -35,6 +35,7 @@
 	left     int
 	deadline time.Time
 	done     bool
+	internal bool
 }
 
 // cancelJob is a job to be cancelled for one or more calls.
@@ -43,7 +44,6 @@
 	attempts int
 	// looked says that the row was read after the call, so that a missing job is known to be missing.
 	looked  bool
-	sent    bool
 	callers []cancelCaller
 }
 
@@ -55,6 +55,7 @@
 func (c *Controller) addCancel(e *Cancel) {
 	call := &cancellation{
 		token: e.Token, jobs: e.Jobs, outcomes: make([]Outcome, len(e.Jobs)), left: len(e.Jobs), deadline: e.Deadline,
+		internal: e.internal,
 	}
 	if call.deadline.IsZero() {
 		call.deadline = c.now.Add(defaultDeadline)
@@ -89,6 +90,9 @@
 			continue
 		}
 		call.done = true
+		if call.internal {
+			continue
+		}
 		c.emit(&CancelResult{Token: call.token, Outcomes: call.outcomes})
 	}
 	clear(c.cancels.open[len(kept):])
--- a/cluster/rack/event.go
+++ b/cluster/rack/event.go
@@ -89,6 +89,8 @@
 	Jobs  []cluster.JobID
 	// Deadline is when the caller stops waiting; zero means the default of 10 s.
 	Deadline time.Time
+	// internal cancellations come from a withdrawn declaration and are not answered.
+	internal bool
 }
 
 // Drain starts the hand-over of all racks; one Drained follows.
--- a/cluster/rack/job.go
+++ b/cluster/rack/job.go
@@ -68,6 +68,8 @@
 			for _, t := range a.tasks {
 				c.stopTask(t)
 			}
+		} else if j.active() {
+			c.applySpec(a, j)
 		}
 	}
 	c.checkEnd(j.id)
@@ -139,7 +141,7 @@
 // tellHome sends a row whose tasks have all ended to the owner of the job's home rack.
 func (c *Controller) tellHome(a *assignment) {
 	j := c.jobs[a.id]
-	if j == nil || a.dirty || a.ended < len(a.tasks) {
+	if j == nil || a.dirty || a.ended < len(a.tasks) && !j.isGang() {
 		return
 	}
 	c.checkEnd(a.id)
@@ -340,6 +342,11 @@
 	return JobFinished
 }
 
+// keepDeclared reports whether the row of an ended job shows that its declaration was carried out.
+func (c *Controller) keepDeclared(j *job) bool {
+	return j.declared != 0 && !j.cancel && c.config.Jobs[j.id] != nil
+}
+
 // expire deletes the rows of jobs that ended longer than the retention time ago.
 func (c *Controller) expire() {
 	if len(c.expiring) == 0 || !c.writable() {
@@ -354,7 +361,7 @@
 		case j == nil || j.active():
 		case c.now.Before(e.at) || len(due) >= maxExpired:
 			kept = append(kept, e)
-		case !c.isHome(j) || j.writing:
+		case !c.isHome(j) || j.writing || c.keepDeclared(j):
 			kept = append(kept, expiry{c.now.Add(foreignExpiry), e.job})
 		default:
 			due = append(due, e)
--- /dev/null
+++ b/cluster/rack/move.go
@@ -0,0 +1,163 @@
+package rack
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+const (
+	// moveAfter is how long a task waits for room before it is moved to another rack.
+	moveAfter = 2 * time.Second
+	// moveInterval separates moves of one assignment.
+	moveInterval = 2 * time.Second
+	// maxMoved bounds the tasks moved by one transaction, maxMoves the transactions begun in one step.
+	maxMoved = 64
+	maxMoves = 4
+)
+
+// move gives waiting tasks to racks that have room for them.
+func (c *Controller) move() {
+	if !c.writable() {
+		return
+	}
+	begun := 0
+	for _, r := range c.rackOrder {
+		if r.phase != phaseActive || r.handover || r.claiming || r.flushing {
+			continue
+		}
+		for _, a := range r.list {
+			if begun == maxMoves {
+				return
+			}
+			if a.pending > 0 && !a.moving && !a.dirty && !c.now.Before(a.nextMove) && c.moveAssignment(r, a) {
+				begun++
+			}
+		}
+	}
+}
+
+// stuck reports whether tasks of an assignment wait for something that another rack may have.
+func (c *Controller) stuck(r *rack, a *assignment) bool {
+	if !r.errSince.IsZero() {
+		return c.now.Sub(r.errSince) >= moveAfter
+	}
+	return !a.blockedSince.IsZero() && c.now.Sub(a.blockedSince) >= moveAfter && a.size.Fits(c.available(r, a.id.Team))
+}
+
+// moveAssignment begins a move of waiting tasks; it returns false if nothing can be moved.
+func (c *Controller) moveAssignment(r *rack, a *assignment) bool {
+	j := c.jobs[a.id]
+	if j == nil || !j.active() || j.cancel || j.isGang() || !c.stuck(r, a) {
+		return false
+	}
+	a.nextMove = c.now.Add(c.jitter(moveInterval))
+	to := c.moveTarget(r, c.declaredSize(j))
+	if to == nil {
+		return false
+	}
+	moved := map[int]bool{}
+	var rows []taskRow
+	for _, t := range a.tasks {
+		// A task that waits and is not in doubt has never been ordered to start, whatever its pin says.
+		if t.state == cluster.TaskPending && t.worker == nil && !t.suspect && !t.stop && t.zombies == 0 && len(moved) < min(to.room, maxMoved) {
+			moved[t.index] = true
+			rows = append(rows, taskRow{Index: int32(t.index), Attempt: uint32(t.attempt), Failures: t.failures})
+		}
+	}
+	if len(moved) == 0 {
+		return false
+	}
+	c.moveTasks(r, a, to.rack.id, moved, rows)
+	return true
+}
+
+// moveTarget returns the rack with the most room, or nil.
+func (c *Controller) moveTarget(r *rack, size cluster.Resources) *site {
+	var best *site
+	for _, s := range c.sites(size) {
+		if s.rack != r && s.open() > 0 && (best == nil || s.open() > best.open()) {
+			best = s
+		}
+	}
+	return best
+}
+
+// moveTasks moves tasks between the rows of two racks in one transaction.
+func (c *Controller) moveTasks(r *rack, a *assignment, to cluster.RackID, moved map[int]bool, rows []taskRow) {
+	change := journal.Change{Checks: []platform.Check{
+		{Key: rackKey(r.id), Version: r.version}, {Key: assignKey(r.id, a.id), Version: a.version},
+	}}
+	rest := *a
+	rest.tasks = slices.DeleteFunc(slices.Clone(a.tasks), func(t *task) bool { return moved[t.index] })
+	value, err := rest.encode()
+	if err != nil {
+		return
+	}
+	if len(rest.tasks) == 0 && len(a.acks) == 0 {
+		change.Deletes = []string{assignKey(r.id, a.id)}
+	} else {
+		change.Puts = []platform.Put{{Key: assignKey(r.id, a.id), Value: value}}
+	}
+	a.moving, a.requeue = true, true
+	generation, id, version := r.generation, a.id, a.version
+	c.addTasks(addition{
+		job: id, tasks: map[cluster.RackID][]taskRow{to: rows}, change: change,
+		edit:  func(*job) {},
+		valid: func(*job) bool { return r.generation == generation && !a.gone && a.version == version },
+		done: func(version cluster.Version, err error) {
+			if r.generation != generation || a.gone {
+				return
+			}
+			a.moving, a.requeue = false, true
+			if err != nil {
+				c.moveFailed(r, a, err)
+				return
+			}
+			c.moveDone(r, a, to, moved, version)
+		},
+	})
+}
+
+func (c *Controller) moveDone(r *rack, a *assignment, to cluster.RackID, moved map[int]bool, version cluster.Version) {
+	a.remove(moved)
+	a.version = max(a.version, version)
+	a.blockedSince = time.Time{}
+	c.cfg.Log.Info().Str("job", a.id.String()).Int("tasks", len(moved)).Str("from", string(r.id)).Str("to", string(to)).
+		Msg("rack: moved waiting tasks")
+	c.cfg.Metrics.Counter("rack_moved_tasks").Inc(int64(len(moved)))
+	if len(a.tasks) == 0 {
+		c.dropAssignment(a)
+	}
+	c.checkEnd(a.id)
+}
+
+func (c *Controller) moveFailed(r *rack, a *assignment, err error) {
+	a.nextMove = c.now.Add(c.jitter(moveInterval))
+	if journal.IsKind(err, journal.KindUnavailable) {
+		return
+	}
+	// One of the rows has changed, or may have.
+	key := assignKey(r.id, a.id)
+	generation := r.generation
+	a.moving = true
+	c.readRackRow(r)
+	c.read(platform.ReadRequest{Keys: []string{key}}, func(reply platform.ReadReply, err error) {
+		if r.generation != generation || a.gone {
+			return
+		}
+		a.moving, a.requeue = false, true
+		if err != nil {
+			c.doubt(r, "the result of a move is not known")
+			return
+		}
+		if len(reply.Rows) == 0 || reply.Rows[0].Deleted {
+			c.dropAssignment(a)
+			return
+		}
+		c.ingest(reply.Rows[0])
+	})
+}
--- a/cluster/rack/recovery.go
+++ b/cluster/rack/recovery.go
@@ -82,7 +82,7 @@
 	}
 	for attempt, at := range r.zombies {
 		if at == w {
-			r.endZombie(attempt)
+			c.endZombie(r, attempt)
 		}
 	}
 	clear(w.foreign)
--- a/cluster/rack/result.go
+++ b/cluster/rack/result.go
@@ -111,15 +111,21 @@
 		if at != w || slices.ContainsFunc(report.Running, func(run platform.RunningTask) bool { return run.Attempt == attempt }) {
 			continue
 		}
-		r.endZombie(attempt)
+		c.endZombie(r, attempt)
 	}
 }
 
-func (r *rack) endZombie(attempt cluster.AttemptID) {
+func (c *Controller) endZombie(r *rack, attempt cluster.AttemptID) {
+	if _, ok := r.zombies[attempt]; !ok {
+		return
+	}
 	delete(r.zombies, attempt)
 	if t := r.task(attempt.Task); t != nil && t.zombies > 0 {
 		t.zombies--
 		t.of.requeue = true
+		if t.zombies == 0 && !t.suspect {
+			c.attemptOver(t)
+		}
 	}
 }
 
@@ -165,7 +171,7 @@
 func (c *Controller) attemptEnded(r *rack, w *worker, end platform.EndedTask) {
 	t := r.task(end.Attempt.Task)
 	if t == nil || end.Attempt.Attempt < t.attempt || t.state.Terminal() {
-		r.endZombie(end.Attempt)
+		c.endZombie(r, end.Attempt)
 		c.acknowledgeOld(r, w, t, end)
 		return
 	}
@@ -201,7 +207,7 @@
 	case platform.OutcomeSucceeded:
 		c.health.Succeeded(w.id, job)
 		c.estimator.Observe(placement.Report{Job: job, Granted: size, Peak: end.Peak, RunTime: end.RunTime})
-		if c.isService(job) && !t.stop {
+		if j := c.jobs[job]; c.isService(job) && !j.cancel && !t.drop {
 			c.retryLater(t, firstRetryDelay)
 			return
 		}
@@ -209,9 +215,11 @@
 	case platform.OutcomeFailed:
 		c.attemptFailed(t, w)
 	case platform.OutcomeCheckpointed:
+		c.health.Abandoned(w.id)
 		t.resume = true
 		c.stopped(t, true)
 	case platform.OutcomeStopped:
+		c.health.Abandoned(w.id)
 		c.stopped(t, t.stop)
 	case platform.OutcomeLeaseLapsed:
 		c.health.Abandoned(w.id)
@@ -317,8 +325,9 @@
 func (c *Controller) backToPending(t *task, notBefore time.Time) {
 	t.of.rack.detach(t)
 	t.setState(cluster.TaskPending, t.since)
-	t.notBefore = notBefore
+	t.notBefore, t.stop, t.checkpoint = notBefore, false, false
 	t.of.requeue = true
+	c.attemptOver(t)
 }
 
 func (c *Controller) endTask(t *task, state cluster.TaskState, why string) {
--- a/cluster/rack/row.go
+++ b/cluster/rack/row.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"bytes"
 	"strings"
 	"time"
 
@@ -43,30 +44,32 @@
 
 // rackRow is the value of rack/<rack>; an empty owner means that the rack was released.
 type rackRow struct {
-	Owner string `msgpack:"o"`
-	Epoch uint64 `msgpack:"e"`
+	Owner string
+	Epoch uint64
 }
 
 // jobRow is the value of job/<team>/<job>.
 type jobRow struct {
-	Spec      []byte   `msgpack:"s"`
-	Submitted int64    `msgpack:"t"`
-	State     int      `msgpack:"st,omitempty"`
-	Cancel    bool     `msgpack:"c,omitempty"`
-	Declared  bool     `msgpack:"d,omitempty"`
-	Home      string   `msgpack:"h"`
-	Racks     []string `msgpack:"r"`
+	Spec      []byte
+	Submitted int64
+	State     int
+	Cancel    bool
+	// Declared is the version of the configuration that declared the job; zero for jobs of callers.
+	Declared uint64
+	Home     string
+	Racks    []string
 	// Round is the gang start that was decided last; each task of the round has it as its attempt.
-	Round uint32 `msgpack:"g,omitempty"`
+	Round uint32
+	// Abort is the last round that was given up after a task was lost.
+	Abort uint32
 	// Ended is when the job ended, in Unix nanoseconds.
-	Ended int64 `msgpack:"e,omitempty"`
+	Ended int64
 	// Counts holds the number of tasks by final state, once the job has ended.
-	Counts []int `msgpack:"n,omitempty"`
+	Counts []int
 }
 
-// taskRow is one task of an assignment, encoded as an array to keep rows of many tasks small.
+// taskRow is one task of an assignment.
 type taskRow struct {
-	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // read by msgpack through reflection
 	Index    int32
 	Attempt  uint32
 	State    int8
@@ -78,31 +81,35 @@
 // assignRow is the value of assign/<rack>/<team>/<job>.
 type assignRow struct {
 	// Submitted tells a job from a later one with the same name.
-	Submitted int64     `msgpack:"t"`
-	Tasks     []taskRow `msgpack:"k"`
+	Submitted int64
+	Tasks     []taskRow
 }
 
 type grantRow struct {
-	Rack string `msgpack:"r"`
-	CPU  int64  `msgpack:"c,omitempty"`
-	Mem  int64  `msgpack:"m,omitempty"`
-	Acc  int64  `msgpack:"a,omitempty"`
+	Rack string
+	CPU  int64
+	Mem  int64
+	Acc  int64
 }
 
 // grantsRow is the value of grants/<team>.
 type grantsRow struct {
-	CPU    int64      `msgpack:"c,omitempty"`
-	Mem    int64      `msgpack:"m,omitempty"`
-	Acc    int64      `msgpack:"a,omitempty"`
-	Grants []grantRow `msgpack:"g"`
+	CPU    int64
+	Mem    int64
+	Acc    int64
+	Grants []grantRow
 }
 
 func encode(v any) ([]byte, error) {
-	data, err := msgpack.Marshal(v)
-	if err != nil {
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	// Structs as arrays halve the rows of jobs with many tasks; fields are only ever added at the end.
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(v); err != nil {
 		return nil, &Error{Op: "encode row", Kind: KindMalformed, Err: err}
 	}
-	return data, nil
+	return buf.Bytes(), nil
 }
 
 func decode(key string, data []byte, v any) error {
@@ -118,8 +125,8 @@
 		return nil, &Error{Op: "encode job", Kind: KindMalformed, Err: err}
 	}
 	r := jobRow{
-		Spec: spec, Submitted: j.submitted.UnixNano(), State: int(j.state), Cancel: j.cancel, Declared: j.declared,
-		Home: string(j.home), Round: j.round, Counts: j.counts,
+		Spec: spec, Submitted: j.submitted.UnixNano(), State: int(j.state), Cancel: j.cancel, Declared: uint64(j.declared),
+		Home: string(j.home), Round: j.round, Abort: j.abort, Counts: j.counts,
 	}
 	if !j.ended.IsZero() {
 		r.Ended = j.ended.UnixNano()
@@ -140,8 +147,8 @@
 		return nil, &Error{Op: "decode row " + key, Kind: KindMalformed, Err: err}
 	}
 	j := &job{
-		spec: spec, submitted: time.Unix(0, r.Submitted), state: JobState(r.State), cancel: r.Cancel, declared: r.Declared,
-		home: cluster.RackID(r.Home), round: r.Round, counts: r.Counts,
+		spec: spec, submitted: time.Unix(0, r.Submitted), state: JobState(r.State), cancel: r.Cancel, declared: cluster.Version(r.Declared),
+		home: cluster.RackID(r.Home), round: r.Round, abort: r.Abort, counts: r.Counts,
 	}
 	if r.Ended != 0 {
 		j.ended = time.Unix(0, r.Ended)
--- /dev/null
+++ b/cluster/rack/rows.go
@@ -0,0 +1,129 @@
+package rack
+
+import (
+	"slices"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// addition is a transaction that adds tasks to the assignment rows of a job,
+// whose racks may be owned by others. The rows are read first.
+type addition struct {
+	job   cluster.JobID
+	tasks map[cluster.RackID][]taskRow
+	// edit changes the job's row; checks and puts come from the caller.
+	edit   func(*job)
+	change journal.Change
+	// valid is asked again once the rows were read.
+	valid func(*job) bool
+	done  func(cluster.Version, error)
+}
+
+// errChanged says that the state an addition was computed from has changed.
+var errChanged = &journal.Error{Op: "add tasks", Kind: journal.KindConflict}
+
+// addTasks reads the rows that tasks are added to and commits the addition.
+func (c *Controller) addTasks(add addition) {
+	keys := []string{jobKey(add.job)}
+	for _, id := range add.racks() {
+		keys = append(keys, assignKey(id, add.job))
+	}
+	c.read(platform.ReadRequest{Keys: keys}, func(reply platform.ReadReply, err error) {
+		if err != nil {
+			add.done(0, &journal.Error{Op: "add tasks", Kind: journal.KindUnavailable, Err: err})
+			return
+		}
+		rows := map[string]platform.Row{}
+		for _, row := range reply.Rows {
+			if !row.Deleted {
+				rows[row.Key] = row
+			}
+		}
+		c.commitAddition(add, rows)
+	})
+}
+
+func (add *addition) racks() []cluster.RackID {
+	ids := make([]cluster.RackID, 0, len(add.tasks))
+	for id := range add.tasks {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Controller) commitAddition(add addition, rows map[string]platform.Row) {
+	jobRow, ok := rows[jobKey(add.job)]
+	if !ok {
+		add.done(0, errChanged)
+		return
+	}
+	c.ingest(jobRow)
+	j, err := decodeJob(jobRow.Key, jobRow.Value)
+	if err != nil || !j.active() || j.cancel || !add.valid(j) {
+		add.done(0, errChanged)
+		return
+	}
+	add.edit(j)
+	change := add.change
+	var written []platform.Row
+	for _, id := range add.racks() {
+		key := assignKey(id, add.job)
+		value, err := appendTasks(rows[key], j, add.tasks[id])
+		if err != nil {
+			add.done(0, errChanged)
+			return
+		}
+		change.Checks = append(change.Checks, platform.Check{Key: key, Version: rows[key].Version})
+		written = append(written, platform.Row{Key: key, Value: value})
+		if !slices.Contains(j.racks, id) {
+			j.racks = append(j.racks, id)
+		}
+	}
+	value, err := j.encode()
+	if err != nil {
+		add.done(0, errChanged)
+		return
+	}
+	if !slices.Equal(value, jobRow.Value) {
+		change.Checks = append(change.Checks, platform.Check{Key: jobRow.Key, Version: jobRow.Version})
+		written = append(written, platform.Row{Key: jobRow.Key, Value: value})
+	}
+	for _, row := range written {
+		change.Puts = append(change.Puts, platform.Put{Key: row.Key, Value: row.Value})
+	}
+	c.commit(change, func(version cluster.Version, err error) {
+		add.done(version, err)
+		if err == nil {
+			c.added(add, written, version)
+		}
+	})
+}
+
+// appendTasks adds tasks to an assignment row, which may not exist yet.
+func appendTasks(row platform.Row, j *job, tasks []taskRow) ([]byte, error) {
+	v := assignRow{Submitted: j.submitted.UnixNano()}
+	if row.Version != 0 {
+		if err := decode(row.Key, row.Value, &v); err != nil {
+			return nil, err
+		}
+	}
+	v.Tasks = append(v.Tasks, tasks...)
+	return encode(&v)
+}
+
+// added takes in the rows that were written and tells the owners of the racks.
+func (c *Controller) added(add addition, written []platform.Row, version cluster.Version) {
+	for i := range written {
+		written[i].Version = version
+		c.ingest(written[i])
+	}
+	for _, id := range add.racks() {
+		if r := c.racks[id]; r != nil {
+			c.send(r.owner, &peer.AssignNotice{Rack: id, Rows: written})
+		}
+	}
+}
--- a/cluster/rack/spread.go
+++ b/cluster/rack/spread.go
@@ -189,15 +189,7 @@
 	zones := map[cluster.Place]int{}
 	chosen := make([]*site, 0, n)
 	for range n {
-		best := slices.MinFunc(sites, func(a, b *site) int {
-			return cmp.Or(
-				-compareBool(a.served && a.room > a.taken, b.served && b.room > b.taken),
-				cmp.Compare(zones[a.place], zones[b.place]),
-				cmp.Compare(a.taken, b.taken),
-				cmp.Compare(b.room, a.room),
-				strings.Compare(string(a.rack.id), string(b.rack.id)),
-			)
-		})
+		best := spreadNext(sites, zones)
 		best.taken++
 		zones[best.place]++
 		chosen = append(chosen, best)
@@ -205,6 +197,19 @@
 	return chosen
 }
 
+// spreadNext returns the rack for one more replica.
+func spreadNext(sites []*site, zones map[cluster.Place]int) *site {
+	return slices.MinFunc(sites, func(a, b *site) int {
+		return cmp.Or(
+			-compareBool(a.served && a.room > a.taken, b.served && b.room > b.taken),
+			cmp.Compare(zones[a.place], zones[b.place]),
+			cmp.Compare(a.taken, b.taken),
+			cmp.Compare(b.room, a.room),
+			strings.Compare(string(a.rack.id), string(b.rack.id)),
+		)
+	})
+}
+
 // gangSites chooses as few racks as can hold all tasks at once, of one owner if possible.
 func (c *Controller) gangSites(sites []*site, n int) []*site {
 	order := slices.Clone(sites)
--- a/cluster/rack/start.go
+++ b/cluster/rack/start.go
@@ -21,6 +21,17 @@
 		}
 		c.enqueue(r)
 		c.placeRack(r)
+		c.noteBlocked(r)
+	}
+}
+
+// noteBlocked notes since when assignments wait that the queue holds back with others of the same size.
+func (c *Controller) noteBlocked(r *rack) {
+	for _, a := range r.list {
+		if a.pending > 0 && a.blockedSince.IsZero() && r.queue.State(a.id) == placement.ItemBlocked {
+			a.blockedSince = c.now
+			a.waits = placement.NoRoomNow.String()
+		}
 	}
 }
 
@@ -73,11 +84,12 @@
 	for _, t := range a.tasks {
 		if c.ready(t) {
 			ready++
+			c.prepin(j, t)
 		} else if t.state == cluster.TaskPending && c.now.Before(t.notBefore) && (a.nextReady.IsZero() || t.notBefore.Before(a.nextReady)) {
 			a.nextReady = t.notBefore
 		}
 	}
-	if _, gang := j.spec.Workload.(*cluster.Gang); gang || !j.active() || j.cancel {
+	if j.isGang() || !j.active() || j.cancel {
 		ready = 0
 	}
 	declaredSize := c.declaredSize(j)
@@ -90,6 +102,24 @@
 	a.rack.queue.Add(item)
 }
 
+// prepin chooses a worker for a task that must not run twice, so that it can
+// start there while the table service is down.
+func (c *Controller) prepin(j *job, t *task) {
+	r := t.of.rack
+	if j.idempotent() || t.pinned() || !c.writable() {
+		return
+	}
+	for range r.order {
+		w := r.order[r.pinNext%len(r.order)]
+		r.pinNext++
+		if r.closed(w) == "" && c.declaredSize(j).Fits(w.capacity) {
+			t.pin, t.pinDurable = w.id, false
+			t.of.markDirty()
+			return
+		}
+	}
+}
+
 func (c *Controller) declaredSize(j *job) cluster.Resources {
 	_, size := j.spec.TaskCount()
 	return size
@@ -106,7 +136,7 @@
 
 // ready reports whether a task may start now.
 func (c *Controller) ready(t *task) bool {
-	return t.state == cluster.TaskPending && t.worker == nil && !t.suspect && !t.stop && t.zombies == 0 &&
+	return t.state == cluster.TaskPending && t.worker == nil && !t.suspect && !t.stop && !t.drop && t.zombies == 0 &&
 		!t.of.moving && !c.now.Before(t.notBefore)
 }
 
@@ -122,7 +152,11 @@
 			continue
 		}
 		if !c.startOne(r, a) {
-			r.queue.Blocked(a.id, c.now)
+			if pick.Reserve && c.reserve(r, a.id, 1, a.size) {
+				r.queue.Reserved(a.id)
+			} else {
+				r.queue.Blocked(a.id, c.now)
+			}
 			if a.blockedSince.IsZero() {
 				a.blockedSince = c.now
 			}
@@ -149,6 +183,9 @@
 		w, reason = c.choose(r, j, t)
 		if w != nil {
 			c.start(r, j, t, w)
+			r.table.Unreserve(a.id)
+			r.queue.Started(a.id, 1)
+			r.queued[a.id.Team] = r.queued[a.id.Team].Add(t.size)
 			a.blockedSince, a.waits = time.Time{}, ""
 			return true
 		}
@@ -162,17 +199,16 @@
 
 // choose returns the worker for a task, or why there is none.
 func (c *Controller) choose(r *rack, j *job, t *task) (*worker, placement.Reason) {
-	if !j.idempotent() && !c.writable() && t.pinDurable {
-		w := r.workers[t.pin]
-		if w != nil && r.closed(w) == "" && t.of.size.Fits(w.capacity.Sub(r.load(w))) {
-			return w, placement.Placed
-		}
-		return nil, placement.NoRoomNow
+	if w := r.workers[t.pin]; w != nil && t.pinDurable && r.closed(w) == "" && t.of.size.Fits(w.capacity.Sub(r.load(w))) {
+		return w, placement.Placed
 	}
 	if !j.idempotent() && !c.writable() {
 		return nil, placement.NoRoomNow
 	}
-	req := placement.Request{Size: t.of.size}
+	req := placement.Request{Size: t.of.size, Job: j.id}
+	if runTime := c.estimator.Estimate(j.id, t.of.size, j.spec.RunTime()).RunTime; runTime > 0 {
+		req.End = c.now.Add(runTime)
+	}
 	if _, ok := j.spec.Workload.(*cluster.Service); ok {
 		req.Spread = true
 		for _, other := range t.of.tasks {
@@ -195,8 +231,6 @@
 	c.require(t.worker == nil && t.zombies == 0, invariant.SingleAttempt, "task %s starts while it runs", t.id())
 	waited := c.now.Sub(maxTime(t.since, j.submitted))
 	r.attach(t, w, size)
-	r.queue.Started(t.of.id, 1)
-	r.queued[j.id.Team] = r.queued[j.id.Team].Add(size)
 	t.setState(cluster.TaskStarting, c.now)
 	c.health.Started(w.id)
 	r.syncWorker(w)
--- a/cluster/rack/submission.go
+++ b/cluster/rack/submission.go
@@ -19,7 +19,7 @@
 	spec      *cluster.JobSpec
 	submitted time.Time
 	callers   []caller
-	declared  bool
+	declared  cluster.Version
 	// committing says that a transaction is in flight, reading that the existing row is being read.
 	committing, reading bool
 	done                bool
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -49,9 +49,6 @@
 // pinned reports whether the task may start only on its pin.
 func (t *task) pinned() bool { return t.pin != "" }
 
-// active reports whether the task holds room on a worker.
-func (t *task) active() bool { return t.worker != nil }
-
 // assignment is the part of a job that is delegated to one rack.
 type assignment struct {
 	id        cluster.JobID
@@ -78,6 +75,7 @@
 	// waits says why the first pending task was not placed; blockedSince since when.
 	waits        string
 	blockedSince time.Time
+	nextMove     time.Time
 }
 
 type ackEntry struct {
@@ -93,12 +91,13 @@
 	submitted time.Time
 	state     JobState
 	cancel    bool
-	declared  bool
-	home      cluster.RackID
-	racks     []cluster.RackID
-	round     uint32
-	ended     time.Time
-	counts    []int
+	// declared is the version of the configuration that declared the job; zero for jobs of callers.
+	declared     cluster.Version
+	home         cluster.RackID
+	racks        []cluster.RackID
+	round, abort uint32
+	ended        time.Time
+	counts       []int
 	// gang is the progress of a gang start at the owner of the home rack.
 	gang *gang
 	// writing says that a transaction on the row is in flight here.
@@ -192,6 +191,10 @@
 	// contested is when another daemon last claimed to own the rack.
 	contested time.Time
 	handover  bool
+	// nextPreempt is when further victims may be chosen.
+	nextPreempt time.Time
+	// pinNext is the worker that the next pin is tried on.
+	pinNext int
 	// reading and loading say that a read of the rack's row or of its assignments is in flight.
 	reading, loading bool
 	// generation changes whenever the state of the rack is dropped, so that late answers are recognised.
