fix: connections, reclaimed slots and refusals of the gateway

Change: a runner gets no more requests than this daemon may hold connections to it; idle connections beyond the slots or unused for 30 s are closed; slots of a daemon are reclaimed only after 5 s without it, because a daemon that has just started may not know all members; a deadline that passes weighs less than a broken connection; a keyed request that would be refused for its deadline writes no row; Close ends running requests. Tests for each, for surplus answers, the retry budget and slots of requests given up on.

--- a/cluster/gateway/admit.go
+++ b/cluster/gateway/admit.go
@@ -17,7 +17,7 @@
 	g.syncTeams(c.snapshot)
 	s := g.services[c.service]
 	if s == nil || !s.ready() {
-		return nil, refuse(http.StatusServiceUnavailable, "service not ready", "no runner of %s can be used yet", c.service).retry(0)
+		return nil, notReady(c)
 	}
 	t := &ticket{service: s, queue: s.queue(g.team(c.team)), deadline: c.deadline, answered: make(chan grant, 1)}
 	s.retries.earn()
@@ -28,6 +28,22 @@
 	return t, nil
 }
 
+// precheck refuses a request that would be refused for its deadline, before a row is written for it.
+func (g *Gateway) precheck(c *call) *problem {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.syncTeams(c.snapshot)
+	s := g.services[c.service]
+	if s == nil || !s.ready() {
+		return notReady(c)
+	}
+	return s.tooLate(s.queue(g.team(c.team)), c.deadline, g.cfg.Clock())
+}
+
+func notReady(c *call) *problem {
+	return refuse(http.StatusServiceUnavailable, "service not ready", "no runner of %s can be used yet", c.service).retry(0)
+}
+
 // ready reports whether the slots are known and some runner takes work.
 func (s *service) ready() bool {
 	if !s.ledger.known {
@@ -105,6 +121,9 @@
 		g.failed(r, statusWeight, "answers with server errors")
 	case errors.Is(a.err, context.Canceled):
 		// The caller has gone, which says nothing about the runner.
+	case errors.Is(a.err, context.DeadlineExceeded):
+		// A short deadline of the caller is not the runner's fault.
+		g.failed(r, statusWeight, "answers after the deadline")
 	case a.outcome == outcomeLost, a.outcome == outcomeNotSent:
 		g.failed(r, transportWeight, a.err.Error())
 	}
--- a/cluster/gateway/drain.go
+++ b/cluster/gateway/drain.go
@@ -57,7 +57,7 @@
 	}
 	for _, s := range g.services {
 		for _, r := range s.runners {
-			r.trimIdle(0)
+			r.trimIdle(0, g.cfg.Clock())
 		}
 	}
 	g.mu.Unlock()
--- a/cluster/gateway/gateway.go
+++ b/cluster/gateway/gateway.go
@@ -36,6 +36,8 @@
 	slotsAsOf   cluster.Version
 	slotsRead   bool
 	windowStart time.Time
+	// missing holds since when daemons that hold slots are not members.
+	missing map[cluster.DaemonID]time.Time
 	// active counts requests that were accepted and not yet answered, and the records of answers being written.
 	active   int
 	idle     chan struct{}
@@ -106,6 +108,9 @@
 	g.syncTeams(snapshot)
 	g.lend(now)
 	for _, s := range g.services {
+		for _, r := range s.runners {
+			r.trimIdle(r.connectionLimit(), now)
+		}
 		g.checkOutliers(s, now)
 		g.dispatch(s)
 	}
@@ -162,7 +167,7 @@
 func (g *Gateway) service(name cluster.ServiceName) *service {
 	s := g.services[name]
 	if s == nil {
-		s = &service{name: name, queues: map[cluster.TeamName]*teamQueue{}, ledger: g.ledger(string(name)), retries: retryBudget{tokens: retryBurst}}
+		s = &service{name: name, queues: map[cluster.TeamName]*teamQueue{}, ledger: g.ledger(string(name)), retries: retryBudget{tokens: retryBurst}, members: len(g.fleet.all)}
 		g.services[name] = s
 	}
 	return s
@@ -172,20 +177,24 @@
 func (g *Gateway) SetUpstreams(vms []platform.VM) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	listed := map[cluster.UpstreamID]bool{}
+	type entry struct {
+		service  cluster.ServiceName
+		upstream cluster.UpstreamID
+	}
+	listed := map[entry]bool{}
 	for _, vm := range vms {
 		if vm.Role == platform.RoleRunner && vm.Service != "" {
-			listed[cluster.UpstreamID(vm.ID)] = true
+			listed[entry{vm.Service, cluster.UpstreamID(vm.ID)}] = true
 			g.setUpstream(vm)
 		}
 	}
 	for _, s := range g.services {
 		s.runners = slices.DeleteFunc(s.runners, func(r *runner) bool {
-			if listed[r.id()] {
+			if listed[entry{s.name, r.id()}] {
 				return false
 			}
 			r.removed = true
-			r.trimIdle(0)
+			r.trimIdle(0, g.cfg.Clock())
 			delete(s.ledger.units, r.unit.id)
 			g.cfg.Log.Info().Str("service", string(s.name)).Str("upstream", r.vm.ID).Msg("gateway: upstream removed")
 			return true
@@ -216,7 +225,7 @@
 	if found {
 		// The VM's address or place changed: it is another machine.
 		s.runners[i].removed = true
-		s.runners[i].trimIdle(0)
+		s.runners[i].trimIdle(0, g.cfg.Clock())
 		r.unit = s.runners[i].unit
 		r.capacity = vm.Slots
 		s.runners[i] = r
@@ -244,7 +253,7 @@
 		return false
 	}
 	r.leaving = true
-	r.trimIdle(0)
+	r.trimIdle(0, g.cfg.Clock())
 	g.cfg.Log.Info().Str("service", string(r.service.name)).Str("upstream", r.vm.ID).Str("source", source).
 		Msg("gateway: upstream is leaving")
 	return true
@@ -268,10 +277,11 @@
 	slices.Sort(f.all)
 	slices.Sort(f.sharing)
 	g.fleet = f
+	for _, s := range g.services {
+		s.members = len(f.all)
+	}
 }
 
-func (g *Gateway) memberCount() int { return max(len(g.fleet.all), 1) }
-
 // HandlePeer handles a message of another daemon and reports whether it was one for the gateway.
 func (g *Gateway) HandlePeer(from cluster.DaemonID, message peer.Message) bool {
 	g.mu.Lock()
--- a/cluster/gateway/idem.go
+++ b/cluster/gateway/idem.go
@@ -94,6 +94,10 @@
 	if other := g.keys.claim(row, record); other != nil {
 		return g.repeat(record, other)
 	}
+	if p := g.precheck(c); p != nil {
+		g.keys.forget(row)
+		return nil, p
+	}
 	version, a, p := g.insertKey(ctx, row, record)
 	if a != nil || p != nil {
 		return a, p
--- a/cluster/gateway/lend.go
+++ b/cluster/gateway/lend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -22,6 +23,8 @@
 	peakWindow = 2 * time.Second
 	// maxWanted limits the slots asked for at once.
 	maxWanted = 64
+	// reclaimAfter is how long a daemon has to be missing from the members before its slots are lent to others.
+	reclaimAfter = 5 * time.Second
 )
 
 // pollSlots reads changed rows until the gateway is closed.
@@ -120,7 +123,7 @@
 		return
 	}
 	for _, r := range s.runners {
-		r.trimIdle(r.connectionLimit(g.memberCount()))
+		r.trimIdle(r.connectionLimit(), g.cfg.Clock())
 	}
 	g.dispatch(s)
 }
@@ -130,16 +133,47 @@
 	if len(g.fleet.all) == 0 || g.draining {
 		return
 	}
+	f := g.patient(now)
 	for _, l := range g.ledgers {
 		g.measure(l, now)
 		g.ask(l, now)
-		g.propose(l, now)
+		g.propose(l, f, now)
 	}
 	if now.Sub(g.windowStart) >= peakWindow {
 		g.windowStart = now
 	}
 }
 
+// patient returns the fleet with those daemons that hold slots and have been
+// missing only for a short time. A daemon that has just started may not know
+// all members yet, and must not take their slots.
+func (g *Gateway) patient(now time.Time) fleet {
+	f := g.fleet
+	f.all = slices.Clone(f.all)
+	missing := map[cluster.DaemonID]time.Time{}
+	for _, l := range g.ledgers {
+		for _, h := range l.row {
+			for d := range h.held {
+				if slices.Contains(g.fleet.all, d) {
+					continue
+				}
+				since, ok := g.missing[d]
+				if !ok {
+					since = now
+				}
+				missing[d] = since
+			}
+		}
+	}
+	for d, since := range missing {
+		if now.Sub(since) < reclaimAfter {
+			f.all = append(f.all, d)
+		}
+	}
+	g.missing = missing
+	return f
+}
+
 // measure updates the slots that a ledger needs and wants.
 func (g *Gateway) measure(l *ledger, now time.Time) {
 	limit, inFlight := l.totals()
@@ -170,11 +204,11 @@
 }
 
 // propose commits the row that this daemon wants, if it differs from the known one.
-func (g *Gateway) propose(l *ledger, now time.Time) {
+func (g *Gateway) propose(l *ledger, f fleet, now time.Time) {
 	if !l.known || l.busy || now.Before(l.notBefore) {
 		return
 	}
-	next := l.plan(g.fleet, now)
+	next := l.plan(f, now)
 	if next == nil {
 		return
 	}
@@ -199,7 +233,7 @@
 	if err != nil {
 		g.metrics.lendFailed.Inc(1)
 		// With many daemons proposing at once, one of them succeeds each time.
-		spread := g.cfg.Tick * time.Duration(g.memberCount()) / 2
+		spread := g.cfg.Tick * time.Duration(max(len(g.fleet.all), 1)) / 2
 		l.notBefore = g.cfg.Clock().Add(time.Duration(g.cfg.Random.Int64N(int64(spread) + 1)))
 		g.cfg.Log.Warn().Err(err).Str("row", l.key()).Msg("gateway: slots not changed")
 		g.poke()
@@ -241,7 +275,7 @@
 // checkGrant requires a request that was just given a slot to be within all limits.
 func (g *Gateway) checkGrant(t *ticket, r *runner) {
 	inv := g.cfg.Invariants
-	inv.Require(r.inFlight <= r.limit, invariant.Limit, "%d requests at runner %s with %d slots", r.inFlight, r.vm.ID, r.limit)
+	inv.Require(r.inFlight <= r.usable(), invariant.Limit, "%d requests at runner %s with %d slots", r.inFlight, r.vm.ID, r.usable())
 	inv.Require(r.available(), invariant.Leaving, "request sent to runner %s, which takes no new work", r.vm.ID)
 	if u := t.queue.team.unit; u != nil {
 		inv.Require(u.inFlight <= u.limit, invariant.Limit, "%d requests of team %s with a limit of %d", u.inFlight, t.queue.team.name, u.limit)
--- a/cluster/gateway/lend_test.go
+++ b/cluster/gateway/lend_test.go
@@ -22,6 +22,8 @@
 		row, version := ledgerRow{}, cluster.Version(1)
 		now := time.Unix(0, 0)
 		var ledgers []*ledger
+		var planned [3]ledgerRow
+		var basis [3]cluster.Version
 		for range daemons {
 			l := newLedger("booking")
 			for _, id := range []string{"r1", "r2"} {
@@ -34,15 +36,21 @@
 			i := rapid.IntRange(0, 2).Draw(rt, "daemon")
 			l := ledgers[i]
 			f := fleet{daemons[i], daemons, daemons}
-			switch rapid.IntRange(0, 5).Draw(rt, "operation") {
+			switch rapid.IntRange(0, 6).Draw(rt, "operation") {
 			case 0: // the newest row arrives
 				l.accept(f.self, row.clone(), version)
-			case 1: // the row that the daemon wants is committed, if it knew the newest
-				if next := l.plan(f, now); next != nil && l.version == version {
+			case 1: // the row that the daemon wants is on its way
+				if !l.busy {
+					planned[i], basis[i] = l.plan(f, now), l.version
+					l.busy = planned[i] != nil
+				}
+			case 6: // it is committed, if it was based on the newest
+				if l.busy && basis[i] == version {
 					version++
-					row = next
-					l.accept(f.self, next.clone(), version)
+					row = planned[i]
+					l.accept(f.self, row.clone(), version)
 				}
+				l.busy = false
 			case 2:
 				l.wanted = rapid.IntRange(0, 10).Draw(rt, "wanted")
 			case 3:
@@ -140,6 +148,8 @@
 	runCell(t, cellOptions{daemons: 2, runners: 2}, func(c *testCell) {
 		c.daemons()[1].stop()
 		c.daemons()[0].SetMembers([]Member{{ID: "daemon-0"}})
+		time.Sleep(reclaimAfter - time.Second)
+		c.is.Equal(c.slots(0), 8) // the member table may have been incomplete
 		time.Sleep(3 * time.Second)
 		c.is.Equal(c.slots(0), 16)
 	})
--- a/cluster/gateway/outlier_test.go
+++ b/cluster/gateway/outlier_test.go
@@ -149,3 +149,40 @@
 		c.is.True(c.paid[0].Crossed(paidlink.CauseRequest) > 0)
 	})
 }
+
+// Guards against retries that multiply the load when all runners fail.
+func TestRetryBudget(t *testing.T) {
+	runCell(t, cellOptions{runners: 3}, func(c *testCell) {
+		c.setAll(faults["dieBefore"])
+		c.stream(0, 300, "GET")
+		sent := c.runners[0].count() + c.runners[1].count() + c.runners[2].count()
+		c.is.True(sent <= 300+300*retryFraction+retryBurst)
+	})
+}
+
+// Guards against a slot that is given to the next request while the runner is still at work on one given up on.
+func TestSlotOfAbandonedRequest(t *testing.T) {
+	runCell(t, cellOptions{runners: 1, took: 100 * time.Millisecond}, func(c *testCell) {
+		c.load(0, 8, "archive", "POST")()
+		inFlight := func() int { return c.daemons()[0].Status().Services[0].InFlight }
+		c.setAll(faults["silent"])
+		c.is.Equal(c.ask(0, "POST", "/x", "", "Goldcrest-Timeout: 300ms").Code, 504)
+		c.is.Equal(inFlight(), 1)
+		time.Sleep(time.Second)
+		c.is.Equal(inFlight(), 0)
+	})
+}
+
+// Guards against more connections than the runner takes, while idle ones are too old to be used.
+func TestConnectionLimit(t *testing.T) {
+	runCell(t, cellOptions{runners: 1, took: 100 * time.Millisecond}, func(c *testCell) {
+		c.runners[0].vm.Connections = 8
+		c.refresh()
+		for range 5 {
+			c.is.Equal(c.load(0, 8, "archive", "POST")()[200], 8)
+			time.Sleep(2 * time.Second)
+		}
+		_, connections := c.runners[0].peaks()
+		c.is.Equal(connections, 8)
+	})
+}
--- a/cluster/gateway/queue.go
+++ b/cluster/gateway/queue.go
@@ -22,6 +22,8 @@
 	virtual float64
 	time    estimate
 	retries retryBudget
+	// members is the number of daemons that share the runners' connections.
+	members int
 }
 
 // team is the load of one team at this daemon. It is guarded by Gateway.mu.
@@ -89,7 +91,7 @@
 	n := 0
 	for _, r := range s.runners {
 		if r.available() {
-			n += r.limit
+			n += r.usable()
 		}
 	}
 	return n
@@ -137,17 +139,25 @@
 	return s.time.value(now)
 }
 
+// tooLate refuses a request of the team that could not be answered before the deadline.
+func (s *service) tooLate(q *teamQueue, deadline, now time.Time) *problem {
+	wait := s.wait(q, now)
+	if !now.Add(wait + s.needs(now)).After(deadline) {
+		return nil
+	}
+	q.team.refused++
+	return refuse(http.StatusServiceUnavailable, "deadline can't be met",
+		"the wait is about %s and the service takes about %s", wait, s.time.value(now)).retry(wait)
+}
+
 // enqueue admits a request to the queue or refuses it.
 func (g *Gateway) enqueue(t *ticket, now time.Time) *problem {
 	s, q := t.service, t.queue
-	wait := s.wait(q, now)
-	if finish := now.Add(wait + s.needs(now)); finish.After(t.deadline) {
-		q.team.refused++
-		return refuse(http.StatusServiceUnavailable, "deadline can't be met",
-			"the wait is about %s and the service takes about %s", wait, s.time.value(now)).retry(wait)
+	if p := s.tooLate(q, t.deadline, now); p != nil {
+		return p
 	}
 	if s.queued >= g.cfg.QueueLimit {
-		if p := g.makeRoom(s, q, wait); p != nil {
+		if p := g.makeRoom(s, q, s.wait(q, now)); p != nil {
 			q.team.refused++
 			return p
 		}
--- a/cluster/gateway/route_test.go
+++ b/cluster/gateway/route_test.go
@@ -229,3 +229,34 @@
 		c.is.Equal(c.runners[0].count(), 8)
 	})
 }
+
+// Guards against "not run" for a request that was lost at one runner before all others refused it.
+func TestLostThenRefused(t *testing.T) {
+	runCell(t, cellOptions{runners: 3}, func(c *testCell) {
+		c.setAll(func(net.Conn, *http.Request, []byte) bool {
+			for _, r := range c.runners {
+				r.refuseConnections(true)
+			}
+			return false
+		})
+		w := c.ask(0, "GET", "/x", "", "X-Token: a")
+		c.is.Equal(c.ran("a"), 1)
+		c.is.Equal(w.Code, 502)
+		c.is.Equal(runOf(w), "unknown")
+	})
+}
+
+// Guards against a request that waits although it can't be answered before its deadline.
+func TestRefusedAtOnce(t *testing.T) {
+	runCell(t, cellOptions{runners: 1, took: time.Second}, func(c *testCell) {
+		running := c.load(0, 24, "archive", "POST")
+		time.Sleep(1500 * time.Millisecond)
+		start := time.Now()
+		w := c.ask(0, "POST", "/x", "", "Goldcrest-Timeout: 2s")
+		c.is.Equal(time.Since(start), time.Duration(0))
+		c.is.Equal(w.Code, 503)
+		c.is.Equal(runOf(w), "no")
+		c.is.Equal(w.Header().Get("Retry-After"), "2")
+		c.is.Equal(running()[200], 24)
+	})
+}
--- a/cluster/gateway/runner.go
+++ b/cluster/gateway/runner.go
@@ -14,6 +14,8 @@
 	// defaultSlots and defaultConnections apply to runners whose VM entry leaves them out.
 	defaultSlots       = 8
 	defaultConnections = 64
+	// idleFor is how long an unused link is kept.
+	idleFor = 30 * time.Second
 )
 
 // tier orders runners by the cost of reaching them.
@@ -54,17 +56,20 @@
 // available reports whether the runner may be given new work.
 func (r *runner) available() bool { return !r.leaving && !r.removed && !r.outlier.ejected }
 
-func (r *runner) free() bool { return r.available() && r.inFlight < r.limit }
+func (r *runner) free() bool { return r.available() && r.inFlight < r.usable() }
+
+// usable is the number of slots that can be used at once; each needs a connection.
+func (r *runner) usable() int { return min(r.limit, r.connectionLimit()) }
 
 // load is the part of the lent slots that is in use.
-func (r *runner) load() float64 { return float64(r.inFlight) / float64(max(r.limit, 1)) }
+func (r *runner) load() float64 { return float64(r.inFlight) / float64(max(r.usable(), 1)) }
 
 // connectionLimit is the number of connections that this daemon may hold. The
 // part in proportion to the slots keeps the sum over all daemons within the
 // runner's limit even while daemons have different views of the members.
-func (r *runner) connectionLimit(members int) int {
+func (r *runner) connectionLimit() int {
 	total, slots := r.allConnections, max(r.capacity, 1)
-	return max(min(total/max(members, 1), total*r.limit/slots), min(r.limit, 1))
+	return max(min(total/max(r.service.members, 1), total*r.limit/slots), min(r.limit, 1))
 }
 
 func (r *runner) count(g *Gateway) func(int) {
@@ -95,12 +100,13 @@
 	r.connections--
 }
 
-// trimIdle closes idle links over the limit, and all if the runner takes no new work.
-func (r *runner) trimIdle(limit int) {
+// trimIdle closes idle links that are over the limit of connections, that
+// outnumber the slots or that weren't used for long, and all if the runner takes no new work.
+func (r *runner) trimIdle(limit int, now time.Time) {
 	if r.leaving || r.removed {
 		limit = 0
 	}
-	for len(r.idle) > 0 && r.connections > limit {
+	for len(r.idle) > 0 && (r.connections > limit || len(r.idle) > r.limit || now.Sub(r.idle[0].verified) > idleFor) {
 		r.drop(r.idle[0])
 		r.idle = slices.Delete(r.idle, 0, 1)
 	}
@@ -123,7 +129,7 @@
 		return l, nil
 	}
 	// The slot already limits the links in use; idle ones make room.
-	r.trimIdle(r.connectionLimit(g.memberCount()) - 1)
+	r.trimIdle(r.connectionLimit()-1, g.cfg.Clock())
 	r.connections++
 	epoch := r.epoch
 	g.mu.Unlock()
@@ -148,5 +154,5 @@
 	}
 	l.verified = g.cfg.Clock()
 	r.idle = append(r.idle, l)
-	r.trimIdle(r.connectionLimit(g.memberCount()))
+	r.trimIdle(r.connectionLimit(), l.verified)
 }
--- a/cluster/gateway/serve.go
+++ b/cluster/gateway/serve.go
@@ -46,13 +46,14 @@
 // ServeService routes one request to a runner of the service and writes its answer.
 func (g *Gateway) ServeService(w http.ResponseWriter, r *http.Request, service cluster.ServiceName, path string) {
 	start := g.cfg.Clock()
+	c := &call{service: service, method: r.Method, header: r.Header, query: r.URL.RawQuery, path: path, rawPath: rawPath(r.URL, path)}
 	if !g.enter() {
-		refuse(http.StatusServiceUnavailable, "draining", "this daemon is shutting down").retry(0).write(w, true)
-		g.metrics.refused.Inc(1)
+		p := refuse(http.StatusServiceUnavailable, "draining", "this daemon is shutting down").retry(0)
+		g.report(c, nil, p, 0)
+		p.write(w, true)
 		return
 	}
 	defer g.leave()
-	c := &call{service: service, method: r.Method, header: r.Header, query: r.URL.RawQuery, path: path, rawPath: rawPath(r.URL, path)}
 	a, p := g.serve(w, r, c)
 	g.report(c, a, p, g.cfg.Clock().Sub(start))
 	g.mu.Lock()
@@ -101,6 +102,7 @@
 	}
 	ctx, cancel := context.WithTimeout(parent, c.deadline.Sub(g.cfg.Clock()))
 	defer cancel()
+	defer context.AfterFunc(g.ctx, cancel)()
 	a, p := g.serveKeyed(ctx, c)
 	if p != nil {
 		if c.mayHaveRun && p.run == runNo {
