test: ownership, gang, service, limit and submission scenarios; fixes from them

Cause: scenario tests found tasks left in racks without an open worker, remainders after a lowered limit, urgent work without grant in a full rack, and attempts that repeat the numbers of an earlier job with the same name. Change: first attempts are numbered from the submission time; nothing starts while the grants are above a lowered limit; urgent work asks for grant in a full rack; gang parts that no longer fit move; workers that left the platform's list are asked again.

--- a/cluster/rack/declared.go
+++ b/cluster/rack/declared.go
@@ -101,7 +101,7 @@
 			return
 		}
 		id := c.replicaSite(j, sites, add.tasks)
-		add.tasks[id] = append(add.tasks[id], taskRow{Index: int32(index), Attempt: 1})
+		add.tasks[id] = append(add.tasks[id], taskRow{Index: int32(index), Attempt: uint32(firstAttempt(j.submitted))})
 	}
 	c.declared.changing[j.id] = true
 	add.done = func(_ cluster.Version, err error) {
--- a/cluster/rack/exchange.go
+++ b/cluster/rack/exchange.go
@@ -204,8 +204,12 @@
 		return
 	}
 	switch result {
-	case platform.CommandDone, platform.CommandKnown:
+	case platform.CommandDone:
 		t.setState(cluster.TaskRunning, c.now)
+	case platform.CommandKnown:
+		// An answer was lost before; a full report shows whether the attempt still runs.
+		t.setState(cluster.TaskRunning, c.now)
+		r.cursor = 0
 	case platform.CommandUnreachable:
 		// The start may have run: it is repeated once the worker is reachable, or counts as lost after the lease.
 		c.requeue(r, cmd)
--- a/cluster/rack/fence.go
+++ b/cluster/rack/fence.go
@@ -215,7 +215,7 @@
 	if report.Reachable && !w.reachable && w.lapsed {
 		c.cfg.Log.Info().Str("worker", string(w.id)).Msg("rack: worker is back after its leases lapsed")
 	}
-	w.reachable = report.Reachable
+	w.reachable, w.reported = report.Reachable, c.now
 	if report.Reachable {
 		w.lapsed = false
 		w.fenced = report.Epoch >= r.epoch
--- a/cluster/rack/gang.go
+++ b/cluster/rack/gang.go
@@ -62,6 +62,7 @@
 			if j == nil || !j.isGang() || !j.active() || j.cancel {
 				continue
 			}
+			a.size = c.declaredSize(j)
 			c.abortRound(a, j)
 			c.startRound(r, a, j)
 			if j.home == r.id && a.pending > 0 {
@@ -73,7 +74,7 @@
 
 // roundOf returns the last round that was started, which the row may not show yet.
 func (c *Controller) roundOf(j *job) cluster.Attempt {
-	round := cluster.Attempt(j.round)
+	round := max(cluster.Attempt(j.round), firstAttempt(j.submitted)-1)
 	for _, id := range j.racks {
 		r := c.racks[id]
 		if r == nil || r.assignments[j.id] == nil {
@@ -110,7 +111,6 @@
 		return
 	}
 	round := c.roundOf(j)
-	a.size = c.declaredSize(j)
 	for _, t := range a.tasks {
 		if t.attempt > round || !c.ready(t) {
 			continue
@@ -160,8 +160,8 @@
 	switch {
 	case !ok || tasks.ahead == 0:
 	case tasks.behind > 0:
-		if j.idempotent() && j.abort < j.round && c.writable() {
-			c.writeRound(j, func(next *job) { next.abort = next.round })
+		if round := uint32(c.roundOf(j)); j.idempotent() && j.abort < round && c.writable() {
+			c.writeRound(j, func(next *job) { next.abort = round })
 		}
 	case tasks.ready:
 		c.holdAll(j, tasks)
--- a/cluster/rack/grant.go
+++ b/cluster/rack/grant.go
@@ -111,7 +111,12 @@
 	if low, ok := g.lowering[r.id]; ok {
 		v = v.Min(low)
 	}
-	return v.Min(c.targetUnder(g, v))
+	if !g.sum().Fits(c.limit(team)) {
+		// Nothing starts until the lowered limit is met: rows seen at different
+		// times would give the racks parts that add up to more than it.
+		return v.Min(r.usedBy(team))
+	}
+	return v
 }
 
 // targetUnder scales a grant down to the configured limit if the sum of the grants is above it.
@@ -197,23 +202,43 @@
 	return teams
 }
 
-// demand returns what a team could use in a rack: what it uses and what waits, as far as there is room.
+// demand returns what a team could use in a rack: what it uses and what waits,
+// as far as there is room. Work that others make room for counts even if there is none yet.
 func (c *Controller) demand(r *rack, team cluster.TeamName) cluster.Resources {
 	used := r.usedBy(team)
-	var waiting cluster.Resources
+	var waiting, urgent cluster.Resources
 	for _, a := range r.list {
 		if a.id.Team != team || a.pending == 0 {
 			continue
 		}
 		if j := c.jobs[a.id]; j != nil && j.active() && !j.cancel {
-			waiting = waiting.Add(c.declaredSize(j).Times(int64(a.pending)))
+			size := c.declaredSize(j).Times(int64(a.pending))
+			if j.spec.Priority == cluster.PriorityUrgent {
+				urgent = urgent.Add(size)
+			} else {
+				waiting = waiting.Add(size)
+			}
 		}
 	}
-	if waiting.IsZero() {
+	if waiting.IsZero() && urgent.IsZero() {
 		return used
 	}
-	_, free, _ := r.openCapacity()
-	return used.Add(waiting.Min(free))
+	total, free, _ := r.openCapacity()
+	if !waiting.Fits(free) && belowShare(r)[team] {
+		free = free.Max(c.largestWaiting(r, team))
+	}
+	return used.Add(waiting.Min(free)).Add(urgent.Min(total))
+}
+
+// largestWaiting returns the size of a team's largest waiting task in a rack.
+func (c *Controller) largestWaiting(r *rack, team cluster.TeamName) cluster.Resources {
+	var size cluster.Resources
+	for _, a := range r.list {
+		if j := c.jobs[a.id]; a.id.Team == team && a.pending > 0 && j != nil {
+			size = size.Max(c.declaredSize(j))
+		}
+	}
+	return size
 }
 
 // balanceTeam computes a team's next row from the demand on owned racks and the requests of others.
--- a/cluster/rack/hold.go
+++ b/cluster/rack/hold.go
@@ -52,9 +52,13 @@
 	workers, reason := r.table.PlaceAll(placement.Request{Size: size, Job: id}, n)
 	if reason != placement.Placed {
 		a.waits = "not all tasks of the gang fit: " + reason.String()
+		if a.blockedSince.IsZero() {
+			a.blockedSince = c.now
+		}
 		c.reserve(r, id, n, size)
 		return false
 	}
+	a.blockedSince = time.Time{}
 	r.holds = append(r.holds, &hold{job: id, size: size, workers: workers, expires: c.now.Add(life)})
 	r.syncWorkers()
 	return true
--- a/cluster/rack/member.go
+++ b/cluster/rack/member.go
@@ -147,10 +147,7 @@
 
 func (c *Controller) updateListed(w *worker) {
 	vm, ok := c.vms[w.id]
-	if w.listed && !ok && w.reachable {
-		// The VM is gone for good; the rack may never report it again.
-		w.reachable, w.goneAt = false, c.now
-	}
+	w.unlisted = !ok && (w.listed || w.unlisted)
 	w.listed, w.leaving = ok, ok && vm.Leaving
 	w.rack.syncWorker(w)
 }
--- a/cluster/rack/move.go
+++ b/cluster/rack/move.go
@@ -45,13 +45,33 @@
 	if !r.errSince.IsZero() {
 		return c.now.Sub(r.errSince) >= moveAfter
 	}
-	return !a.blockedSince.IsZero() && c.now.Sub(a.blockedSince) >= moveAfter && a.size.Fits(c.available(r, a.id.Team))
+	if a.blockedSince.IsZero() || c.now.Sub(a.blockedSince) < moveAfter {
+		return false
+	}
+	// A rack without an open worker gets no grant, so a missing grant must not keep its tasks there.
+	return !r.hasOpenWorker(a.size) || a.size.Fits(c.available(r, a.id.Team))
+}
+
+// hasOpenWorker reports whether some worker takes new tasks and is large enough.
+func (r *rack) hasOpenWorker(size cluster.Resources) bool {
+	return slices.ContainsFunc(r.order, func(w *worker) bool { return r.closed(w) == "" && size.Fits(w.capacity) })
+}
+
+// mostCopies returns how many tasks of a size the rack's open workers could hold if they were empty.
+func (r *rack) mostCopies(size cluster.Resources) int {
+	n := 0
+	for _, w := range r.order {
+		if r.closed(w) == "" {
+			n += copies(size, w.capacity)
+		}
+	}
+	return n
 }
 
 // moveAssignment begins a move of waiting tasks; it returns false if nothing can be moved.
 func (c *Controller) moveAssignment(r *rack, a *assignment) bool {
 	j := c.jobs[a.id]
-	if j == nil || !j.active() || j.cancel || j.isGang() || !c.stuck(r, a) {
+	if j == nil || !j.active() || j.cancel || !c.stuck(r, a) {
 		return false
 	}
 	a.nextMove = c.now.Add(c.jitter(moveInterval))
@@ -59,11 +79,16 @@
 	if to == nil {
 		return false
 	}
+	most := min(to.room, maxMoved)
+	if j.isGang() {
+		// A part that only waits for its turn stays; one that can never fit gives up the rest.
+		most = min(most, c.readyTasks(a)-r.mostCopies(a.size))
+	}
 	moved := map[int]bool{}
 	var rows []taskRow
 	for _, t := range a.tasks {
 		// A task that waits and is not in doubt has never been ordered to start, whatever its pin says.
-		if t.state == cluster.TaskPending && t.worker == nil && !t.suspect && !t.stop && t.zombies == 0 && len(moved) < min(to.room, maxMoved) {
+		if t.state == cluster.TaskPending && t.worker == nil && !t.suspect && !t.stop && t.zombies == 0 && len(moved) < most {
 			moved[t.index] = true
 			rows = append(rows, taskRow{Index: int32(t.index), Attempt: uint32(t.attempt), Failures: t.failures})
 		}
--- /dev/null
+++ b/cluster/rack/ownership_test.go
@@ -0,0 +1,269 @@
+package rack
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// ownerOf returns the daemon that owns a rack and another one.
+func (c *cell) ownerOf(rack cluster.RackID) (owner, other *fakeDaemon) {
+	owner = c.daemon(c.owners()[rack])
+	for _, d := range c.daemons {
+		if d != owner && !d.dead {
+			other = d
+		}
+	}
+	return owner, other
+}
+
+// fill occupies the racks so that a job must go to the given one.
+func (c *cell) closeOthers(rack cluster.RackID) {
+	for _, w := range c.racks.workers {
+		if w.rack != rack {
+			w.unreachable = true
+			c.racks.touch(w)
+		}
+	}
+}
+
+// Guards against a slow takeover: urgent work for a rack whose owner was just
+// killed has to start within 6.5 s.
+func TestUrgentWorkStartsAfterItsOwnerIsKilled(t *testing.T) {
+	for seed := range uint64(8) {
+		is := is.New(t)
+		c := newCell(t, seed, 4, 3, 2, 4)
+		c.run(5 * time.Second)
+		owner, other := c.ownerOf("z1-r0")
+		c.closeOthers("z1-r0")
+		c.run(3 * time.Second)
+		owner.dead = true
+		spec := batch("urgent", 1, cluster.Core, seed%2 == 0)
+		spec.Priority = cluster.PriorityUrgent
+		c.submit(other, spec)
+		killed := c.now
+		c.run(10 * time.Second)
+		started, ok := c.racks.started[spec.ID]
+		is.True(ok)                                           // the job has started
+		is.True(started.Sub(killed) <= 6500*time.Millisecond) // within the bound
+	}
+}
+
+// Guards against a change of the members moving racks of members that stay.
+func TestMembershipChangeMovesOnlyTheRacksItMust(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 6, 3, 8, 1)
+	c.run(5 * time.Second)
+	before := c.owners()
+	is.Equal(len(before), 24)
+	c.daemons[0].dead = true
+	c.run(8 * time.Second)
+	for rack, owner := range c.owners() {
+		is.True(owner == before[rack] || before[rack] == "d0") // only racks of the dead member moved
+		is.True(owner != "d0")
+	}
+	c.addDaemon("d0-new", c.daemons[0].place)
+	middle := c.owners()
+	c.run(10 * time.Second)
+	gained := 0
+	for rack, owner := range c.owners() {
+		is.True(owner == middle[rack] || owner == "d0-new") // only the new member gains racks
+		if owner == "d0-new" {
+			gained++
+		}
+	}
+	is.True(gained > 0)
+}
+
+// Guards against a planned stop that interrupts tasks or leaves racks without an owner.
+func TestDrainHandsRacksOver(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 2, 3, 3, 2, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Minute }
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], batch("long", 40, cluster.Core, false))
+	c.run(3 * time.Second)
+	c.daemons[1].inbox = append(c.daemons[1].inbox, &Drain{})
+	c.run(5 * time.Second)
+	is.True(c.daemons[1].drained)
+	c.daemons[1].dead = true
+	for _, owner := range c.owners() {
+		is.True(owner != "d1")
+	}
+	c.run(70 * time.Second)
+	is.Equal(c.job("long").state, JobFinished)
+	is.Equal(c.racks.starts, 40) // no task was started again
+}
+
+// Guards against two owners: one that is cut off from the store and unheard is fenced by its successor.
+func TestOwnerCutOffIsFenced(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 3, 3, 3, 1, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 20 * time.Second }
+	c.run(5 * time.Second)
+	owner, other := c.ownerOf("z0-r0")
+	c.closeOthers("z0-r0")
+	c.run(3 * time.Second)
+	c.submit(other, batch("b", 40, cluster.Core, false))
+	c.run(2 * time.Second)
+	owner.cut, owner.silent = true, true
+	c.run(4 * time.Minute)
+	is.Equal(c.job("b").state, JobFinished)
+	is.Equal(c.racks.starts, 40)
+	is.Equal(owner.controller.racks["z0-r0"].phase, phaseRecheck) // it waits for the store before it acts
+	owner.cut, owner.silent = false, false
+	c.run(20 * time.Second)
+	is.Equal(owner.controller.racks["z0-r0"].phase == phaseActive, c.owners()["z0-r0"] == owner.id)
+}
+
+// Guards against starting a task again that may run on a worker that could not be fenced.
+func TestUnfencedWorkerHoldsBackItsRack(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		c := newCell(t, 4, 3, 3, 1, 2)
+		c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Minute }
+		c.run(5 * time.Second)
+		owner, other := c.ownerOf("z0-r0")
+		c.closeOthers("z0-r0")
+		c.run(3 * time.Second)
+		c.submit(other, batch("b", 8, cluster.Core, idempotent))
+		c.run(time.Second)
+		is.Equal(c.racks.starts, 8)
+		// One worker and the owner go at once; the owner's memory of the starts goes with it.
+		w := c.racks.workers[0]
+		w.unreachable = true
+		c.racks.touch(w)
+		owner.dead = true
+		c.run(15 * time.Second)
+		is.Equal(c.racks.starts, 8) // the tasks of the unreachable worker wait
+		c.run(5 * time.Minute)
+		j := c.job("b")
+		if idempotent {
+			is.Equal(j.state, JobFinished)
+			is.Equal(c.racks.starts, 12) // four tasks were run again after their leases had lapsed
+		} else {
+			is.Equal(j.state, JobUnknown)
+			is.Equal(j.counts[cluster.TaskUnknown], 4)
+			is.Equal(c.racks.starts, 8)
+		}
+	}
+}
+
+// Guards against leases that lapse because nobody can take over a dead owner's
+// rack while the store is down, and against the peer's renewals continuing after a successor's fence.
+func TestLeasesOfDeadOwnerAreRenewedWhileTheStoreIsDown(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 5, 3, 3, 1, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 2 * time.Minute }
+	c.run(5 * time.Second)
+	owner, other := c.ownerOf("z0-r0")
+	c.closeOthers("z0-r0")
+	c.run(3 * time.Second)
+	c.submit(other, batch("b", 16, cluster.Core, false))
+	c.run(2 * time.Second)
+	c.store.down = true
+	c.run(time.Second)
+	owner.dead = true
+	c.run(90 * time.Second)
+	is.Equal(len(c.racks.workers[0].running), 4) // still running although nobody owns the rack
+	c.store.down = false
+	c.run(3 * time.Minute)
+	is.Equal(c.job("b").state, JobFinished)
+	is.Equal(c.racks.starts, 16)
+}
+
+// Guards against acting on old state after a pause longer than a lease.
+func TestPausedOwnerReadsAgainBeforeActing(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 6, 2, 2, 1, 2)
+	c.run(5 * time.Second)
+	d := c.daemons[0]
+	owned := d.controller.Owns()
+	is.True(owned > 0)
+	d.paused = true
+	c.run(30 * time.Second)
+	d.inbox = nil
+	for _, e := range d.controller.Step(c.now, nil) {
+		_, exchanges := e.(*Exchange)
+		_, commits := e.(*Commit)
+		is.True(!exchanges && !commits) // nothing is done before the rows are read
+		c.carryOut(d, e)
+	}
+	d.paused = false
+	c.run(20 * time.Second)
+	is.Equal(d.controller.Owns(), owned) // its racks came back to it
+}
+
+// Guards against assigned work standing still while the store is down, against
+// submissions that are not refused then, and against all daemons returning at once.
+func TestStoreDownForMinutes(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 7, 4, 3, 2, 2)
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], batch("b", 200, cluster.Core, true))
+	c.submit(c.daemons[0], batch("n", 60, cluster.Core, false))
+	c.run(2 * time.Second)
+	c.store.down = true
+	c.run(3 * time.Second)
+	before := c.racks.starts
+	c.submit(c.daemons[1], batch("refused", 1, cluster.Core, true))
+	c.run(time.Minute)
+	is.Equal(c.submits[cluster.JobID{Team: "a", Name: "refused"}].Outcome, Unavailable)
+	is.True(c.racks.starts > before+100) // assigned work goes on
+	is.Equal(c.job("refused"), nil)
+	reads := c.store.reads
+	c.run(time.Minute)
+	is.True(c.store.reads-reads <= 4*15) // back-off: at most one call in four seconds and daemon
+	c.store.down = false
+	c.run(3 * time.Minute)
+	is.Equal(c.job("b").state, JobFinished)
+	is.Equal(c.job("n").state, JobFinished)
+	is.Equal(c.racks.starts, 260)
+}
+
+// Guards against a result being lost or counted twice when answers of exchanges are lost.
+func TestLostExchangeAnswers(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 8, 3, 3, 1, 4)
+	c.lostExchange = 0.5
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], batch("b", 50, cluster.Core, false))
+	c.run(2 * time.Minute)
+	is.Equal(c.job("b").state, JobFinished)
+	is.Equal(c.racks.starts, 50)
+}
+
+// Guards against the late result of an earlier attempt counting for the task.
+func TestLateResultOfEarlierAttemptIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 9, 2, 1, 2, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Duration(c.racks.starts+1) * 40 * time.Second }
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], batch("b", 1, cluster.Core, true))
+	c.run(2 * time.Second)
+	var w *fakeWorker
+	for _, x := range c.racks.workers {
+		if len(x.running) > 0 {
+			w = x
+		}
+	}
+	w.unreachable = true
+	c.racks.touch(w)
+	c.run(35 * time.Second) // the lease lapses, the task runs again elsewhere
+	is.Equal(c.racks.starts, 2)
+	for id, e := range w.ended {
+		e.Outcome = platform.OutcomeSucceeded // as if the worker had finished it after all
+		w.ended[id] = e
+	}
+	w.unreachable = false
+	c.racks.touch(w)
+	c.run(10 * time.Second)
+	is.Equal(c.job("b").state, JobActive) // the second attempt still runs
+	is.Equal(len(w.ended), 0)             // the late result was acknowledged and not used
+	c.run(100 * time.Second)
+	is.Equal(c.job("b").state, JobFinished)
+}
--- a/cluster/rack/recovery.go
+++ b/cluster/rack/recovery.go
@@ -8,6 +8,9 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster/placement"
 )
 
+// unlistedDelay is how old a report must be to be doubted once its worker has left the platform's list.
+const unlistedDelay = 5 * time.Second
+
 // lapse gives up on workers and racks that could not be reached for longer than any lease.
 func (c *Controller) lapse() {
 	for _, r := range c.rackOrder {
@@ -30,6 +33,7 @@
 		if c.health.State(w.id, c.now) != placement.Healthy {
 			r.syncWorker(w)
 		}
+		c.dropUnlisted(r, w)
 		since := c.goneSince(r, w)
 		if since.IsZero() || c.now.Sub(since) <= c.leaseWait() {
 			continue
@@ -49,6 +53,17 @@
 	}
 }
 
+// dropUnlisted treats a worker as unreachable whose VM has left the platform's
+// list: its rack may never report it again. If it does live, the full report
+// that is asked for here says so.
+func (c *Controller) dropUnlisted(r *rack, w *worker) {
+	if w.unlisted && w.reachable && c.now.Sub(w.reported) > unlistedDelay {
+		w.reachable, w.goneAt = false, c.now
+		r.cursor = 0
+		r.syncWorker(w)
+	}
+}
+
 // goneSince returns when the last lease of a worker may have been renewed; zero if it is being renewed.
 func (c *Controller) goneSince(r *rack, w *worker) (since time.Time) {
 	if !w.reachable {
--- a/cluster/rack/row.go
+++ b/cluster/rack/row.go
@@ -171,10 +171,20 @@
 	return encode(&r)
 }
 
-func newTasks(indexes []int) []taskRow {
+// attemptEpoch is the time that the first attempts of jobs are counted from.
+var attemptEpoch = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// firstAttempt is the number of a job's first attempts. Workers refuse attempts
+// that they know, so a job must not repeat the numbers of an earlier job with the
+// same name; seconds of the submission are above them, because retries take longer.
+func firstAttempt(submitted time.Time) cluster.Attempt {
+	return cluster.Attempt(max(submitted.Sub(attemptEpoch)/time.Second, 0)) + 1
+}
+
+func newTasks(indexes []int, submitted time.Time) []taskRow {
 	rows := make([]taskRow, len(indexes))
 	for i, index := range indexes {
-		rows[i] = taskRow{Index: int32(index), Attempt: 1}
+		rows[i] = taskRow{Index: int32(index), Attempt: uint32(firstAttempt(submitted))}
 	}
 	return rows
 }
--- a/cluster/rack/start.go
+++ b/cluster/rack/start.go
@@ -25,12 +25,19 @@
 	}
 }
 
-// noteBlocked notes since when assignments wait that the queue holds back with others of the same size.
+// noteBlocked notes since when assignments wait that the queue does not offer:
+// those held back with others of the same size, and those in a rack without an
+// open worker, which gets no grant either.
 func (c *Controller) noteBlocked(r *rack) {
 	for _, a := range r.list {
-		if a.pending > 0 && a.blockedSince.IsZero() && r.queue.State(a.id) == placement.ItemBlocked {
-			a.blockedSince = c.now
-			a.waits = placement.NoRoomNow.String()
+		if a.pending == 0 || !a.blockedSince.IsZero() {
+			continue
+		}
+		switch {
+		case r.queue.State(a.id) == placement.ItemBlocked:
+			a.blockedSince, a.waits = c.now, placement.NoRoomNow.String()
+		case !r.hasOpenWorker(a.size):
+			a.blockedSince, a.waits = c.now, placement.AllClosed.String()
 		}
 	}
 }
--- a/cluster/rack/submission.go
+++ b/cluster/rack/submission.go
@@ -196,7 +196,7 @@
 	}
 	rows := []platform.Row{{Key: jobKey(j.id), Value: value}}
 	for _, p := range parts {
-		value, err := encode(&assignRow{Submitted: j.submitted.UnixNano(), Tasks: newTasks(p.indexes)})
+		value, err := encode(&assignRow{Submitted: j.submitted.UnixNano(), Tasks: newTasks(p.indexes, j.submitted)})
 		if err != nil {
 			return change, nil, err
 		}
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -124,7 +124,10 @@
 	reachable bool
 	fenced    bool
 	leaving   bool
-	listed    bool
+	// listed workers are on the platform's list, unlisted ones were on it before.
+	listed, unlisted bool
+	// reported is when the worker last reported.
+	reported time.Time
 	// goneAt is when the worker was first found unreachable; its leases have lapsed a lease wait later.
 	goneAt time.Time
 	lapsed bool
--- /dev/null
+++ b/cluster/rack/workload_test.go
@@ -0,0 +1,280 @@
+package rack
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+func gangJob(name string, tasks int, cpu cluster.CPU) *cluster.JobSpec {
+	spec := batch(name, 0, cpu, true)
+	spec.Workload = &cluster.Gang{Tasks: tasks, Size: cluster.Resources{CPU: cpu, Memory: cluster.GiB}, RunTime: 5 * time.Second}
+	return spec
+}
+
+func serviceJob(name string, replicas int, cpu cluster.CPU) *cluster.JobSpec {
+	spec := batch(name, 0, cpu, true)
+	spec.Workload = &cluster.Service{Replicas: replicas, Size: cluster.Resources{CPU: cpu, Memory: cluster.GiB}}
+	return spec
+}
+
+// running returns the workers that run tasks of a job, one entry per task.
+func (c *cell) running(name string) []*fakeWorker {
+	var on []*fakeWorker
+	for _, w := range c.racks.workers {
+		for _, id := range sortedAttempts(w.running) {
+			if id.Task.Job.Name == cluster.JobName(name) && !w.dead {
+				on = append(on, w)
+			}
+		}
+	}
+	return on
+}
+
+// Guards against a gang job over the racks of several owners starting in part,
+// and against two of them holding what the other needs.
+func TestGangJobsStartTogether(t *testing.T) {
+	for seed := range uint64(6) {
+		is := is.New(t)
+		c := newCell(t, seed, 3, 3, 1, 4)
+		c.racks.runTime = func(cluster.AttemptID) time.Duration { return 10 * time.Second }
+		c.lostSend = float64(seed%2) * 0.3
+		c.run(5 * time.Second)
+		c.submit(c.daemons[0], gangJob("g1", 10, 4*cluster.Core)) // 10 of 12 workers, three racks
+		c.submit(c.daemons[1], gangJob("g2", 10, 4*cluster.Core))
+		c.submit(c.daemons[2], batch("small", 30, 2*cluster.Core, true))
+		for range 1200 {
+			c.run(100 * time.Millisecond)
+			for _, g := range []string{"g1", "g2"} {
+				if j := c.job(g); j != nil && j.round == 0 {
+					is.Equal(len(c.running(g)), 0) // nothing runs before the round is recorded
+				}
+			}
+		}
+		is.Equal(c.job("g1").state, JobFinished)
+		is.Equal(c.job("g2").state, JobFinished)
+		is.Equal(c.job("small").state, JobFinished)
+	}
+}
+
+// Guards against a gang job going on without a task that was lost.
+func TestGangJobStartsAgainAfterALoss(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 3, 3, 1, 4)
+	c.racks.runTime = func(id cluster.AttemptID) time.Duration { return 50 * time.Second }
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], gangJob("g", 8, 4*cluster.Core))
+	c.run(5 * time.Second)
+	on := c.running("g")
+	is.Equal(len(on), 8)
+	on[0].dead = true
+	clear(on[0].running)
+	c.racks.touch(on[0])
+	c.run(3 * time.Minute)
+	is.Equal(c.job("g").state, JobFinished)
+	is.Equal(c.job("g").round, uint32(firstAttempt(c.job("g").submitted))+1)
+	is.Equal(c.racks.starts, 16) // all eight tasks were started twice
+}
+
+// Guards against replicas that pile up in a zone, and against replicas that are
+// not started elsewhere after a worker, a rack or a zone is lost.
+func TestServiceSurvivesTheLossOfAZone(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 2, 3, 3, 2, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 24 * time.Hour }
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], serviceJob("s", 9, cluster.Core))
+	c.run(5 * time.Second)
+	zones := map[cluster.Zone]int{}
+	for _, w := range c.running("s") {
+		zones[w.place.Zone]++
+	}
+	is.Equal(zones, map[cluster.Zone]int{"z0": 3, "z1": 3, "z2": 3})
+	for _, w := range c.racks.workers {
+		if w.place.Zone == "z1" {
+			w.dead = true
+			clear(w.running)
+			c.racks.touch(w)
+		}
+	}
+	c.run(time.Minute)
+	is.Equal(len(c.running("s")), 9)
+}
+
+// Guards against a declared job that is submitted twice, not scaled or not stopped.
+func TestDeclaredServiceIsScaledAndWithdrawn(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 3, 3, 3, 2, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 24 * time.Hour }
+	declare := func(replicas int) {
+		c.version++
+		entities := []cluster.Entity{&cluster.Queue{Name: "q"}, c.config.Teams["a"]}
+		if replicas > 0 {
+			entities = append(entities, serviceJob("s", replicas, cluster.Core))
+		}
+		c.config = cluster.Assemble(c.version, entities)
+	}
+	c.run(5 * time.Second)
+	for _, replicas := range []int{6, 9, 4, 7, 0, 3} {
+		declare(replicas)
+		c.run(20 * time.Second)
+		is.Equal(len(c.running("s")), replicas)
+	}
+}
+
+// Guards against tasks that wait in a full rack while another has room.
+func TestWaitingTasksMoveToRacksWithRoom(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 4, 3, 3, 1, 2)
+	c.racks.runTime = func(id cluster.AttemptID) time.Duration {
+		if id.Task.Job.Name == "short" {
+			return 5 * time.Second
+		}
+		return 10 * time.Minute
+	}
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], batch("short", 12, 2*cluster.Core, true)) // fills the cell
+	c.run(2 * time.Second)
+	c.submit(c.daemons[0], batch("long", 6, 4*cluster.Core, false)) // two per rack wait
+	c.run(time.Second)
+	c.racks.workers[0].unreachable = true
+	c.racks.workers[1].unreachable = true // the first rack is lost
+	c.racks.touch(c.racks.workers[0])
+	c.racks.touch(c.racks.workers[1])
+	c.run(time.Minute)
+	is.Equal(len(c.running("long")), 4)
+	c.racks.workers[0].unreachable = false
+	c.racks.touch(c.racks.workers[0])
+	c.run(time.Minute)
+	is.Equal(len(c.running("long")), 5)
+}
+
+// Guards against a limit passed while grants move between racks, and against a
+// lowered limit that is not reached.
+func TestLoweredLimitIsReached(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 5, 3, 3, 1, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 30 * time.Second }
+	c.racks.limit = func(cluster.TeamName) cluster.Resources { return c.config.Teams["a"].Limit }
+	c.setLimit(cluster.Resources{CPU: 24 * cluster.Core, Memory: 64 * cluster.GiB})
+	c.run(5 * time.Second)
+	c.submit(c.daemons[0], batch("b", 60, cluster.Core, true))
+	c.run(3 * time.Second)
+	is.Equal(len(c.running("b")), 24)
+	c.racks.limit = nil // starts decided before the change was seen
+	c.setLimit(cluster.Resources{CPU: 10 * cluster.Core, Memory: 64 * cluster.GiB})
+	c.run(6 * time.Second)
+	c.racks.limit = func(cluster.TeamName) cluster.Resources { return c.config.Teams["a"].Limit }
+	c.run(9 * time.Second)
+	is.True(len(c.running("b")) <= 10)
+	c.run(5 * time.Minute)
+	is.Equal(c.job("b").state, JobFinished)
+}
+
+// Guards against a rack without grant that waits while another holds what it does not need.
+func TestGrantMovesToANewRack(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 6, 3, 3, 1, 4)
+	c.racks.limit = func(cluster.TeamName) cluster.Resources { return c.config.Teams["a"].Limit }
+	c.setLimit(cluster.Resources{CPU: 12 * cluster.Core, Memory: 48 * cluster.GiB})
+	c.run(5 * time.Second)
+	for i := range 6 {
+		name := fmt.Sprintf("b%d", i)
+		c.submit(c.daemons[i%3], batch(name, 12, cluster.Core, true))
+		c.run(15 * time.Second)
+		is.Equal(c.job(name).state, JobFinished)
+		for _, w := range c.racks.workers {
+			w.unreachable = w.rack != cluster.RackID(fmt.Sprintf("z%d-r0", (i+1)%3)) // another rack each time
+			c.racks.touch(w)
+		}
+		c.run(3 * time.Second)
+	}
+}
+
+// Guards against urgent work that waits behind work that could give way.
+func TestUrgentWorkTakesRoom(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 7, 3, 3, 1, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Minute }
+	c.run(5 * time.Second)
+	low := batch("low", 48, cluster.Core, true)
+	low.Priority, low.Checkpoints = cluster.PriorityDeferrable, true
+	c.submit(c.daemons[0], low)
+	c.run(3 * time.Second)
+	is.Equal(len(c.running("low")), 48)
+	urgent := batch("urgent", 3, 2*cluster.Core, false)
+	urgent.Priority = cluster.PriorityUrgent
+	c.submit(c.daemons[1], urgent)
+	c.run(6500 * time.Millisecond)
+	is.Equal(len(c.running("urgent")), 3)
+	c.run(5 * time.Minute)
+	is.Equal(c.job("low").state, JobFinished)
+}
+
+// Guards against a job that can never run being accepted without a word, and
+// against a repeat or another job under the same id being run.
+func TestSubmissionIsRefusedWithAReason(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 8, 2, 2, 1, 2)
+	c.run(5 * time.Second)
+	other := batch("queue", 1, cluster.Core, true)
+	other.Queue = "none"
+	for _, test := range []struct {
+		spec    *cluster.JobSpec
+		outcome Outcome
+	}{
+		{batch("large", 1, 5*cluster.Core, true), Refused},
+		{batch("empty", 0, cluster.Core, true), Refused},
+		{gangJob("gang", 2000, cluster.Core), Refused},
+		{gangJob("wide", 17, cluster.Core), Unavailable},
+		{other, Refused},
+		{batch("first", 1, cluster.Core, true), Accepted},
+	} {
+		c.submit(c.daemons[0], test.spec)
+		c.run(time.Second)
+		is.Equal(c.submits[test.spec.ID].Outcome, test.outcome)
+	}
+	delete(c.submits, cluster.JobID{Team: "a", Name: "first"})
+	c.submit(c.daemons[1], batch("first", 1, cluster.Core, true))
+	c.run(time.Second)
+	is.Equal(c.submits[cluster.JobID{Team: "a", Name: "first"}].Outcome, Duplicate)
+	c.submits = map[cluster.JobID]SubmitResult{}
+	c.submit(c.daemons[1], batch("first", 2, cluster.Core, true))
+	c.run(time.Second)
+	is.Equal(c.submits[cluster.JobID{Team: "a", Name: "first"}].Outcome, Refused)
+	c.run(20 * time.Second)
+	is.Equal(c.racks.starts, 1)
+}
+
+// Guards against a wave of cancellations that takes one transaction per job.
+func TestCancellationsAreWrittenTogether(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 9, 3, 3, 2, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Hour }
+	c.run(5 * time.Second)
+	var jobs []cluster.JobID
+	for i := range 150 {
+		spec := batch(fmt.Sprintf("b%d", i), 2, cluster.Core, true)
+		jobs = append(jobs, spec.ID)
+		c.submit(c.daemons[i%3], spec)
+	}
+	c.run(5 * time.Second)
+	commits := c.store.commits
+	c.daemons[0].inbox = append(c.daemons[0].inbox, &Cancel{Token: 1, Jobs: append(jobs, cluster.JobID{Team: "a", Name: "none"})})
+	c.run(500 * time.Millisecond)
+	is.True(c.store.commits-commits < 20)
+	c.run(20 * time.Second)
+	for _, id := range jobs {
+		is.Equal(c.job(string(id.Name)).state, JobCancelled)
+	}
+	outcomes := c.daemons[0].cancels[0].Outcomes
+	is.Equal(outcomes[0], Accepted)
+	is.Equal(outcomes[150], NotFound)
+	for _, w := range c.racks.workers {
+		is.Equal(len(w.running)+len(w.ended), 0)
+	}
+}
