perf: fewer acquisitions of the gateway's lock

Cause: a request took the lock ten times; at concurrency 16 requests waited 3.4 s for it in a run of 4 s on 10 cores. Change: identifiers from an atomic counter, the draining flag read without the lock, the stall time computed where a connection is taken.

--- a/cluster/gateway/attempt.go
+++ b/cluster/gateway/attempt.go
@@ -181,10 +181,7 @@
 }
 
 func (g *Gateway) watch(c *call, r *runner, l *link, cancel context.CancelCauseFunc) *stallWatch {
-	g.mu.Lock()
-	stall := max(stallFactor*r.service.time.likely(g.cfg.Clock()), stallFloor)
-	g.mu.Unlock()
-	w := &stallWatch{g: g, c: c, r: r, l: l, stall: stall, cancel: cancel}
+	w := &stallWatch{g: g, c: c, r: r, l: l, stall: l.stall, cancel: cancel}
 	w.arm()
 	return w
 }
--- a/cluster/gateway/drain.go
+++ b/cluster/gateway/drain.go
@@ -22,6 +22,7 @@
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.mu.Lock()
 	g.draining = true
+	g.closing.Store(true)
 	var idle chan struct{}
 	if g.active > 0 {
 		if g.idle == nil {
--- a/cluster/gateway/gateway.go
+++ b/cluster/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -27,6 +28,11 @@
 	pollNow   chan struct{}
 	keys      *keyTable
 
+	// requests counts the requests, for their identifiers.
+	requests atomic.Uint64
+	// closing is a copy of draining that is read without the lock.
+	closing atomic.Bool
+
 	mu          sync.Mutex
 	services    map[cluster.ServiceName]*service
 	teams       map[cluster.TeamName]*team
@@ -77,6 +83,7 @@
 func (g *Gateway) Close() {
 	g.mu.Lock()
 	g.draining, g.closed = true, true
+	g.closing.Store(true)
 	for _, s := range g.services {
 		for _, r := range s.runners {
 			r.suspect()
--- a/cluster/gateway/link.go
+++ b/cluster/gateway/link.go
@@ -148,6 +148,8 @@
 	client   *http.ClientConn
 	verified time.Time
 	epoch    int
+	// stall is the time without a byte after which the link is checked, as of the current request.
+	stall time.Duration
 }
 
 func (l *link) usable() bool {
--- a/cluster/gateway/runner.go
+++ b/cluster/gateway/runner.go
@@ -124,12 +124,15 @@
 // obtain returns a link to a runner, an idle one or a new one.
 func (g *Gateway) obtain(ctx context.Context, r *runner, verified bool) (*link, error) {
 	g.mu.Lock()
-	if l := r.takeIdle(g.cfg.Clock(), verified); l != nil {
+	now := g.cfg.Clock()
+	stall := max(stallFactor*r.service.time.likely(now), stallFloor)
+	if l := r.takeIdle(now, verified); l != nil {
+		l.stall = stall
 		g.mu.Unlock()
 		return l, nil
 	}
 	// The slot already limits the links in use; idle ones make room.
-	r.trimIdle(r.connectionLimit()-1, g.cfg.Clock())
+	r.trimIdle(r.connectionLimit()-1, now)
 	r.connections++
 	epoch := r.epoch
 	g.mu.Unlock()
@@ -140,7 +143,7 @@
 		g.mu.Unlock()
 		return nil, err
 	}
-	l.epoch = epoch
+	l.epoch, l.stall = epoch, stall
 	return l, nil
 }
 
--- a/cluster/gateway/serve.go
+++ b/cluster/gateway/serve.go
@@ -56,9 +56,7 @@
 	defer g.leave()
 	a, p := g.serve(w, r, c)
 	g.report(c, a, p, g.cfg.Clock().Sub(start))
-	g.mu.Lock()
-	closing := g.draining
-	g.mu.Unlock()
+	closing := g.closing.Load()
 	if p != nil {
 		p.write(w, closing)
 		return
@@ -158,11 +156,10 @@
 	return nil
 }
 
-// newID returns an identifier of a request, unique within the fleet.
+// newID returns an identifier of a request; it is unique within the fleet,
+// because a daemon's identifier stands for one run of it.
 func (g *Gateway) newID() string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return string(g.cfg.Self) + "-" + strconv.FormatUint(g.cfg.Random.Uint64(), 36)
+	return string(g.cfg.Self) + "-" + strconv.FormatUint(g.requests.Add(1), 36)
 }
 
 // authorize finds the team of a request.
