perf: check quiet ledgers of slots twice a second

Cause: each tick of 100 ms planned 33 ledgers under the lock of the requests. Change: a ledger without demand, lending or a release has its turn about every 500 ms; a conflict sets the next turn.

--- a/cluster/gateway/ledger.go
+++ b/cluster/gateway/ledger.go
@@ -178,6 +178,8 @@
 	units map[string]*unit
 	// wanted is how many requests wait for a slot; missing is how much this daemon has less than its reserve.
 	wanted, missing int
+	// turn is when the ledger is checked next, if nothing happens before.
+	turn time.Time
 	// notBefore delays the next proposal after a conflict with another daemon's.
 	notBefore time.Time
 	// lend is how many slots peers asked for and who asked.
@@ -220,13 +222,22 @@
 	}
 }
 
-// totals sums over the units.
-func (l *ledger) totals() (limit, inFlight int) {
+// limit is the number of slots that may be used now.
+func (l *ledger) limit() int {
+	n := 0
+	for _, u := range l.units {
+		n += u.limit
+	}
+	return n
+}
+
+// use is the number of slots in use, and whether some are being given back.
+func (l *ledger) use() (inFlight int, releasing bool) {
 	for _, u := range l.units {
-		limit += u.limit
 		inFlight += u.inFlight
+		releasing = releasing || u.limit < u.held
 	}
-	return limit, inFlight
+	return inFlight, releasing
 }
 
 func (l *ledger) fairTotal(members []cluster.DaemonID, d cluster.DaemonID) int {
@@ -338,7 +349,7 @@
 	if l.lend == 0 {
 		return
 	}
-	limit, _ := l.totals()
+	limit := l.limit()
 	l.lend = max(l.lend-l.unheld(), 0)
 	// All peers get the same request, so each gives its part of it.
 	others := max(len(f.sharing)-1, 1)
--- a/cluster/gateway/lend.go
+++ b/cluster/gateway/lend.go
@@ -23,6 +23,9 @@
 	peakWindow = 2 * time.Second
 	// maxWanted limits the slots asked for at once.
 	maxWanted = 64
+	// quietEvery is how often a ledger without demand is checked. The check holds
+	// the lock, for a quarter of a millisecond over 33 ledgers at once.
+	quietEvery = 500 * time.Millisecond
 	// reclaimAfter is how long a daemon has to be missing from the members before its slots are lent to others.
 	reclaimAfter = 5 * time.Second
 )
@@ -133,9 +136,16 @@
 	if len(g.fleet.all) == 0 || g.draining {
 		return
 	}
-	f := g.patient(now)
+	var f fleet
 	for _, l := range g.ledgers {
-		g.measure(l, now)
+		if !g.measure(l, now) && now.Before(l.turn) {
+			continue
+		}
+		if f.self == "" {
+			f = g.patient(now)
+		}
+		l.turn = now.Add(g.jitter(quietEvery))
+		l.missing = max(l.reserve(g.fleet)-l.limit(), 0)
 		g.ask(l, now)
 		g.propose(l, f, now)
 	}
@@ -174,9 +184,10 @@
 	return f
 }
 
-// measure updates the slots that a ledger needs and wants.
-func (g *Gateway) measure(l *ledger, now time.Time) {
-	limit, inFlight := l.totals()
+// measure updates the slots that a ledger needs and wants, and reports whether
+// slots are to be moved now.
+func (g *Gateway) measure(l *ledger, now time.Time) bool {
+	inFlight, releasing := l.use()
 	queued := 0
 	if name, ok := l.team(); ok {
 		if t := g.teams[name]; t != nil && t.full() {
@@ -190,7 +201,7 @@
 		l.lastPeak, l.peak = l.peak, inFlight+queued
 	}
 	l.wanted = min(queued, maxWanted)
-	l.missing = max(l.reserve(g.fleet)-limit, 0)
+	return l.wanted > 0 || l.lend > 0 || releasing
 }
 
 // ask requests slots from peers if too few are free.
@@ -235,6 +246,7 @@
 		// With many daemons proposing at once, one of them succeeds each time.
 		spread := g.cfg.Tick * time.Duration(max(len(g.fleet.all), 1)) / 2
 		l.notBefore = g.cfg.Clock().Add(time.Duration(g.cfg.Random.Int64N(int64(spread) + 1)))
+		l.turn = l.notBefore
 		g.cfg.Log.Warn().Err(err).Str("row", l.key()).Msg("gateway: slots not changed")
 		g.poke()
 		return
