--- a/cluster/note/apply.go
+++ b/cluster/note/apply.go
@@ -21,6 +21,9 @@
 	// recognised: ten days at 1,000 notes a day. Older rows are deleted.
 	retainRequests = 10_000
 	maxRequestID   = 128
+	// callTimeout bounds one call to the table service or the object store. Only
+	// the commit is waited for longer, until its outcome is known.
+	callTimeout = 5 * time.Second
 )
 
 // Committer commits changes and finds out lost answers; a *journal.Journal is one.
@@ -134,6 +137,8 @@
 func textName(digest [32]byte) string { return "note/" + hexDigest(digest) }
 
 func (r *Repository) putText(ctx context.Context, n *Note, digest [32]byte) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if err := r.cfg.Objects.PutObject(ctx, textName(digest), n.Text); err != nil {
 		return &Error{Op: "store the text of the note", Kind: KindUnavailable, Err: err}
 	}
--- a/cluster/note/history.go
+++ b/cluster/note/history.go
@@ -31,7 +31,7 @@
 // History returns up to limit notes before a version, newest first; version 0 means from the head on.
 func (r *Repository) History(ctx context.Context, before cluster.Version, limit int) ([]Record, error) {
 	if before == 0 {
-		reply, err := r.cfg.Store.Read(ctx, platform.ReadRequest{Keys: []string{HeadKey}})
+		reply, err := r.read(ctx, platform.ReadRequest{Keys: []string{HeadKey}})
 		if err != nil {
 			return nil, storeError("read the head", err)
 		}
@@ -61,6 +61,8 @@
 		return Record{}, nil, &Error{Op: "show note", Kind: KindNotFound, Err: fmt.Errorf("there is no note %d", version)}
 	}
 	rec := records[0]
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	text, err := r.cfg.Objects.GetObject(ctx, textName(rec.Digest))
 	if err != nil {
 		return rec, nil, &Error{Op: "read the text of the note", Kind: KindUnavailable, Err: err}
@@ -80,7 +82,7 @@
 	for _, v := range versions {
 		keys = append(keys, noteKey(v))
 	}
-	reply, err := r.cfg.Store.Read(ctx, platform.ReadRequest{Keys: keys})
+	reply, err := r.read(ctx, platform.ReadRequest{Keys: keys})
 	if err != nil {
 		return nil, storeError("read notes", err)
 	}
--- a/cluster/note/state.go
+++ b/cluster/note/state.go
@@ -26,12 +26,18 @@
 	note cluster.Version
 }
 
+func (r *Repository) read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return r.cfg.Store.Read(ctx, req)
+}
+
 func storeError(op string, err error) error {
 	return &Error{Op: op, Kind: KindUnavailable, Err: err}
 }
 
 func (r *Repository) readState(ctx context.Context, request string) (*state, error) {
-	reply, err := r.cfg.Store.Read(ctx, platform.ReadRequest{
+	reply, err := r.read(ctx, platform.ReadRequest{
 		Keys: []string{HeadKey, requestKey(request)}, Prefixes: []string{EntityPrefix},
 	})
 	if err != nil {
--- a/cluster/rollout/freshness_test.go
+++ b/cluster/rollout/freshness_test.go
@@ -15,9 +15,11 @@
 // take any time, links and access to the store come and go, daemons pause,
 // crash, leave and join, and answers of commits are lost.
 type model struct {
-	t       *rapid.T
-	now     time.Time
-	head    cluster.Version
+	t    *rapid.T
+	now  time.Time
+	head cluster.Version
+	// asOf counts the changes of the store.
+	asOf    int
 	commits []time.Time // commits[v-1] is when note v was accepted
 	rows    map[cluster.DaemonID]bool
 	daemons []*modelDaemon
@@ -29,6 +31,7 @@
 type modelDaemon struct {
 	id       cluster.DaemonID
 	f        *freshness
+	asOf     int
 	store    bool
 	paused   bool
 	dead     bool
@@ -70,6 +73,7 @@
 	id := cluster.DaemonID(fmt.Sprintf("d%02d", m.next))
 	d := &modelDaemon{id: id, f: newFreshness(id), store: true, sent: map[uint64]time.Time{}, seen: map[cluster.DaemonID]uint64{}}
 	m.rows[id] = true
+	m.asOf++
 	for _, other := range m.daemons {
 		// A newcomer may reach only some members.
 		m.link(d, other, m.chance(70, "reach"))
@@ -99,16 +103,16 @@
 	if d.dead || d.paused || !d.store {
 		return
 	}
-	sent, head := m.now, m.head
+	sent, head, asOf := m.now, m.head, m.asOf
 	members := make([]cluster.DaemonID, 0, len(m.rows))
 	for id := range m.rows {
 		members = append(members, id)
 	}
 	m.send(d, func(d *modelDaemon) {
-		if head < d.f.version {
-			return
+		if asOf > d.asOf {
+			d.asOf = asOf
+			d.f.apply(&viewApplied{version: head, members: members})
 		}
-		d.f.apply(&viewApplied{version: head, members: members})
 		d.f.apply(&confirmedByStore{at: sent})
 		m.settle(d)
 	})
@@ -171,12 +175,12 @@
 	c.served = true
 	if c.head == m.head && m.rows[c.from.id] {
 		m.head++
+		m.asOf++
 		m.commits = append(m.commits, m.now)
 		c.applied = m.head
 	}
-	d, result := c.from, c.applied
-	m.send(d, func(d *modelDaemon) {
-		if result == 0 {
+	m.send(c.from, func(d *modelDaemon) {
+		if d.pending == c && c.applied == 0 {
 			d.pending = nil
 		}
 		m.settle(d)
@@ -216,10 +220,15 @@
 		}
 	}
 	if d.store && m.chance(50, "row deleted") {
-		delete(m.rows, d.id)
+		m.remove(d)
 	}
 }
 
+func (m *model) remove(d *modelDaemon) {
+	delete(m.rows, d.id)
+	m.asOf++
+}
+
 func (m *model) fault() {
 	d := m.daemons[rapid.IntRange(0, len(m.daemons)-1).Draw(m.t, "daemon")]
 	switch rapid.IntRange(0, 9).Draw(m.t, "fault") {
@@ -244,7 +253,7 @@
 		d.dead = true
 	case 7:
 		if d.dead {
-			delete(m.rows, d.id) // its VM is no longer listed
+			m.remove(d) // its VM is no longer listed
 		}
 	case 8:
 		m.leave(d)
