--- a/cluster/rollout/world_test.go
+++ b/cluster/rollout/world_test.go
@@ -28,7 +28,7 @@
 	storeRegion   = "north"
 	farLatency    = 30 * time.Millisecond
 	nearLatency   = time.Millisecond
-	withinSeconds = 7 * time.Second
+	withdrawnWithin = 7 * time.Second
 )
 
 // world is a cell of daemons with the real transport, journal, notes, members
@@ -360,7 +360,7 @@
 	}
 }
 
-// check requires that no running daemon honours a key longer than withinSeconds after its withdrawal.
+// check requires that no running daemon honours a key longer than withdrawnWithin after its withdrawal.
 func (w *world) check() {
 	w.mu.Lock()
 	withdrawn := map[string]time.Time{}
@@ -381,7 +381,7 @@
 			continue
 		}
 		for secret, at := range withdrawn {
-			if _, err := d.rollout.Authorize(secret, "tills"); err == nil && time.Since(at) > withinSeconds {
+			if _, err := d.rollout.Authorize(secret, "tills"); err == nil && time.Since(at) > withdrawnWithin {
 				w.fatal("%s accepts key %s %s after its withdrawal", d.name, secret, time.Since(at))
 			}
 		}
