--- a/cluster/rollout/main_test.go
+++ b/cluster/rollout/main_test.go
@@ -8,14 +8,16 @@
 	"go.uber.org/goleak"
 )
 
+// given holds the flags that the command line sets.
+var given = map[string]bool{}
+
 // TestMain fixes the seed and the number of the random runs unless flags set
 // them; -rapid.checks=100000 -rapid.seed=0 is the long run with random seeds.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	set := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { set[f.Name] = true })
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
 	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "4000", "rapid.nofailfile": "true"} {
-		if !set[name] {
+		if !given[name] {
 			if err := flag.Set(name, value); err != nil {
 				panic(err)
 			}
--- a/cluster/rollout/world_test.go
+++ b/cluster/rollout/world_test.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	storeRegion   = "north"
-	farLatency    = 30 * time.Millisecond
-	nearLatency   = time.Millisecond
+	storeRegion     = "north"
+	farLatency      = 30 * time.Millisecond
+	nearLatency     = time.Millisecond
 	withdrawnWithin = 7 * time.Second
 )
 
