--- a/cluster/peer/codec.go
+++ b/cluster/peer/codec.go
@@ -57,11 +57,11 @@
 		e.uint(uint64(tagPing))
 		e.uint(v.Sequence)
 		e.uint(v.Echo)
-		encodeDigest(e, &v.Digest, v.parts)
+		encodeDigest(e, &v.Digest, v.layout)
 	case *Leaving:
 		e.uint(uint64(tagLeaving))
 		e.string(string(v.From))
-		encodeDigest(e, &v.Digest, allParts)
+		encodeDigest(e, &v.Digest, wholeDigest)
 	case *ConfigPush:
 		e.uint(uint64(tagConfigPush))
 		e.uint(v.Answer)
@@ -165,12 +165,12 @@
 		}
 	case tagPing:
 		p := &Ping{Sequence: d.uint(), Echo: d.uint()}
-		p.Digest, p.parts = decodeDigest(d)
+		p.Digest, p.layout = decodeDigest(d)
 		return p
 	case tagLeaving:
 		l := &Leaving{From: d.daemon()}
-		var parts digestParts
-		if l.Digest, parts = decodeDigest(d); parts != allParts {
+		var got layout
+		if l.Digest, got = decodeDigest(d); got.parts != allParts {
 			d.fail(KindMalformed, fmt.Errorf("incomplete digest"))
 		}
 		return l
--- a/cluster/peer/codec_test.go
+++ b/cluster/peer/codec_test.go
@@ -28,8 +28,9 @@
 func samples() []Message {
 	return []Message{
 		&Hello{From: "a", Place: cluster.Place{Region: "north", Zone: "n1"}, PeerAddr: netip.MustParseAddrPort("10.0.0.1:7000")},
-		&Ping{Sequence: 9, Echo: 8, Digest: sampleDigest, parts: allParts},
+		&Ping{Sequence: 9, Echo: 8, Digest: sampleDigest, layout: wholeDigest},
 		&Ping{Sequence: 300, Echo: 299},
+		&Ping{Sequence: 1, Digest: Digest{Racks: []RackDigest{{Free: sampleSize, Pending: 1}}}, layout: layout{partRackChanges, []int{4}}},
 		&Leaving{From: "a", Digest: sampleDigest},
 		&ConfigPush{Answer: 1, Since: 2, AsOf: 3, Age: time.Second, Rows: []platform.Row{sampleRow, {Key: "member/x", Version: 9, Deleted: true}}},
 		&ConfigAck{AsOf: 3, Head: 2},
@@ -142,8 +143,8 @@
 		var receiver digestReceiver
 		for range rapid.IntRange(1, 8).Draw(t, "pings") {
 			want := drawDigest(t)
-			g, parts := sender.next(want, true)
-			body, err := Encode(&Ping{Sequence: 1, Digest: g, parts: parts})
+			g, l := sender.next(want, true)
+			body, err := Encode(&Ping{Sequence: 1, Digest: g, layout: l})
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -152,7 +153,7 @@
 				t.Fatal(err)
 			}
 			p := m.(*Ping)
-			got, err := receiver.merge(p.Digest, p.parts)
+			got, err := receiver.merge(p.Digest, p.layout)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/cluster/peer/conn.go
+++ b/cluster/peer/conn.go
@@ -116,11 +116,11 @@
 
 // receivePing completes the digest and dates it by the echo.
 func (c *conn) receivePing(p *Ping) error {
-	digest, err := c.receiver.merge(p.Digest, p.parts)
+	digest, err := c.receiver.merge(p.Digest, p.layout)
 	if err != nil {
 		return err
 	}
-	p.Digest, p.parts = digest, allParts
+	p.Digest, p.layout = digest, wholeDigest
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p.Sequence <= c.seen || p.Echo > c.sequence {
@@ -165,7 +165,7 @@
 	if withRacks {
 		c.lastRack = now
 	}
-	p.Digest, p.parts = c.sender.next(c.t.cfg.Digest(), withRacks)
+	p.Digest, p.layout = c.sender.next(c.t.cfg.Digest(), withRacks)
 	return p
 }
 
--- a/cluster/peer/digest.go
+++ b/cluster/peer/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -17,7 +18,9 @@
 	partMembers
 	// partRacks carries the whole list of racks.
 	partRacks
-	// partRackChanges carries only the racks that differ.
+	// partRackChanges carries only the racks that differ, by their place in the
+	// last whole list. With 74 racks that change every second, names in full
+	// took 8.3 KB/s of a daemon at 7 daemons.
 	partRackChanges
 
 	allParts = partConfig | partMembers | partRacks
@@ -29,7 +32,17 @@
 	flagDraining
 )
 
-func encodeDigest(e *encoder, g *Digest, parts digestParts) {
+// layout says which parts of a digest a frame carries.
+type layout struct {
+	parts digestParts
+	// places holds the place of each rack in the last whole list, for partRackChanges.
+	places []int
+}
+
+var wholeDigest = layout{parts: allParts}
+
+func encodeDigest(e *encoder, g *Digest, l layout) {
+	parts := l.parts
 	e.uint(uint64(parts))
 	if parts&partConfig != 0 {
 		e.uint(uint64(g.ConfigVersion))
@@ -43,15 +56,37 @@
 	}
 	if parts&(partRacks|partRackChanges) != 0 {
 		e.array(len(g.Racks))
-		for _, r := range g.Racks {
-			e.string(string(r.Rack))
-			e.resources(r.Free)
-			e.resources(r.LargestFree)
+		for i, r := range g.Racks {
+			if parts&partRacks != 0 {
+				e.string(string(r.Rack))
+			} else {
+				e.int(int64(l.places[i]))
+			}
+			e.capacity(r.Free)
+			e.capacity(r.LargestFree)
 			e.int(int64(r.Pending))
 		}
 	}
 }
 
+// capacity rounds free memory down to whole MiB, which takes fewer bytes and never promises too much.
+func (e *encoder) capacity(r cluster.Resources) {
+	e.int(int64(r.CPU))
+	e.int(int64(r.Memory / cluster.MiB))
+	e.int(r.Accelerators)
+}
+
+func (d *decoder) capacity() cluster.Resources {
+	r := cluster.Resources{CPU: cluster.CPU(d.int())}
+	mib := d.int()
+	if mib > math.MaxInt64/int64(cluster.MiB) || mib < math.MinInt64/int64(cluster.MiB) {
+		d.fail(KindMalformed, fmt.Errorf("memory of %d MiB", mib))
+		return r
+	}
+	r.Memory, r.Accelerators = cluster.Bytes(mib)*cluster.MiB, d.int()
+	return r
+}
+
 func digestFlags(g *Digest) uint64 {
 	flags := uint64(0)
 	if g.DoubtfulNote {
@@ -66,14 +101,15 @@
 	return flags
 }
 
-func decodeDigest(d *decoder) (Digest, digestParts) {
+func decodeDigest(d *decoder) (Digest, layout) {
 	var g Digest
 	raw := d.uint()
 	parts := digestParts(raw)
 	if raw > uint64(allParts|partRackChanges) || parts&partRacks != 0 && parts&partRackChanges != 0 {
 		d.fail(KindMalformed, fmt.Errorf("digest parts %d", raw))
-		return g, 0
+		return g, layout{}
 	}
+	l := layout{parts: parts}
 	if parts&partConfig != 0 {
 		g.ConfigVersion = d.version()
 		flags := d.uint()
@@ -91,10 +127,17 @@
 	}
 	if parts&(partRacks|partRackChanges) != 0 {
 		for range d.list(maxRacks) {
-			g.Racks = append(g.Racks, RackDigest{Rack: d.rack(), Free: d.resources(), LargestFree: d.resources(), Pending: d.count()})
+			var r RackDigest
+			if parts&partRacks != 0 {
+				r.Rack = d.rack()
+			} else {
+				l.places = append(l.places, d.count())
+			}
+			r.Free, r.LargestFree, r.Pending = d.capacity(), d.capacity(), d.count()
+			g.Racks = append(g.Racks, r)
 		}
 	}
-	return g, parts
+	return g, l
 }
 
 // digestSender leaves out what the last digest on a connection already said.
@@ -103,12 +146,12 @@
 	sent bool
 }
 
-// next returns the digest to encode and its parts. Racks are left out if
+// next returns the digest to encode and its layout. Racks are left out if
 // withRacks is false and they were sent before.
-func (s *digestSender) next(g Digest, withRacks bool) (Digest, digestParts) {
+func (s *digestSender) next(g Digest, withRacks bool) (Digest, layout) {
 	if !s.sent {
 		s.last, s.sent = g, true
-		return g, allParts
+		return g, wholeDigest
 	}
 	var parts digestParts
 	if g.ConfigVersion != s.last.ConfigVersion || digestFlags(&g) != digestFlags(&s.last) {
@@ -121,33 +164,37 @@
 	s.last = g
 	if !withRacks {
 		s.last.Racks = last
-		return g, parts
+		return g, layout{parts: parts}
 	}
-	changed, whole := rackChanges(last, g.Racks)
-	switch {
-	case whole:
-		parts |= partRacks
-	case len(changed) > 0:
+	places, same := rackChanges(last, g.Racks)
+	if !same {
+		return g, layout{parts: parts | partRacks}
+	}
+	if len(places) > 0 {
 		parts |= partRackChanges
-		g.Racks = changed
+		all := g.Racks
+		g.Racks = nil
+		for _, i := range places {
+			g.Racks = append(g.Racks, all[i])
+		}
 	}
-	return g, parts
+	return g, layout{parts: parts, places: places}
 }
 
-// rackChanges returns the racks that differ, or whole if the list holds other racks.
-func rackChanges(last, now []RackDigest) (changed []RackDigest, whole bool) {
+// rackChanges returns the places of the racks that differ; same is false if the list holds other racks.
+func rackChanges(last, now []RackDigest) (places []int, same bool) {
 	if len(last) != len(now) {
-		return nil, true
+		return nil, false
 	}
 	for i, r := range now {
 		if last[i].Rack != r.Rack {
-			return nil, true
+			return nil, false
 		}
 		if last[i] != r {
-			changed = append(changed, r)
+			places = append(places, i)
 		}
 	}
-	return changed, false
+	return places, true
 }
 
 // digestReceiver puts the whole digest together again.
@@ -157,7 +204,8 @@
 }
 
 // merge returns the whole digest; it fails if the first digest on a connection is not whole.
-func (r *digestReceiver) merge(g Digest, parts digestParts) (Digest, error) {
+func (r *digestReceiver) merge(g Digest, l layout) (Digest, error) {
+	parts := l.parts
 	if !r.seen && parts != allParts {
 		return g, &Error{Op: "merge digest", Kind: KindMalformed, Err: fmt.Errorf("the first digest is incomplete")}
 	}
@@ -171,7 +219,11 @@
 	}
 	switch {
 	case parts&partRackChanges != 0:
-		g.Racks = mergeRacks(r.last.Racks, g.Racks)
+		racks, err := mergeRacks(r.last.Racks, g.Racks, l.places)
+		if err != nil {
+			return g, err
+		}
+		g.Racks = racks
 	case parts&partRacks == 0:
 		g.Racks = r.last.Racks
 	}
@@ -179,16 +231,14 @@
 	return g, nil
 }
 
-func mergeRacks(last, changed []RackDigest) []RackDigest {
+func mergeRacks(last, changed []RackDigest, places []int) ([]RackDigest, error) {
 	merged := slices.Clone(last)
-	at := map[cluster.RackID]int{}
-	for i, r := range merged {
-		at[r.Rack] = i
-	}
-	for _, r := range changed {
-		if i, ok := at[r.Rack]; ok {
-			merged[i] = r
+	for i, r := range changed {
+		if places[i] >= len(merged) {
+			return nil, &Error{Op: "merge digest", Kind: KindMalformed, Err: fmt.Errorf("rack %d of %d", places[i], len(merged))}
 		}
+		r.Rack = merged[places[i]].Rack
+		merged[places[i]] = r
 	}
-	return merged
+	return merged, nil
 }
--- a/cluster/peer/message.go
+++ b/cluster/peer/message.go
@@ -29,8 +29,7 @@
 	// when the echoed ping was sent. It is zero if nothing was echoed.
 	AsOf time.Time
 
-	// parts says which parts of the digest the frame carries.
-	parts digestParts
+	layout layout
 }
 
 // Digest is what each daemon tells its peers about itself with every ping.
--- a/cluster/peer/transport_test.go
+++ b/cluster/peer/transport_test.go
@@ -244,6 +244,10 @@
 		return append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
 	}
 	for name, data := range map[string][]byte{
+		"wrong rack": append(append(frame(hello), frame(func() []byte { b, _ := Encode(&Ping{Sequence: 1, layout: wholeDigest}); return b }())...), frame(func() []byte {
+			b, _ := Encode(&Ping{Sequence: 2, Digest: Digest{Racks: make([]RackDigest, 1)}, layout: layout{partRackChanges, []int{9}}})
+			return b
+		}())...),
 		"no hello":    frame([]byte{byte(tagConfigPoll), 1, 1}),
 		"malformed":   append(frame(hello), frame([]byte{0xc1})...),
 		"unknown":     append(frame(hello), frame([]byte{99})...),
--- a/cluster/rollout/world_test.go
+++ b/cluster/rollout/world_test.go
@@ -39,7 +39,9 @@
 	net      *memNet
 	random   *rand.Rand
 	strategy Strategy
-	log      zerolog.Logger
+	// racks is the number of racks that each daemon reports.
+	racks int
+	log   zerolog.Logger
 
 	mu     sync.Mutex
 	daemon map[string]*daemon
@@ -189,10 +191,24 @@
 		Self: peer.Hello{From: id, Place: place, PeerAddr: d.addr}, Listener: d.w.net.listen(d.addr), PaidLink: d.paid, Random: float, Log: log,
 		Dial:    func(ctx context.Context, to netip.AddrPort) (net.Conn, error) { return d.w.net.dial(ctx, d.addr, to) },
 		Handler: func(from cluster.DaemonID, m peer.Message) { d.handle(func() { d.rollout.HandlePeer(from, m) }) },
-		Digest:  func() peer.Digest { var g peer.Digest; d.rollout.FillDigest(&g); return g },
+		Digest: func() peer.Digest {
+			g := peer.Digest{Racks: d.rackDigests()}
+			d.rollout.FillDigest(&g)
+			return g
+		},
 	})
 }
 
+// rackDigests changes every rack every second, as at the peak of task starts.
+func (d *daemon) rackDigests() []peer.RackDigest {
+	var racks []peer.RackDigest
+	for i := range d.w.racks {
+		use := cluster.Resources{CPU: cluster.CPU(time.Now().Unix() % 16000), Memory: cluster.Bytes(time.Now().Unix()%64) * cluster.GiB}
+		racks = append(racks, peer.RackDigest{Rack: cluster.RackID(fmt.Sprintf("rack-%s-%02d", d.name, i)), Free: use, LargestFree: use, Pending: 10})
+	}
+	return racks
+}
+
 func (d *daemon) Send(to cluster.DaemonID, m peer.Message) bool { return d.transport.Send(to, m) }
 
 func (d *daemon) storeLatency() (time.Duration, bool) {
