feat: cell of the two-year target in the stand-in

Cause: the capacity page needs a cell of 590 workers, and sizes below it to measure slopes; the sample cells stop at 50.

Conclusion: one command starts a cell of any size up to the target.

--- a/cluster/platform/standin/cell.go
+++ b/cluster/platform/standin/cell.go
@@ -73,6 +73,21 @@
 	}
 }
 
+// Target returns a cell of the size of the two-year target (docs/CAPACITY.md) with Erzählwerk's latencies.
+func Target() Cell {
+	return Cell{
+		Name: "target",
+		Regions: []RegionLayout{
+			{"east", []cluster.Zone{"e-1", "e-2", "e-3"}},
+			{"west", []cluster.Zone{"w-1", "w-2", "w-3"}},
+		},
+		StoreRegion: "east", Workers: 590, WorkersPerRack: workersPerRack,
+		WorkerSize: cluster.Resources{CPU: 16 * cluster.Core, Memory: 64 * cluster.GiB},
+		Service:    "booking", Runners: 50, Slots: runnerSlots, Connections: runnerConnections,
+		ZoneLatency: time.Millisecond, RegionLatency: 30 * time.Millisecond,
+	}
+}
+
 // Small returns a cell of two racks and four runners without latencies, for tests.
 func Small() Cell {
 	return Cell{
@@ -88,7 +103,7 @@
 }
 
 // Cells returns the cells that can be chosen by name.
-func Cells() []Cell { return []Cell{Erzaehlwerk(), CaroniVale(), Small()} }
+func Cells() []Cell { return []Cell{Erzaehlwerk(), CaroniVale(), Small(), Target()} }
 
 // Places returns every zone of the cell with its region.
 func (c Cell) Places() []cluster.Place {
--- a/cluster/platform/standin/rackcontract_test.go
+++ b/cluster/platform/standin/rackcontract_test.go
@@ -219,3 +219,28 @@
 		is.Equal(len(cell.Places()), 3)
 	}
 }
+
+// Guards against a cell of the two-year target that differs from section 1 of the design page.
+func TestTargetCell(t *testing.T) {
+	is := is.New(t)
+	cell := standin.Target()
+	racks := map[cluster.RackID]bool{}
+	zones := map[cluster.Zone]bool{}
+	workers, runners := 0, 0
+	for _, vm := range cell.VMs() {
+		if vm.Role == platform.RoleRunner {
+			runners++
+			continue
+		}
+		workers++
+		racks[vm.Rack] = true
+		zones[vm.Place.Zone] = true
+		is.Equal(vm.Capacity, cluster.Resources{CPU: 16 * cluster.Core, Memory: 64 * cluster.GiB})
+	}
+	is.Equal(workers, 590)
+	is.Equal(len(racks), 74)
+	is.Equal(len(zones), 6)
+	is.Equal(len(cell.Places()), 6)
+	is.Equal(len(cell.Regions), 2)
+	is.Equal(runners, 50)
+}
--- a/platformd/serve_test.go
+++ b/platformd/serve_test.go
@@ -22,7 +22,11 @@
 		args []string
 		want string
 	}{
-		{[]string{"--cell", "large"}, `--cell or PLATFORMD_CELL: "large" is not allowed; use one of erzaehlwerk, caroni-vale, small`},
+		{[]string{"--cell", "large"}, `--cell or PLATFORMD_CELL: "large" is not allowed; use one of erzaehlwerk, caroni-vale, small, target`},
+		{[]string{"--workers", "-1"}, `--workers or PLATFORMD_WORKERS: "-1" is not allowed; use a number from 0 to 10000`},
+		{[]string{"--workers", "10001"}, "a number from 0 to 10000"},
+		{[]string{"--runners", "1001"}, `--runners or PLATFORMD_RUNNERS: "1001" is not allowed; use a number from 0 to 1000`},
+		{[]string{"--runners", "100", "--runner-port", "65436"}, "a number from 0 to 65435"},
 		{[]string{"--listen", "localhost"}, "PLATFORMD_LISTEN"},
 		{[]string{"--admin-listen", "127.0.0.1"}, "PLATFORMD_ADMIN_LISTEN"},
 		{[]string{"--runner-host", "runner"}, "PLATFORMD_RUNNER_HOST"},
@@ -51,18 +55,32 @@
 	is := is.New(t)
 	t.Setenv("PLATFORMD_CELL", "caroni-vale")
 	t.Setenv("PLATFORMD_TIME_SCALE", "0.5")
+	t.Setenv("PLATFORMD_WORKERS", "56")
 	t.Setenv("PLATFORMD_ENTRY", "a=ttn-1=127.0.0.1:1,b=tts-1=127.0.0.1:2")
 	cmd := newServeCmd()
-	is.NoErr(cmd.ParseFlags([]string{"--seed", "7"}))
+	is.NoErr(cmd.ParseFlags([]string{"--seed", "7", "--runners", "3"}))
 	s, err := loadSettings(cmd)
 	is.NoErr(err)
 	is.Equal(s.cell.Name, "caroni-vale")
 	is.Equal(s.timeScale, 0.5)
+	is.Equal(s.cell.Workers, 56)
+	is.Equal(s.cell.Runners, 3)
 	is.Equal(s.seed, uint64(7))
 	is.Equal(len(s.entries), 2)
 	is.Equal(s.entries[1].place, cluster.Place{Region: "tt-south", Zone: "tts-1"})
 }
 
+// Guards against a size of 0, the default, that empties the cell.
+func TestCellSizeByDefault(t *testing.T) {
+	is := is.New(t)
+	cmd := newServeCmd()
+	is.NoErr(cmd.ParseFlags([]string{"--cell", "target"}))
+	s, err := loadSettings(cmd)
+	is.NoErr(err)
+	is.Equal(s.cell.Workers, 590)
+	is.Equal(s.cell.Runners, 50)
+}
+
 // logLines hands out the log lines of a running command.
 type logLines struct {
 	mu   sync.Mutex
--- a/platformd/settings.go
+++ b/platformd/settings.go
@@ -23,6 +23,8 @@
 	flagRunnerHost  = "runner-host"
 	flagRunnerPort  = "runner-port"
 	flagRunnerWork  = "runner-work"
+	flagWorkers     = "workers"
+	flagRunners     = "runners"
 	flagSeed        = "seed"
 	flagTimeScale   = "time-scale"
 	flagEntry       = "entry"
@@ -30,6 +32,12 @@
 	envPrefix       = "PLATFORMD"
 )
 
+// Bounds of the numbers that override those of a cell; every runner has a listener of its own.
+const (
+	maxWorkers = 10_000
+	maxRunners = 1000
+)
+
 // settings are the checked settings of serve.
 type settings struct {
 	cell       standin.Cell
@@ -54,6 +62,8 @@
 func addServeFlags(cmd *cobra.Command) {
 	f := cmd.Flags()
 	f.String(flagCell, "small", "cell to serve: "+cellNames())
+	f.Int(flagWorkers, 0, "number of workers; 0 takes the cell's")
+	f.Int(flagRunners, 0, "number of runners; 0 takes the cell's")
 	f.String(flagListen, "127.0.0.1:7070", "address of the platform's API")
 	f.String(flagAdminListen, "127.0.0.1:7071", "address of the API that changes faults")
 	f.String(flagRunnerHost, "127.0.0.1", "IP address of the runners")
@@ -89,7 +99,7 @@
 		return settings{}, err
 	}
 	var s settings
-	for _, load := range []func(*viper.Viper) error{s.loadCell, s.loadAddresses, s.loadNumbers, s.loadEntries} {
+	for _, load := range []func(*viper.Viper) error{s.loadCell, s.loadCellSize, s.loadAddresses, s.loadNumbers, s.loadEntries} {
 		if err := load(v); err != nil {
 			return settings{}, err
 		}
@@ -108,6 +118,24 @@
 	return settingError(flagCell, name, "one of "+cellNames())
 }
 
+// loadCellSize overrides the numbers of the cell; it runs before the check of the runners' ports.
+func (s *settings) loadCellSize(v *viper.Viper) error {
+	for _, n := range []struct {
+		flag string
+		most int
+		to   *int
+	}{{flagWorkers, maxWorkers, &s.cell.Workers}, {flagRunners, maxRunners, &s.cell.Runners}} {
+		number, err := strconv.Atoi(v.GetString(n.flag))
+		if err != nil || number < 0 || number > n.most {
+			return settingError(n.flag, v.GetString(n.flag), fmt.Sprintf("a number from 0 to %d", n.most))
+		}
+		if number > 0 {
+			*n.to = number
+		}
+	}
+	return nil
+}
+
 func (s *settings) loadAddresses(v *viper.Viper) error {
 	for _, a := range []struct {
 		flag string
