test: capacity benchmarks with whole processes on loopback

Cause: the capacity page needs slopes of processor time, memory, control bytes and store rows by racks, daemons, tasks, starts, submissions, notes and requests, and the times of recovery after faults.

Change: benchmarks start the built platformd and goldcrestd, vary one number at a time and report means of three windows with half their range. They run only with -bench.

--- /dev/null
+++ b/goldcrestd/capacity_bench_test.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// The benchmarks of this file and of capacity_fault_test.go measure whole
+// processes over fixed windows, so each runs once; docs/CAPACITY.md shows the
+// commands and what follows from the figures.
+
+// BenchmarkCapacityRacks varies the racks of an idle cell.
+func BenchmarkCapacityRacks(b *testing.B) {
+	for _, racks := range []int{7, 24, targetRacks} {
+		b.Run(fmt.Sprintf("racks=%d", racks), func(b *testing.B) {
+			newFleet(b, fleetSize{racks: racks, daemons: baseDaemons}).report(b, nil)
+		})
+	}
+}
+
+// BenchmarkCapacityDaemons varies the daemons of an idle cell.
+func BenchmarkCapacityDaemons(b *testing.B) {
+	for _, daemons := range []int{baseDaemons, 14, 40} {
+		b.Run(fmt.Sprintf("daemons=%d", daemons), func(b *testing.B) {
+			newFleet(b, fleetSize{racks: targetRacks, daemons: daemons}).report(b, nil)
+		})
+	}
+}
+
+// BenchmarkCapacityTasks varies the running tasks, a fifth of them replicas of services.
+func BenchmarkCapacityTasks(b *testing.B) {
+	const (
+		tasksPerJob = 25
+		runTime     = time.Hour
+	)
+	f := newFleet(b, fleetSize{racks: targetRacks, daemons: baseDaemons})
+	running := 0
+	for _, tasks := range []int{0, 250, 850, 2600} {
+		b.Run(fmt.Sprintf("running=%d", tasks), func(b *testing.B) {
+			for i := 0; running < tasks; i++ {
+				if i%5 == 4 {
+					f.submit(i, "work", f.serviceJob(tasksPerJob))
+				} else {
+					f.submit(i, "work", f.batchJob(tasksPerJob, runTime))
+				}
+				running += tasksPerJob
+			}
+			begin := time.Now()
+			for f.stats().Running < float64(tasks) && time.Since(begin) < fleetLimit {
+				time.Sleep(100 * time.Millisecond)
+			}
+			if got := f.stats().Running; got < float64(tasks) {
+				b.Errorf("%v of %d tasks run after %s", got, tasks, fleetLimit)
+			}
+			f.waitQuiet()
+			f.report(b, nil)
+		})
+	}
+}
+
+// BenchmarkCapacityNotes varies the configuration changes per minute and measures when each is in force everywhere.
+func BenchmarkCapacityNotes(b *testing.B) {
+	f := newFleet(b, fleetSize{racks: targetRacks, daemons: baseDaemons})
+	for _, perMinute := range []int{0, 6, 30, 120} {
+		b.Run(fmt.Sprintf("notes_per_min=%d", perMinute), func(b *testing.B) {
+			if perMinute == 0 {
+				f.report(b, nil)
+				return
+			}
+			f.report(b, func(end time.Time) {
+				interval := time.Minute / time.Duration(perMinute)
+				for time.Until(end) > 0 {
+					next := time.Now().Add(interval)
+					f.apply(shareNote(f.note))
+					time.Sleep(min(time.Until(next), time.Until(end)))
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkCapacityStarts varies the task starts a second at two jobs a second.
+func BenchmarkCapacityStarts(b *testing.B) {
+	const jobsPerSecond = 2
+	f := newFleet(b, fleetSize{racks: targetRacks, daemons: baseDaemons})
+	for _, starts := range []int{10, 50, 150, 350} {
+		b.Run(fmt.Sprintf("starts_per_s=%d", starts), func(b *testing.B) {
+			f.reportJobs(b, jobsPerSecond, starts/jobsPerSecond)
+		})
+	}
+}
+
+// BenchmarkCapacityJobs varies the submissions a second of jobs with one task.
+func BenchmarkCapacityJobs(b *testing.B) {
+	f := newFleet(b, fleetSize{racks: targetRacks, daemons: baseDaemons})
+	for _, jobs := range []int{1, 5, 20, 60} {
+		b.Run(fmt.Sprintf("jobs_per_s=%d", jobs), func(b *testing.B) {
+			f.reportJobs(b, jobs, 1)
+		})
+	}
+}
+
+// reportJobs measures under a constant rate of submissions of jobs whose tasks run for 2 s.
+func (f *fleet) reportJobs(b *testing.B, jobsPerSecond, tasks int) {
+	b.Helper()
+	const runTime = 2 * time.Second
+	var accepted, refused atomic.Int64
+	var wait sync.WaitGroup
+	var mu sync.Mutex
+	stop := make(chan struct{})
+	var pace sync.WaitGroup
+	pace.Go(func() {
+		ticker := time.NewTicker(time.Second / time.Duration(jobsPerSecond))
+		defer ticker.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+			}
+			mu.Lock()
+			job := f.batchJob(tasks, runTime)
+			mu.Unlock()
+			wait.Go(func() {
+				status, _ := submitTo(f.daemons[n%len(f.daemons)], n, "work", job)
+				if status == http.StatusCreated || status == http.StatusOK {
+					accepted.Add(1)
+				} else {
+					refused.Add(1)
+				}
+			})
+		}
+	})
+	begin := time.Now()
+	f.report(b, nil)
+	seconds := time.Since(begin).Seconds()
+	close(stop)
+	pace.Wait()
+	wait.Wait()
+	b.ReportMetric(float64(accepted.Load())/seconds, "jobs/s")
+	b.ReportMetric(float64(refused.Load())/seconds, "refused/s")
+	// The next size starts when the work of this one has ended.
+	f.wait("the tasks end", func() bool { return f.stats().Running == 0 })
+}
+
+// BenchmarkCapacityRequests varies the requests a second to the service.
+func BenchmarkCapacityRequests(b *testing.B) {
+	f := newFleet(b, fleetSize{racks: targetRacks, daemons: baseDaemons, args: []string{"--runner-work", "20ms"}})
+	const path = "/v1/services/booking/confirm"
+	for _, d := range f.daemons {
+		f.wait("the service answers at "+d.name, func() bool {
+			status, _ := call(http.MethodGet, d.url+path, teamSecret(0), nil, nil)
+			return status == http.StatusOK
+		})
+	}
+	body := make([]byte, 512)
+	for i := range body {
+		body[i] = 'a'
+	}
+	for _, rate := range []int{50, 200, 800} {
+		b.Run(fmt.Sprintf("requests_per_s=%d", rate), func(b *testing.B) {
+			var answered, refused atomic.Int64
+			stop := make(chan struct{})
+			var clients sync.WaitGroup
+			// Each client sends 10 requests a second.
+			const perClient = 10
+			for client := range rate / perClient {
+				clients.Go(func() {
+					ticker := time.NewTicker(time.Second / perClient)
+					defer ticker.Stop()
+					for n := client; ; n++ {
+						select {
+						case <-stop:
+							return
+						case <-ticker.C:
+						}
+						status, _ := call(http.MethodPost, f.daemons[n%len(f.daemons)].url+path, teamSecret(client), nil, body)
+						if status == http.StatusOK {
+							answered.Add(1)
+						} else {
+							refused.Add(1)
+						}
+					}
+				})
+			}
+			begin := time.Now()
+			f.report(b, nil)
+			seconds := time.Since(begin).Seconds()
+			close(stop)
+			clients.Wait()
+			b.ReportMetric(float64(answered.Load())/seconds, "answered/s")
+			b.ReportMetric(float64(refused.Load())/seconds, "refused/s")
+		})
+	}
+}
--- /dev/null
+++ b/goldcrestd/capacity_profile_test.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/daemon"
+)
+
+// BenchmarkCapacityProfile runs one of the daemons in this process, so that
+// -cpuprofile and -memprofile show which code costs its processor time and memory.
+func BenchmarkCapacityProfile(b *testing.B) {
+	f := newFleet(b, fleetSize{racks: targetRacks, daemons: baseDaemons - 1})
+	settings := daemon.Settings{
+		StoreRegion: "east", Name: "entry-profiled", PlatformURL: &url.URL{Scheme: "http", Host: f.platform},
+		DrainTimeout: 5 * time.Second, MemoryLimit: daemon.DefaultMemoryLimit, Seed: 1,
+	}
+	settings.Place.Region, settings.Place.Zone = "east", "e-1"
+	httpListener, peerListener := benchListener(b, &settings.HTTPAddr), benchListener(b, &settings.PeerAddr)
+	d, err := daemon.New(daemon.Config{Settings: settings, Log: zerolog.Nop(), HTTPListener: httpListener, PeerListener: peerListener})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	defer func() {
+		cancel()
+		if err := <-done; err != nil {
+			b.Error(err)
+		}
+	}()
+	f.fill(850)
+	time.Sleep(time.Duration(windows) * benchSeconds(b))
+	b.ReportMetric(0, "ns/op")
+}
+
+func benchListener(b *testing.B, addr *netip.AddrPort) net.Listener {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	*addr = l.Addr().(*net.TCPAddr).AddrPort()
+	return l
+}
