refactor: measure demand once per rack and keep worker loads, with benchmarks

Change: demand per rack is measured every 200 ms, loads are kept per worker, writes gather for 1 s, moves are looked at every 500 ms with one move to a rack at a time.

--- a/cluster/rack/assignment.go
+++ b/cluster/rack/assignment.go
@@ -11,7 +11,7 @@
 
 const (
 	// flushInterval gathers the results of a rack into one write per job row.
-	flushInterval = 300 * time.Millisecond
+	flushInterval = time.Second
 	// maxFlushRows bounds one transaction.
 	maxFlushRows = 100
 )
--- /dev/null
+++ b/cluster/rack/bench_test.go
@@ -0,0 +1,112 @@
+package rack
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+// meter counts what the controllers of a cell cost.
+type meter struct {
+	steps      int
+	stepTime   time.Duration
+	slowest    time.Duration
+	storeBytes int
+	rackBytes  int
+}
+
+func (m *meter) step(took time.Duration) {
+	m.steps++
+	m.stepTime += took
+	m.slowest = max(m.slowest, took)
+}
+
+// exchange counts one call as JSON, which is what the platform's client sends.
+func (m *meter) exchange(parts ...any) {
+	for _, p := range parts {
+		if data, err := json.Marshal(p); err == nil {
+			m.rackBytes += len(data)
+		}
+	}
+}
+
+// benchCell runs one daemon over racks of 8 workers with the given number of pending tasks per worker.
+func benchCell(b *testing.B, workers, pendingPerWorker int) *cell {
+	c := newCell(b, 1, 0, 1, (workers+7)/8, 8)
+	for _, w := range c.racks.workers {
+		w.capacity = cluster.Resources{CPU: 16 * cluster.Core, Memory: 64 * cluster.GiB}
+	}
+	c.setLimit(cluster.Resources{CPU: 1_000_000 * cluster.Core, Memory: 1 << 50})
+	c.racks.runTime = func(id cluster.AttemptID) time.Duration { return time.Duration(5+id.Task.Index%10) * time.Second }
+	c.racks.unchecked = true
+	c.addDaemons(1, 1)
+	c.run(3 * time.Second)
+	tasks := workers * pendingPerWorker
+	for i := range max(tasks/100, 1) {
+		c.submit(c.daemons[0], batch(fmt.Sprintf("b%d", i), 100, 3500, i%2 == 0))
+	}
+	c.run(2 * time.Second)
+	return c
+}
+
+// BenchmarkStep measures a step with about 4 running tasks per worker, tasks that end
+// after 5 to 14 s, and 17 pending tasks per worker, as in the target of 10,000 at 590 workers.
+func BenchmarkStep(b *testing.B) {
+	for _, workers := range []int{84, 590, 5900} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			c := benchCell(b, workers, 17)
+			c.meter = &meter{}
+			starts := c.racks.starts
+			b.ResetTimer()
+			for range b.N {
+				c.run(100 * time.Millisecond)
+			}
+			m := c.meter
+			b.ReportMetric(float64(m.stepTime.Microseconds())/float64(b.N), "µs/tick")
+			b.ReportMetric(float64(m.stepTime.Microseconds())/float64(m.steps), "µs/step")
+			b.ReportMetric(float64(m.slowest.Microseconds()), "µs/slowest")
+			b.ReportMetric(float64(c.racks.starts-starts)/float64(b.N), "starts/tick")
+		})
+	}
+}
+
+// BenchmarkControlCost measures rows and bytes per 1,000 starts at 84 workers and the memory of a task.
+func BenchmarkControlCost(b *testing.B) {
+	for range b.N {
+		c := benchCell(b, 84, 60)
+		c.meter = &meter{}
+		starts, rows, commits, reads := c.racks.starts, c.store.puts, c.store.commits, c.store.reads
+		c.run(30 * time.Second)
+		started := float64(c.racks.starts-starts) / 1000
+		b.ReportMetric(started*1000/30, "starts/s")
+		b.ReportMetric(float64(c.store.puts-rows)/started, "rows/1000")
+		b.ReportMetric(float64(c.store.commits-commits)/started, "commits/1000")
+		b.ReportMetric(float64(c.store.reads-reads)/30, "reads/s")
+		b.ReportMetric(float64(c.meter.storeBytes)/started, "storeB/1000")
+		b.ReportMetric(float64(c.meter.rackBytes)/started, "rackB/1000")
+	}
+}
+
+// BenchmarkTaskMemory measures the heap that a waiting task takes in the controller and in its row.
+func BenchmarkTaskMemory(b *testing.B) {
+	for range b.N {
+		c := benchCell(b, 8, 1)
+		heap := func() uint64 {
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			return m.HeapAlloc
+		}
+		before := heap()
+		for i := range 100 {
+			c.submit(c.daemons[0], batch(fmt.Sprintf("m%d", i), 500, cluster.Core, false))
+		}
+		c.run(2 * time.Second)
+		b.ReportMetric(float64(heap()-before)/50000, "B/task")
+		runtime.KeepAlive(c)
+	}
+}
--- a/cluster/rack/cell_test.go
+++ b/cluster/rack/cell_test.go
@@ -41,7 +41,9 @@
 	specs                  map[cluster.JobID]*cluster.JobSpec
 	cancelled              map[cluster.JobID]bool
 	token                  Token
-	log                    zerolog.Logger
+	// meter counts cost in benchmarks; nil otherwise.
+	meter *meter
+	log   zerolog.Logger
 }
 
 type fakeDaemon struct {
@@ -187,7 +189,12 @@
 func (c *cell) step(d *fakeDaemon) {
 	events := d.inbox
 	d.inbox = nil
-	for _, e := range d.controller.Step(c.now, events) {
+	begun := time.Now()
+	effects := d.controller.Step(c.now, events)
+	if c.meter != nil {
+		c.meter.step(time.Since(begun))
+	}
+	for _, e := range effects {
 		c.carryOut(d, e)
 	}
 }
@@ -209,11 +216,17 @@
 	case *ReadRows:
 		c.after(c.latency(), func() {
 			reply, err := c.readFor(d, e.Request)
+			for _, row := range reply.Rows {
+				c.count(row.Key, row.Value)
+			}
 			c.after(c.latency(), func() { c.deliver(d, &RowsRead{e.Token, reply, err}) })
 		})
 	case *Commit:
 		c.after(c.latency(), func() {
 			version, err := c.commitFor(d, e.Change)
+			for _, p := range e.Change.Puts {
+				c.count(p.Key, p.Value)
+			}
 			c.after(c.latency(), func() { c.deliver(d, &CommitDone{e.Token, version, err}) })
 		})
 	case *Exchange:
@@ -238,6 +251,13 @@
 	}
 }
 
+// count adds a row read or written to the cost.
+func (c *cell) count(key string, value []byte) {
+	if c.meter != nil {
+		c.meter.storeBytes += len(key) + len(value)
+	}
+}
+
 func (c *cell) readFor(d *fakeDaemon, req platform.ReadRequest) (platform.ReadReply, error) {
 	if d.cut {
 		return platform.ReadReply{}, &platform.Error{Op: "read", Kind: platform.KindUnavailable}
@@ -273,6 +293,9 @@
 	}
 	c.after(c.latency(), func() {
 		reply, err := c.racks.exchange(c.now, e.Request)
+		if c.meter != nil {
+			c.meter.exchange(e.Request, reply)
+		}
 		if lost {
 			reply, err = platform.ExchangeReply{}, &platform.Error{Op: "exchange", Kind: platform.KindUnknown}
 		}
--- a/cluster/rack/controller.go
+++ b/cluster/rack/controller.go
@@ -77,8 +77,10 @@
 	cancels     cancels
 	declared    declared
 	timers      []timer
-	draining    bool
-	drained     bool
+	// nextBalance and nextMoves are when grants and moves are looked at again.
+	nextBalance, nextMoves time.Time
+	draining               bool
+	drained                bool
 }
 
 // New returns a controller that owns no racks.
--- a/cluster/rack/declared.go
+++ b/cluster/rack/declared.go
@@ -37,12 +37,17 @@
 	for _, id := range slices.SortedFunc(maps.Keys(c.config.Jobs), compareJobs) {
 		c.declareJob(c.config.Jobs[id])
 	}
-	for _, j := range c.sortedJobs() {
-		if j.declared != 0 && j.declared <= c.config.Version && j.active() && !j.cancel && c.isHome(j) && c.config.Jobs[j.id] == nil {
-			c.cfg.Log.Info().Str("job", j.id.String()).Msg("rack: a declared job was withdrawn")
-			c.addCancel(&Cancel{Jobs: []cluster.JobID{j.id}, internal: true})
+	var withdrawn []cluster.JobID
+	for id, j := range c.jobs {
+		if j.declared != 0 && j.declared <= c.config.Version && j.active() && !j.cancel && c.isHome(j) && c.config.Jobs[id] == nil {
+			withdrawn = append(withdrawn, id)
 		}
 	}
+	if len(withdrawn) > 0 {
+		slices.SortFunc(withdrawn, compareJobs)
+		c.cfg.Log.Info().Int("jobs", len(withdrawn)).Str("first", withdrawn[0].String()).Msg("rack: declared jobs were withdrawn")
+		c.addCancel(&Cancel{Jobs: withdrawn, internal: true})
+	}
 }
 
 func compareJobs(a, b cluster.JobID) int { return strings.Compare(a.String(), b.String()) }
--- a/cluster/rack/fake_test.go
+++ b/cluster/rack/fake_test.go
@@ -89,6 +89,7 @@
 // fakeRacks holds the workers of the cell and checks what they run.
 type fakeRacks struct {
 	workers []*fakeWorker
+	byRack  map[cluster.RackID][]*fakeWorker
 	down    map[cluster.RackID]bool
 	cursor  uint64
 	runTime func(cluster.AttemptID) time.Duration
@@ -98,11 +99,13 @@
 	starts  int
 	// executed counts the attempts of each task that a worker began.
 	executed map[cluster.TaskID]int
+	// unchecked leaves out the checks of each start, which cost benchmarks of large fleets too much.
+	unchecked bool
 }
 
 func newFakeRacks(zones, racksPerZone, workers int, capacity cluster.Resources) *fakeRacks {
 	f := &fakeRacks{
-		down: map[cluster.RackID]bool{}, started: map[cluster.JobID]time.Time{}, executed: map[cluster.TaskID]int{},
+		byRack: map[cluster.RackID][]*fakeWorker{}, down: map[cluster.RackID]bool{}, started: map[cluster.JobID]time.Time{}, executed: map[cluster.TaskID]int{},
 		runTime: func(cluster.AttemptID) time.Duration { return 5 * time.Second },
 	}
 	for z := range zones {
@@ -115,6 +118,7 @@
 					capacity: capacity, known: map[cluster.AttemptID]bool{},
 					running: map[cluster.AttemptID]*fakeRun{}, ended: map[cluster.AttemptID]platform.EndedTask{},
 				})
+				f.byRack[rack] = append(f.byRack[rack], f.workers[len(f.workers)-1])
 			}
 		}
 	}
@@ -171,10 +175,7 @@
 		return reply, &platform.Error{Op: "exchange", Kind: platform.KindUnavailable}
 	}
 	byID := map[cluster.WorkerID]*fakeWorker{}
-	for _, w := range f.workers {
-		if w.rack != req.Rack {
-			continue
-		}
+	for _, w := range f.byRack[req.Rack] {
 		byID[w.id] = w
 		if w.unreachable || w.dead || req.Epoch < w.epoch {
 			continue
@@ -190,10 +191,8 @@
 	for _, cmd := range req.Commands {
 		reply.Results = append(reply.Results, f.command(now, req, byID[workerOf(cmd)], cmd))
 	}
-	for _, w := range f.workers {
-		if w.rack == req.Rack && (w.changed > req.Since || req.Since == 0) && !w.dead {
-			reply.Workers = append(reply.Workers, w.report(now))
-		} else if w.rack == req.Rack && w.dead && req.Since == 0 {
+	for _, w := range f.byRack[req.Rack] {
+		if w.changed > req.Since || req.Since == 0 {
 			reply.Workers = append(reply.Workers, w.report(now))
 		}
 	}
@@ -258,6 +257,9 @@
 // checkStart asserts that the task runs nowhere else and that its team stays within its limit.
 func (f *fakeRacks) checkStart(o *platform.StartTask) {
 	used := o.Size
+	if f.unchecked {
+		return
+	}
 	for _, w := range f.workers {
 		for id, run := range w.running {
 			if id.Task == o.Attempt.Task {
--- a/cluster/rack/grant.go
+++ b/cluster/rack/grant.go
@@ -7,7 +7,6 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
-	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
@@ -40,6 +39,8 @@
 	overSince time.Time
 	// yield holds owned racks that leave what becomes free to a request of work that goes first.
 	yield map[cluster.RackID]bool
+	// first is the job that goes first on each rack.
+	first map[cluster.RackID]*job
 }
 
 // grantTarget is a grant that a rack of another owner wants to reach.
@@ -169,13 +170,15 @@
 
 // balanceGrants raises the grants of owned racks with waiting work and gives up unused grant.
 func (c *Controller) balanceGrants() {
-	if !c.writable() {
+	if !c.writable() || c.now.Before(c.nextBalance) {
 		return
 	}
+	c.nextBalance = c.now.Add(grantInterval)
 	teams := map[cluster.TeamName]bool{}
 	for _, r := range c.rackOrder {
 		if r.phase == phaseActive {
-			for team := range r.teams() {
+			c.measureDemand(r)
+			for team := range r.demands {
 				teams[team] = true
 			}
 		}
@@ -202,32 +205,39 @@
 	return teams
 }
 
-// demand returns what a team could use in a rack: what it uses and what waits,
-// as far as there is room. Work that others make room for counts even if there is none yet.
-func (c *Controller) demand(r *rack, team cluster.TeamName) cluster.Resources {
-	used := r.usedBy(team)
-	var waiting, urgent cluster.Resources
+// measureDemand computes what each team could use in a rack: what it uses and
+// what waits, as far as there is room. Work that others make room for counts
+// even if there is none yet.
+func (c *Controller) measureDemand(r *rack) {
+	waiting, urgent := map[cluster.TeamName]cluster.Resources{}, map[cluster.TeamName]cluster.Resources{}
+	clear(r.demands)
 	for _, a := range r.list {
-		if a.id.Team != team || a.pending == 0 {
+		team := a.id.Team
+		r.demands[team] = cluster.Resources{}
+		j := c.jobs[a.id]
+		if a.pending == 0 || j == nil || !j.active() || j.cancel {
 			continue
 		}
-		if j := c.jobs[a.id]; j != nil && j.active() && !j.cancel {
-			size := c.declaredSize(j).Times(int64(a.pending))
-			if j.spec.Priority == cluster.PriorityUrgent {
-				urgent = urgent.Add(size)
-			} else {
-				waiting = waiting.Add(size)
-			}
+		size := c.declaredSize(j).Times(int64(a.pending))
+		if j.spec.Priority == cluster.PriorityUrgent {
+			urgent[team] = urgent[team].Add(size)
+		} else {
+			waiting[team] = waiting[team].Add(size)
 		}
 	}
-	if waiting.IsZero() && urgent.IsZero() {
-		return used
-	}
 	total, free, _ := r.openCapacity()
-	if !waiting.Fits(free) && belowShare(r)[team] {
-		free = free.Max(c.largestWaiting(r, team))
+	for team := range r.demands {
+		room := free
+		if !waiting[team].Fits(free) && belowShare(r)[team] {
+			room = free.Max(c.largestWaiting(r, team))
+		}
+		r.demands[team] = r.usedBy(team).Add(waiting[team].Min(room)).Add(urgent[team].Min(total))
 	}
-	return used.Add(waiting.Min(free)).Add(urgent.Min(total))
+}
+
+// demand returns what was last measured, and at least what the team uses.
+func (c *Controller) demand(r *rack, team cluster.TeamName) cluster.Resources {
+	return r.demands[team].Max(r.usedBy(team))
 }
 
 // largestWaiting returns the size of a team's largest waiting task in a rack.
@@ -250,6 +260,7 @@
 	}
 	spare := limit.Sub(g.sum())
 	g.yield = nil
+	g.first = c.firstJobs(g.team)
 	c.shed(g, next, &spare)
 	missing := c.raise(g, next, &spare)
 	c.serveRequests(g, next, &spare)
@@ -286,28 +297,33 @@
 		return cluster.Resources{}
 	}
 	keep := r.usedBy(g.team)
-	if !c.goesFirst(g.team, to, r.id) {
+	if !g.goesFirst(to, r.id) {
 		keep = keep.Max(c.demand(r, g.team))
 	}
 	return grant.Sub(keep).Max(cluster.Resources{})
 }
 
-// goesFirst reports whether a team's work on rack a goes before that on rack
-// b: by priority, then by age, then by rack. Every daemon sees the same job
-// rows, so that two racks do not pass a remainder back and forth.
-func (c *Controller) goesFirst(team cluster.TeamName, a, b cluster.RackID) bool {
-	var first, second *job
+// firstJobs returns the team's job that goes first on each rack.
+func (c *Controller) firstJobs(team cluster.TeamName) map[cluster.RackID]*job {
+	first := map[cluster.RackID]*job{}
 	for _, j := range c.jobs {
 		if j.id.Team != team || !j.active() || j.cancel {
 			continue
 		}
-		if slices.Contains(j.racks, a) && (first == nil || j.before(first)) {
-			first = j
-		}
-		if slices.Contains(j.racks, b) && (second == nil || j.before(second)) {
-			second = j
+		for _, id := range j.racks {
+			if first[id] == nil || j.before(first[id]) {
+				first[id] = j
+			}
 		}
 	}
+	return first
+}
+
+// goesFirst reports whether a team's work on rack a goes before that on rack
+// b: by priority, then by age, then by rack. Every daemon sees the same job
+// rows, so that two racks do not pass a remainder back and forth.
+func (g *grants) goesFirst(a, b cluster.RackID) bool {
+	first, second := g.first[a], g.first[b]
 	switch {
 	case first == nil || second == nil:
 		return first != nil
@@ -348,6 +364,7 @@
 // limit and from other owned racks; it returns what is still missing.
 func (c *Controller) raise(g *grants, next map[cluster.RackID]cluster.Resources, spare *cluster.Resources) cluster.Resources {
 	var missing cluster.Resources
+	var donors []*rack
 	for _, r := range c.rackOrder {
 		if r.phase != phaseActive || r.handover {
 			continue
@@ -360,14 +377,30 @@
 		next[r.id] = next[r.id].Add(got)
 		*spare = spare.Sub(got)
 		lack = lack.Sub(got)
-		lack = c.takeFromOwn(g, next, r, lack)
+		if !lack.IsZero() {
+			if donors == nil {
+				donors = c.donors(g, next)
+			}
+			lack = c.takeFromOwn(g, next, donors, r, lack)
+		}
 		missing = missing.Add(lack)
 	}
 	return missing
 }
 
-func (c *Controller) takeFromOwn(g *grants, next map[cluster.RackID]cluster.Resources, to *rack, lack cluster.Resources) cluster.Resources {
+// donors returns the owned racks with grant that is not used.
+func (c *Controller) donors(g *grants, next map[cluster.RackID]cluster.Resources) []*rack {
+	donors := []*rack{}
 	for _, r := range c.rackOrder {
+		if r.phase == phaseActive && positive(next[r.id].Sub(r.usedBy(g.team))) {
+			donors = append(donors, r)
+		}
+	}
+	return donors
+}
+
+func (c *Controller) takeFromOwn(g *grants, next map[cluster.RackID]cluster.Resources, donors []*rack, to *rack, lack cluster.Resources) cluster.Resources {
+	for _, r := range donors {
 		if r == to || lack.IsZero() {
 			continue
 		}
@@ -404,7 +437,7 @@
 			next[r.id] = next[r.id].Sub(part)
 			next[id] = next[id].Add(part)
 			lack = lack.Sub(part)
-			if !lack.IsZero() && c.goesFirst(g.team, id, r.id) {
+			if !lack.IsZero() && g.goesFirst(id, r.id) {
 				if g.yield == nil {
 					g.yield = map[cluster.RackID]bool{}
 				}
@@ -454,143 +487,3 @@
 	slices.Sort(owners)
 	return owners
 }
-
-// writeGrants writes a team's row. The rows of the racks whose grant is lowered
-// are checked, so that a late write can't lower the grant under a new owner.
-func (c *Controller) writeGrants(g *grants, next map[cluster.RackID]cluster.Resources) {
-	var sum cluster.Resources
-	for _, v := range next {
-		sum = sum.Add(v)
-	}
-	limit := c.limit(g.team).Max(sum)
-	value, err := encodeGrants(limit, next)
-	if err != nil {
-		c.malformed(grantsKey(g.team), err)
-		return
-	}
-	key := grantsKey(g.team)
-	change := journal.Change{
-		Checks: []platform.Check{{Key: key, Version: g.version}},
-		Puts:   []platform.Put{{Key: key, Value: value}},
-	}
-	g.lowering = map[cluster.RackID]cluster.Resources{}
-	for _, r := range c.rackOrder {
-		if before := g.row[r.id]; !before.Fits(next[r.id]) {
-			g.lowering[r.id] = next[r.id]
-			change.Checks = append(change.Checks, platform.Check{Key: rackKey(r.id), Version: r.version})
-		}
-	}
-	g.writing = true
-	c.commit(change, func(version cluster.Version, err error) {
-		g.writing = false
-		g.notBefore = c.now.Add(grantInterval)
-		if err != nil {
-			c.grantsFailed(g, err)
-			return
-		}
-		before := g.row
-		c.ingestGrants(platform.Row{Key: key, Value: value, Version: version})
-		g.lowering = nil
-		c.tellRaised(g, before, platform.Row{Key: key, Value: value, Version: version})
-		c.cfg.Metrics.Counter("rack_grant_writes").Inc(1)
-	})
-}
-
-// tellRaised sends the row to the owners of racks whose grant was raised.
-func (c *Controller) tellRaised(g *grants, before map[cluster.RackID]cluster.Resources, row platform.Row) {
-	for _, r := range c.rackOrder {
-		if !g.row[r.id].Fits(before[r.id]) {
-			c.send(r.owner, &peer.GrantRelease{Team: g.team, Row: row})
-		}
-	}
-}
-
-func (c *Controller) grantsFailed(g *grants, err error) {
-	if journal.IsKind(err, journal.KindUnavailable) {
-		g.lowering = nil
-		return
-	}
-	// The row, or the row of a rack, is not as it was last read: both are read
-	// again, and until then the lower grants count.
-	g.writing = true
-	req := platform.ReadRequest{Keys: []string{grantsKey(g.team)}}
-	for _, r := range c.rackOrder {
-		if _, ok := g.lowering[r.id]; ok {
-			req.Keys = append(req.Keys, rackKey(r.id))
-		}
-	}
-	c.rereadGrants(g, req)
-}
-
-// rereadGrants reads the row after a failed write, until it succeeds.
-func (c *Controller) rereadGrants(g *grants, req platform.ReadRequest) {
-	c.read(req, func(reply platform.ReadReply, err error) {
-		if err != nil {
-			c.later(maxTime(c.now.Add(c.jitter(claimDelay)), c.store.downUntil), func() { c.rereadGrants(g, req) })
-			return
-		}
-		g.writing, g.lowering = false, nil
-		for _, row := range reply.Rows {
-			c.ingest(row)
-		}
-	})
-}
-
-// stopExcess stops tasks over a lowered limit that did not end by themselves.
-func (c *Controller) stopExcess(g *grants) {
-	if g.sum().Fits(c.limit(g.team)) {
-		g.overSince = time.Time{}
-		return
-	}
-	if g.overSince.IsZero() {
-		g.overSince = c.now
-	}
-	if c.now.Sub(g.overSince) < excessDelay {
-		return
-	}
-	for _, r := range c.rackOrder {
-		if r.phase != phaseActive {
-			continue
-		}
-		over := r.usedBy(g.team).Sub(c.targetUnder(g, g.row[r.id]))
-		for _, t := range c.stoppable(r, g.team) {
-			if !positive(over) {
-				break
-			}
-			over = over.Sub(t.size)
-			if !t.stop {
-				c.interrupt(t, "the limit of its team was lowered")
-			}
-		}
-	}
-}
-
-func positive(r cluster.Resources) bool { return r.CPU > 0 || r.Memory > 0 || r.Accelerators > 0 }
-
-// stoppable returns the running tasks of a team that may be interrupted, those
-// that lose the least first; stopping ones lead, so that they count as gone.
-func (c *Controller) stoppable(r *rack, team cluster.TeamName) []*task {
-	var tasks []*task
-	for _, w := range r.order {
-		for _, t := range w.tasks {
-			j := c.jobs[t.of.id]
-			if t.of.id.Team == team && j != nil && (t.stop || t.state == cluster.TaskRunning && (j.idempotent() || j.spec.Checkpoints)) {
-				tasks = append(tasks, t)
-			}
-		}
-	}
-	slices.SortFunc(tasks, func(a, b *task) int {
-		switch pa, pb := c.jobs[a.of.id].spec.Priority, c.jobs[b.of.id].spec.Priority; {
-		case a.stop != b.stop && a.stop:
-			return -1
-		case a.stop != b.stop:
-			return 1
-		case pa != pb:
-			return int(pa - pb)
-		case !a.since.Equal(b.since):
-			return b.since.Compare(a.since)
-		}
-		return compareTasks(a, b)
-	})
-	return tasks
-}
--- /dev/null
+++ b/cluster/rack/grantrow.go
@@ -0,0 +1,151 @@
+package rack
+
+import (
+	"slices"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// writeGrants writes a team's row. The rows of the racks whose grant is lowered
+// are checked, so that a late write can't lower the grant under a new owner.
+func (c *Controller) writeGrants(g *grants, next map[cluster.RackID]cluster.Resources) {
+	var sum cluster.Resources
+	for _, v := range next {
+		sum = sum.Add(v)
+	}
+	limit := c.limit(g.team).Max(sum)
+	value, err := encodeGrants(limit, next)
+	if err != nil {
+		c.malformed(grantsKey(g.team), err)
+		return
+	}
+	key := grantsKey(g.team)
+	change := journal.Change{
+		Checks: []platform.Check{{Key: key, Version: g.version}},
+		Puts:   []platform.Put{{Key: key, Value: value}},
+	}
+	g.lowering = map[cluster.RackID]cluster.Resources{}
+	for _, r := range c.rackOrder {
+		if before := g.row[r.id]; !before.Fits(next[r.id]) {
+			g.lowering[r.id] = next[r.id]
+			change.Checks = append(change.Checks, platform.Check{Key: rackKey(r.id), Version: r.version})
+		}
+	}
+	g.writing = true
+	c.commit(change, func(version cluster.Version, err error) {
+		g.writing = false
+		g.notBefore = c.now.Add(grantInterval)
+		if err != nil {
+			c.grantsFailed(g, err)
+			return
+		}
+		before := g.row
+		c.ingestGrants(platform.Row{Key: key, Value: value, Version: version})
+		g.lowering = nil
+		c.tellRaised(g, before, platform.Row{Key: key, Value: value, Version: version})
+		c.cfg.Metrics.Counter("rack_grant_writes").Inc(1)
+	})
+}
+
+// tellRaised sends the row to the owners of racks whose grant was raised.
+func (c *Controller) tellRaised(g *grants, before map[cluster.RackID]cluster.Resources, row platform.Row) {
+	for _, r := range c.rackOrder {
+		if !g.row[r.id].Fits(before[r.id]) {
+			c.send(r.owner, &peer.GrantRelease{Team: g.team, Row: row})
+		}
+	}
+}
+
+func (c *Controller) grantsFailed(g *grants, err error) {
+	if journal.IsKind(err, journal.KindUnavailable) {
+		g.lowering = nil
+		return
+	}
+	// The row, or the row of a rack, is not as it was last read: both are read
+	// again, and until then the lower grants count.
+	g.writing = true
+	req := platform.ReadRequest{Keys: []string{grantsKey(g.team)}}
+	for _, r := range c.rackOrder {
+		if _, ok := g.lowering[r.id]; ok {
+			req.Keys = append(req.Keys, rackKey(r.id))
+		}
+	}
+	c.rereadGrants(g, req)
+}
+
+// rereadGrants reads the row after a failed write, until it succeeds.
+func (c *Controller) rereadGrants(g *grants, req platform.ReadRequest) {
+	c.read(req, func(reply platform.ReadReply, err error) {
+		if err != nil {
+			c.later(maxTime(c.now.Add(c.jitter(claimDelay)), c.store.downUntil), func() { c.rereadGrants(g, req) })
+			return
+		}
+		g.writing, g.lowering = false, nil
+		for _, row := range reply.Rows {
+			c.ingest(row)
+		}
+	})
+}
+
+// stopExcess stops tasks over a lowered limit that did not end by themselves.
+func (c *Controller) stopExcess(g *grants) {
+	if g.sum().Fits(c.limit(g.team)) {
+		g.overSince = time.Time{}
+		return
+	}
+	if g.overSince.IsZero() {
+		g.overSince = c.now
+	}
+	if c.now.Sub(g.overSince) < excessDelay {
+		return
+	}
+	for _, r := range c.rackOrder {
+		if r.phase != phaseActive {
+			continue
+		}
+		over := r.usedBy(g.team).Sub(c.targetUnder(g, g.row[r.id]))
+		for _, t := range c.stoppable(r, g.team) {
+			if !positive(over) {
+				break
+			}
+			over = over.Sub(t.size)
+			if !t.stop {
+				c.interrupt(t, "the limit of its team was lowered")
+			}
+		}
+	}
+}
+
+func positive(r cluster.Resources) bool { return r.CPU > 0 || r.Memory > 0 || r.Accelerators > 0 }
+
+// stoppable returns the running tasks of a team that may be interrupted, those
+// that lose the least first; stopping ones lead, so that they count as gone.
+func (c *Controller) stoppable(r *rack, team cluster.TeamName) []*task {
+	var tasks []*task
+	for _, w := range r.order {
+		for _, t := range w.tasks {
+			j := c.jobs[t.of.id]
+			if t.of.id.Team == team && j != nil && (t.stop || t.state == cluster.TaskRunning && (j.idempotent() || j.spec.Checkpoints)) {
+				tasks = append(tasks, t)
+			}
+		}
+	}
+	slices.SortFunc(tasks, func(a, b *task) int {
+		switch pa, pb := c.jobs[a.of.id].spec.Priority, c.jobs[b.of.id].spec.Priority; {
+		case a.stop != b.stop && a.stop:
+			return -1
+		case a.stop != b.stop:
+			return 1
+		case pa != pb:
+			return int(pa - pb)
+		case !a.since.Equal(b.since):
+			return b.since.Compare(a.since)
+		}
+		return compareTasks(a, b)
+	})
+	return tasks
+}
--- a/cluster/rack/move.go
+++ b/cluster/rack/move.go
@@ -17,13 +17,16 @@
 	// maxMoved bounds the tasks moved by one transaction, maxMoves the transactions begun in one step.
 	maxMoved = 64
 	maxMoves = 4
+	// moveScan is how often waiting tasks are looked at.
+	moveScan = 500 * time.Millisecond
 )
 
 // move gives waiting tasks to racks that have room for them.
 func (c *Controller) move() {
-	if !c.writable() {
+	if !c.writable() || c.now.Before(c.nextMoves) {
 		return
 	}
+	c.nextMoves = c.now.Add(moveScan)
 	begun := 0
 	for _, r := range c.rackOrder {
 		if r.phase != phaseActive || r.handover || r.claiming || r.flushing {
@@ -104,7 +107,7 @@
 func (c *Controller) moveTarget(r *rack, size cluster.Resources) *site {
 	var best *site
 	for _, s := range c.sites(size) {
-		if s.rack != r && s.open() > 0 && (best == nil || s.open() > best.open()) {
+		if s.rack != r && s.open() > 0 && !s.rack.receiving && (best == nil || s.open() > best.open()) {
 			best = s
 		}
 	}
@@ -128,12 +131,15 @@
 		change.Puts = []platform.Put{{Key: assignKey(r.id, a.id), Value: value}}
 	}
 	a.moving, a.requeue = true, true
+	target := c.rackFor(to)
+	target.receiving = true
 	generation, id, version := r.generation, a.id, a.version
 	c.addTasks(addition{
 		job: id, tasks: map[cluster.RackID][]taskRow{to: rows}, change: change,
 		edit:  func(*job) {},
 		valid: func(*job) bool { return r.generation == generation && !a.gone && a.version == version },
 		done: func(version cluster.Version, err error) {
+			target.receiving = false
 			if r.generation != generation || a.gone {
 				return
 			}
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -134,6 +134,8 @@
 	tasks  map[cluster.TaskID]*task
 	// foreign is the size of attempts on the worker that are no current task's.
 	foreign map[cluster.AttemptID]cluster.Resources
+	// load is what all of them and the holds use, as of the last syncWorker.
+	load cluster.Resources
 }
 
 // rack is a rack of the cell; the fields after phase are used while this daemon owns it.
@@ -165,6 +167,8 @@
 	// used is what each team uses here; frozen is grant that counts as used until the rack is fenced.
 	used   map[cluster.TeamName]cluster.Resources
 	frozen map[cluster.TeamName]cluster.Resources
+	// demands is what each team with work here could use, as last measured.
+	demands map[cluster.TeamName]cluster.Resources
 	// held is what other owners' gang jobs hold here.
 	holds []*hold
 
@@ -194,6 +198,8 @@
 	// contested is when another daemon last claimed to own the rack.
 	contested time.Time
 	handover  bool
+	// receiving says that a move to the rack is in flight.
+	receiving bool
 	// nextPreempt is when further victims may be chosen.
 	nextPreempt time.Time
 	// pinNext is the worker that the next pin is tried on.
@@ -251,6 +257,7 @@
 	r.list = nil
 	r.used = map[cluster.TeamName]cluster.Resources{}
 	r.frozen = map[cluster.TeamName]cluster.Resources{}
+	r.demands = map[cluster.TeamName]cluster.Resources{}
 	r.holds = nil
 	r.queue = newQueue()
 	r.queued = map[cluster.TeamName]cluster.Resources{}
@@ -296,7 +303,10 @@
 }
 
 // load returns what is used on the worker, holds of gang jobs included.
-func (r *rack) load(w *worker) cluster.Resources {
+func (r *rack) load(w *worker) cluster.Resources { return w.load }
+
+// addUp computes the load of a worker.
+func (r *rack) addUp(w *worker) cluster.Resources {
 	var sum cluster.Resources
 	for _, t := range w.tasks {
 		sum = sum.Add(t.size)
@@ -316,8 +326,9 @@
 
 // syncWorker copies the state of a worker into the placement table.
 func (r *rack) syncWorker(w *worker) {
+	w.load = r.addUp(w)
 	r.table.Set(placement.Worker{
-		ID: w.id, Rack: r.id, Place: w.place, Capacity: w.capacity, Used: r.load(w), Closed: r.closed(w) != "",
+		ID: w.id, Rack: r.id, Place: w.place, Capacity: w.capacity, Used: w.load, Closed: r.closed(w) != "",
 	})
 }
 
