fix: gang jobs leave a rack that services keep too full; replicas spread over racks without owners

Cause: at the start of a cell all six replicas of a service were placed in the one rack with an owner, and a gang of 12 tasks waited there without end: its 16 places were counted as if services ended. Change: places taken by services don't count for a gang that waits; racks without an owner count as open for replicas.

--- a/cluster/names.go
+++ b/cluster/names.go
@@ -28,7 +28,8 @@
 	JobName string
 	// Epoch is the fencing number of a rack; it only grows.
 	Epoch uint64
-	// Attempt is the number of a task's attempt, starting at 1.
+	// Attempt is the number of a task's attempt; it grows with each attempt and
+	// starts higher for a job that is submitted later under the same name.
 	Attempt uint32
 	// Version is a commit number of the table service or the number of a release note.
 	Version uint64
--- a/cluster/rack/move.go
+++ b/cluster/rack/move.go
@@ -60,13 +60,22 @@
 	return slices.ContainsFunc(r.order, func(w *worker) bool { return r.closed(w) == "" && size.Fits(w.capacity) })
 }
 
-// mostCopies returns how many tasks of a size the rack's open workers could hold if they were empty.
-func (r *rack) mostCopies(size cluster.Resources) int {
+// mostCopies returns how many tasks of a size the rack's open workers could hold
+// once all work but services has ended. A gang of 12 tasks waited without end in
+// a rack of 16 such places, 6 of which services took.
+func (c *Controller) mostCopies(r *rack, size cluster.Resources) int {
 	n := 0
 	for _, w := range r.order {
-		if r.closed(w) == "" {
-			n += copies(size, w.capacity)
+		if r.closed(w) != "" {
+			continue
+		}
+		free := w.capacity
+		for _, t := range w.tasks {
+			if c.isService(t.of.id) {
+				free = free.Sub(t.size)
+			}
 		}
+		n += copies(size, free)
 	}
 	return n
 }
@@ -85,7 +94,7 @@
 	most := min(to.room, maxMoved)
 	if j.isGang() {
 		// A part that only waits for its turn stays; one that can never fit gives up the rest.
-		most = min(most, c.readyTasks(a)-r.mostCopies(a.size))
+		most = min(most, c.readyTasks(a)-c.mostCopies(r, a.size))
 	}
 	moved := map[int]bool{}
 	var rows []taskRow
--- a/cluster/rack/spread.go
+++ b/cluster/rack/spread.go
@@ -197,11 +197,13 @@
 	return chosen
 }
 
-// spreadNext returns the rack for one more replica.
+// spreadNext returns the rack for one more replica. A rack without an owner is
+// as good as others: it gets one within seconds, while replicas that were all
+// placed in the one rack with an owner stay there.
 func spreadNext(sites []*site, zones map[cluster.Place]int) *site {
 	return slices.MinFunc(sites, func(a, b *site) int {
 		return cmp.Or(
-			-compareBool(a.served && a.room > a.taken, b.served && b.room > b.taken),
+			-compareBool(!a.served || a.room > a.taken, !b.served || b.room > b.taken),
 			cmp.Compare(zones[a.place], zones[b.place]),
 			cmp.Compare(a.taken, b.taken),
 			cmp.Compare(b.room, a.room),
--- a/platformd/demoreport.go
+++ b/platformd/demoreport.go
@@ -75,10 +75,12 @@
 // finish compares what the daemons said with what the stand-in's workers did.
 func (r *report) finish(c *demoCell, s scenario) {
 	succeeded := map[string]map[int]int{}
+	begun := map[cluster.TaskID]bool{}
 	for _, a := range c.platform.Starts() {
 		r.started++
 		job := a.Attempt.Task.Job.String()
-		if at, ok := r.submitted[job]; ok && a.Attempt.Attempt == 1 {
+		if at, ok := r.submitted[job]; ok && !begun[a.Attempt.Task] {
+			begun[a.Attempt.Task] = true
 			r.waits = append(r.waits, max(0, a.Start.Sub(at)))
 		}
 		if a.Outcome == 0 && !a.End.IsZero() {
