fix: give reservations only to items whose turn it is

Cause: blocked items of a team over its share got reservations by waiting time alone and took workers ahead of due work of other teams; a reservation for one task gave all tasks of its job precedence; a reservation that lapsed because running tasks took longer than declared sent the item to the end of the line. Change: reservations for one task only, for teams below their share or items that their own team passes over, for work that may wait only once due; lapsed ones are asked for again at once; overlong tasks are expected to need as much time again; 2 reservations at a time instead of 4.

--- a/cluster/placement/benchloop_test.go
+++ b/cluster/placement/benchloop_test.go
@@ -33,6 +33,47 @@
 	Unreserved(job cluster.JobID)
 }
 
+// fifo is first come, first served; strict waits for the first item, otherwise
+// items that do not fit are passed over.
+type fifo struct {
+	items   []Item
+	blocked []cluster.Resources
+	strict  bool
+}
+
+func (f *fifo) Add(item Item) { f.items = append(f.items, item) }
+
+func (f *fifo) Next(time.Time) (Pick, bool) {
+	for i := range f.items {
+		if !slices.ContainsFunc(f.blocked, func(b cluster.Resources) bool { return b.Fits(f.items[i].Size) }) {
+			return Pick{Item: f.items[i]}, true
+		}
+		if f.strict {
+			break
+		}
+	}
+	return Pick{}, false
+}
+
+func (f *fifo) at(job cluster.JobID) int {
+	return slices.IndexFunc(f.items, func(i Item) bool { return i.Job == job })
+}
+
+func (f *fifo) Started(job cluster.JobID, n int) {
+	at := f.at(job)
+	if f.items[at].Tasks -= n; f.items[at].Tasks == 0 {
+		f.items = slices.Delete(f.items, at, at+1)
+	}
+}
+
+func (f *fifo) Blocked(job cluster.JobID, _ time.Time) {
+	f.blocked = append(f.blocked, f.items[f.at(job)].Size)
+}
+func (f *fifo) Freed(cluster.Resources)                     { f.blocked = f.blocked[:0] }
+func (f *fifo) Release(cluster.TeamName, cluster.Resources) {}
+func (f *fifo) Reserved(cluster.JobID)                      {}
+func (f *fifo) Unreserved(cluster.JobID)                    {}
+
 // running is a task of the event loop.
 type running struct {
 	Ending
@@ -202,6 +243,25 @@
 	}
 }
 
+// run works through arrivals, ordered by time, and what they start, until a time.
+func (l *loop) run(arrivals []*arrival, until time.Time) {
+	for next := 0; ; {
+		for next < len(arrivals) && !arrivals[next].item.Submitted.After(l.now) {
+			l.submit(arrivals[next])
+			next++
+		}
+		l.schedule()
+		switch {
+		case next < len(arrivals) && (len(l.ends) == 0 || arrivals[next].item.Submitted.Before(l.ends[0].ends)):
+			l.now = arrivals[next].item.Submitted
+		case len(l.ends) > 0 && !l.ends[0].ends.After(until):
+			l.end()
+		default:
+			return
+		}
+	}
+}
+
 // newArrival draws a job of a kind: it uses 30 to 90% of its declared size and 30 to 200% of its declared run time.
 func newArrival(r *rand.Rand, k *kind, serial int, at time.Time) *arrival {
 	// The use and run time of a kind are mostly stable, with some variation from run to run.
--- a/cluster/placement/queue.go
+++ b/cluster/placement/queue.go
@@ -15,7 +15,7 @@
 	defaultMaxSkips   = 200
 	// defaultMaxBlocked is shorter than the 5 minutes after which a user asks why a job does not start.
 	defaultMaxBlocked      = 2 * time.Minute
-	defaultMaxReservations = 4
+	defaultMaxReservations = 2
 	// defaultPackTurns bounds what packing may do to the order of a team's work.
 	defaultPackTurns = 8
 	// dueTurn is the number of starts among which one goes to due work of a team over its
@@ -39,7 +39,7 @@
 	MaxSkips int
 	// MaxBlocked is the time after which a blocked item gets a reservation; zero means 2 minutes.
 	MaxBlocked time.Duration
-	// MaxReservations limits the items with reservations at one time; zero means 4.
+	// MaxReservations limits the items with reservations at one time; zero means 2.
 	MaxReservations int
 	// PackTurns is the number of starts, of which the last is in strict order, while
 	// the others may prefer an item that fills the freed room better; zero means 8
@@ -206,6 +206,7 @@
 		q.hole = q.hole.Sub(item.Size)
 	}
 	t := q.teams[job.Team]
+	t.starts += uint64(n)
 	t.used = t.used.Add(amount)
 	t.pending = t.pending.Sub(amount)
 	// Used and pending change by opposite amounts, so the entitled shares stay as they are.
@@ -216,6 +217,11 @@
 		return
 	}
 	q.waiting.remove(e)
+	if e.reserved {
+		// The reservation was for one task; the others take their turns again.
+		q.detach(e)
+		t.insert(e)
+	}
 }
 
 // Blocked records that an item did not fit. Items of its team and size are not
@@ -235,7 +241,7 @@
 		q.waiting.remove(e)
 	}
 	if !e.waiting {
-		e.since, e.startsSince, e.overtaken = now, q.starts, false
+		e.since, e.startsSince, e.teamStartsSince, e.overtaken = now, q.starts, q.teams[job.Team].starts, false
 		q.waiting.push(e)
 	}
 	if g := e.group; g.active() {
@@ -255,7 +261,10 @@
 	q.reserved = append(q.reserved, e)
 }
 
-// Unreserved records that the reservation of an item was given up; the item waits again.
+// Unreserved records that the reservation of an item lapsed or was given up. The
+// item counts as passed over since before, so that Next asks for another
+// reservation at once: tasks that run longer than expected must not send a large
+// item back to the end of the line.
 func (q *Queue) Unreserved(job cluster.JobID) {
 	e, ok := q.items[job]
 	if !ok || !e.reserved {
@@ -263,6 +272,7 @@
 	}
 	q.detach(e)
 	q.teams[job.Team].insert(e)
+	q.waiting.pushFirst(e)
 }
 
 // Freed makes the blocked items ready that fit into free, which is what some worker now has left.
--- a/cluster/placement/queuenext.go
+++ b/cluster/placement/queuenext.go
@@ -75,17 +75,24 @@
 	return Pick{Item: next.item}, true
 }
 
-// firstOvertaken returns the item that has been blocked for too long, if another reservation is allowed.
+// firstOvertaken returns the item that was passed over too often, if another reservation is allowed.
 func (q *Queue) firstOvertaken(now time.Time) *entry {
 	if len(q.reserved) >= q.cfg.MaxReservations {
 		return nil
 	}
 	for e := q.waiting.first; e != nil; e = e.next {
-		if q.starts-e.startsSince < uint64(q.cfg.MaxSkips) && now.Sub(e.since) < q.cfg.MaxBlocked {
+		skips := uint64(q.cfg.MaxSkips)
+		if q.starts-e.startsSince < skips && now.Sub(e.since) < q.cfg.MaxBlocked {
 			return nil
 		}
 		t := q.teams[e.item.Job.Team]
-		if !t.held && t.admits(&e.item) {
+		// Work that may wait is not worth idle workers before it is due.
+		if t.held || !t.admits(&e.item) || rushOf(&e.item) == dueLater && e.key.After(now) {
+			continue
+		}
+		// An item of a team over its share waits for the team's turn and not for room;
+		// only the team's own work passes it over.
+		if t.dominant(q.cfg.Total) < t.entitled || t.starts-e.teamStartsSince >= skips {
 			return e
 		}
 	}
--- a/cluster/placement/queueteam.go
+++ b/cluster/placement/queueteam.go
@@ -23,10 +23,10 @@
 	// tried says that the item with a reservation did not fit since room was last freed.
 	tried bool
 	// waiting and the others record when the item first did not fit.
-	waiting     bool
-	since       time.Time
-	startsSince uint64
-	next, prev  *entry
+	waiting                      bool
+	since                        time.Time
+	startsSince, teamStartsSince uint64
+	next, prev                   *entry
 	// overtaken says that Next returned the item because it was passed over too often.
 	overtaken bool
 }
@@ -52,6 +52,16 @@
 	l.last = e
 }
 
+func (l *entryList) pushFirst(e *entry) {
+	e.waiting, e.prev, e.next = true, nil, l.first
+	if l.first == nil {
+		l.last = e
+	} else {
+		l.first.prev = e
+	}
+	l.first = e
+}
+
 func (l *entryList) remove(e *entry) {
 	if !e.waiting {
 		return
@@ -118,6 +128,7 @@
 	held          bool
 	used, pending cluster.Resources
 	entitled      float64
+	starts        uint64
 	groups        map[shape]*group
 	// active holds the groups that are not blocked. Normal items are kept apart: an
 	// old one at the head of a common heap would hide a due item.
--- a/cluster/placement/reservation.go
+++ b/cluster/placement/reservation.go
@@ -192,6 +192,12 @@
 
 // appendOpenings adds the times at which a worker has room for further tasks of a size.
 func appendOpenings(openings []opening, w *Worker, size cluster.Resources, endings []Ending, now time.Time) []opening {
+	for i := range endings {
+		// A task that outlasted its expected end is taken to need as much time again.
+		if e := &endings[i]; e.End.Before(now) {
+			e.End = now.Add(now.Sub(e.End))
+		}
+	}
 	slices.SortStableFunc(endings, func(a, b Ending) int { return a.End.Compare(b.End) })
 	free := w.Free()
 	have := timesFits(size, free)
@@ -201,11 +207,7 @@
 	for _, e := range endings {
 		free = free.Add(e.Size)
 		if more := timesFits(size, free); more > have {
-			at := e.End
-			if at.Before(now) {
-				at = now
-			}
-			openings = append(openings, opening{at, w.ID, more - have})
+			openings = append(openings, opening{e.End, w.ID, more - have})
 			have = more
 		}
 	}
