fix: keep a job's place when its item changes, and failures of broken workers apart

Cause: reading the code again. An item that was added again with another count of tasks lost its waiting time and reservation; a broken worker's failure of a job that had failed elsewhere stayed counted after the quarantine; a task that failed at its memory limit could not raise the estimate; a reservation without a job was open to every request without one. Change: Add carries the waiting state over; quarantine takes back all failures since the last success; reports without a run time count for the size only; Reserve refuses an empty job.

--- a/cluster/placement/estimator.go
+++ b/cluster/placement/estimator.go
@@ -19,9 +19,10 @@
 	defaultNames      = 4096
 	sizeStepCPU       = 50 * cluster.Core / 1000
 	sizeStepMemory    = 64 * cluster.MiB
-	nearGrant         = 0.98
-	growthAtGrant     = 1.5
-	smallestRunTime   = time.Millisecond
+	// nearGrant is the part of a grant from which a task counts as limited by it, and
+	// growthAtGrant what such a task is taken to need in relation to its grant.
+	nearGrant     = 0.98
+	growthAtGrant = 1.5
 )
 
 // EstimatorConfig configures an Estimator.
@@ -42,7 +43,8 @@
 	// Granted is the size that the task was given.
 	Granted cluster.Resources
 	// Peak is the largest measured use.
-	Peak    cluster.Resources
+	Peak cluster.Resources
+	// RunTime is zero for a task that failed; it is then not counted.
 	RunTime time.Duration
 }
 
@@ -103,10 +105,11 @@
 	return &Estimator{cfg: cfg, recent: list.New(), names: map[cluster.JobID]*list.Element{}}
 }
 
-// Observe takes in the report of a task that ended on its own; stopped or failed tasks are not reported.
+// Observe takes in the report of a task that succeeded, or of one that failed at
+// its memory limit: without the latter a grant that is too small would never grow.
 func (e *Estimator) Observe(r Report) {
 	l := e.touch(cluster.JobID{Team: r.Job.Team, Name: NameOf(r.Job.Name)})
-	s := Sample{CPU: r.Peak.CPU, Memory: r.Peak.Memory, RunTime: max(r.RunTime, smallestRunTime)}
+	s := Sample{CPU: r.Peak.CPU, Memory: r.Peak.Memory, RunTime: max(r.RunTime, 0)}
 	// A task can't be measured above its grant: one that reached it may need more.
 	if r.Granted.CPU > 0 && float64(s.CPU) >= nearGrant*float64(r.Granted.CPU) {
 		s.CPU = cluster.CPU(growthAtGrant * float64(r.Granted.CPU))
@@ -135,7 +138,10 @@
 	}
 	size := l.size.Min(declared)
 	size.Accelerators = declared.Accelerators
-	return Estimate{Size: size, RunTime: l.runTime, Learned: true}
+	if l.runTime > 0 {
+		runTime = l.runTime
+	}
+	return Estimate{Size: size, RunTime: runTime, Learned: true}
 }
 
 // Len returns the number of names kept.
@@ -186,14 +192,20 @@
 }
 
 func (l *learned) compute(cfg EstimatorConfig) {
-	n := len(l.samples)
-	rank := min(max(int(math.Ceil(cfg.Quantile*float64(n)))-1, 0), n-1)
 	var values [sampleWindow]int64
 	quantile := func(value func(Sample) int64) float64 {
-		for i, s := range l.samples {
-			values[i] = value(s)
+		n := 0
+		for _, s := range l.samples {
+			if v := value(s); v > 0 {
+				values[n] = v
+				n++
+			}
+		}
+		if n == 0 {
+			return 0
 		}
 		slices.Sort(values[:n])
+		rank := min(max(int(math.Ceil(cfg.Quantile*float64(n)))-1, 0), n-1)
 		return float64(values[rank]) * (1 + cfg.Margin)
 	}
 	cpu := quantile(func(s Sample) int64 { return int64(s.CPU) })
--- a/cluster/placement/health.go
+++ b/cluster/placement/health.go
@@ -18,6 +18,8 @@
 	defaultJobEvery       = time.Minute
 	defaultTeamRetries    = 100
 	defaultTeamEvery      = time.Second
+	// failedJobs bounds the memory of a worker on which only jobs fail that fail elsewhere too.
+	failedJobs = 64
 )
 
 // HealthConfig configures a WorkerHealth.
@@ -76,8 +78,10 @@
 }
 
 type workerHealth struct {
-	// streak holds the distinct jobs that failed since the last success.
-	streak      []cluster.JobID
+	// streak holds the distinct jobs that failed since the last success and had not failed elsewhere.
+	streak []cluster.JobID
+	// failed holds all distinct jobs that failed since the last success, the last failedJobs of them.
+	failed      []cluster.JobID
 	quarantined bool
 	probing     bool
 	delay       time.Duration
@@ -168,6 +172,10 @@
 	j := h.job(job)
 	if !slices.Contains(j.failedOn, id) {
 		j.failedOn = append(j.failedOn, id)
+		if len(w.failed) == failedJobs {
+			w.failed = slices.Delete(w.failed, 0, 1)
+		}
+		w.failed = append(w.failed, job)
 	}
 	verdict := Verdict{StopJob: len(j.failedOn) >= h.cfg.StopWorkers}
 	// A job that failed on another healthy worker says little about this one.
@@ -186,12 +194,12 @@
 	w.quarantined, w.probing = true, false
 	w.delay = h.cfg.FirstProbe
 	w.probeAt = now.Add(w.delay)
-	for _, job := range w.streak {
+	for _, job := range w.failed {
 		if j, ok := h.jobs[job]; ok {
 			j.failedOn = slices.DeleteFunc(j.failedOn, func(f cluster.WorkerID) bool { return f == id })
 		}
 	}
-	w.streak = w.streak[:0]
+	w.streak, w.failed = nil, nil
 }
 
 // Retry reports whether a failed task of a job may be tried again, and takes
--- a/cluster/placement/prop_test.go
+++ b/cluster/placement/prop_test.go
@@ -110,6 +110,23 @@
 	})
 }
 
+// Guards against garbage in the common path of the control loop.
+func TestPlaceDoesNotAllocate(t *testing.T) {
+	table := NewTable()
+	for i := range 64 {
+		table.Set(Worker{ID: cluster.WorkerID(fmt.Sprint("w", i)), Rack: "r", Capacity: cluster.Resources{CPU: 16000, Memory: 64 * cluster.GiB}})
+	}
+	req := Request{Size: cluster.Resources{CPU: 1000, Memory: cluster.GiB}}
+	allocations := testing.AllocsPerRun(100, func() {
+		id, _ := table.Place(req)
+		table.Occupy(id, req.Size)
+		table.Release(id, req.Size)
+	})
+	if allocations > 0 {
+		t.Fatalf("%v allocations per placement", allocations)
+	}
+}
+
 // Guards against a gang job that is placed in part, or that leaves workers occupied.
 func TestPlaceAllIsWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/cluster/placement/queue.go
+++ b/cluster/placement/queue.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"container/heap"
 	"math"
 	"time"
 
@@ -153,21 +154,35 @@
 	if old != nil && old.item == item {
 		return
 	}
+	wasReserved, wasWaiting := old != nil && old.reserved, old != nil && old.waiting
 	q.Remove(item.Job)
 	if item.Tasks <= 0 {
 		return
 	}
 	q.sequence++
 	e := &entry{item: item, sequence: q.sequence, key: q.latestStart(&item)}
-	if old != nil {
-		// A changed count of tasks must not cost the job its place among equals.
-		e.sequence = old.sequence
-	}
 	q.items[item.Job] = e
 	t := q.team(item.Job.Team)
 	t.pending = t.pending.Add(item.Size.Times(int64(item.Tasks)))
 	t.insert(e)
 	q.stale = true
+	if old == nil {
+		return
+	}
+	// A changed size or count of tasks must not cost the job its place among equals
+	// nor what it waited for room.
+	e.sequence = old.sequence
+	heap.Fix(&e.group.entries, e.position)
+	if e.group.active() {
+		heap.Fix(t.heapOf(e.group), e.group.position)
+	}
+	e.since, e.startsSince, e.teamStartsSince = old.since, old.startsSince, old.teamStartsSince
+	switch {
+	case wasReserved:
+		q.Reserved(item.Job)
+	case wasWaiting:
+		q.waiting.insert(e)
+	}
 }
 
 // Remove removes an item.
@@ -272,7 +287,7 @@
 	}
 	q.detach(e)
 	q.teams[job.Team].insert(e)
-	q.waiting.pushFirst(e)
+	q.waiting.insert(e)
 }
 
 // Freed makes the blocked items ready that fit into free, which is what some worker now has left.
--- a/cluster/placement/queueteam.go
+++ b/cluster/placement/queueteam.go
@@ -52,14 +52,23 @@
 	l.last = e
 }
 
-func (l *entryList) pushFirst(e *entry) {
-	e.waiting, e.prev, e.next = true, nil, l.first
-	if l.first == nil {
+// insert puts an entry at the place that its time in the list gives it.
+func (l *entryList) insert(e *entry) {
+	after := l.last
+	for after != nil && e.since.Before(after.since) {
+		after = after.prev
+	}
+	e.waiting, e.prev = true, after
+	if after == nil {
+		e.next, l.first = l.first, e
+	} else {
+		e.next, after.next = after.next, e
+	}
+	if e.next == nil {
 		l.last = e
 	} else {
-		l.first.prev = e
+		e.next.prev = e
 	}
-	l.first = e
 }
 
 func (l *entryList) remove(e *entry) {
--- a/cluster/placement/reservation.go
+++ b/cluster/placement/reservation.go
@@ -28,10 +28,10 @@
 }
 
 // Reserve keeps room for a job and replaces its earlier reservation. It returns
-// false and changes nothing if no worker is named, or one is unknown, too small
-// for its tasks or reserved for another job.
+// false and changes nothing if no job or no worker is named, or a worker is
+// unknown, too small for its tasks or reserved for another job.
 func (t *Table) Reserve(r Reservation) bool {
-	if len(r.Workers) == 0 {
+	if r.Job == (cluster.JobID{}) || len(r.Workers) == 0 {
 		return false
 	}
 	amounts := map[*node]cluster.Resources{}
