perf: group a team's sizes by level beyond 64

Cause: with 10,000 items of different sizes each release of room made thousands of groups ready, and each vain try looked through all blocked items. Change: sizes are kept apart up to 64 per team and grouped by level beyond; the search for passed over items is repeated only after a start or when time has passed.

--- a/cluster/placement/bench_test.go
+++ b/cluster/placement/bench_test.go
@@ -98,6 +98,8 @@
 	serial  int
 	// one holds the job names, made in advance so that they are not counted as allocations.
 	names []cluster.JobName
+	// varied gives every item a size of its own.
+	varied bool
 }
 
 type churnTask struct {
@@ -107,9 +109,10 @@
 }
 
 // newChurn fills a fleet until it has the given number of running tasks, or until nothing pending fits if it is zero.
-func newChurn(workers, running int, policy Policy) *churn {
+func newChurn(workers, running int, policy Policy, varied bool) *churn {
 	c := &churn{
-		table: fleet(workers), policy: policy, random: rand.New(rand.NewPCG(1, 2)),
+		varied: varied,
+		table:  fleet(workers), policy: policy, random: rand.New(rand.NewPCG(1, 2)),
 		now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 	}
 	c.queue = NewQueue(QueueConfig{Total: c.table.Total()})
@@ -134,8 +137,13 @@
 func (c *churn) submit() {
 	k := draw(c.random, bothMixes)
 	c.serial++
+	size := k.size()
+	if c.varied {
+		size.CPU += cluster.CPU(c.random.IntN(int(size.CPU)))
+		size.Memory += cluster.Bytes(c.random.IntN(int(size.Memory)))
+	}
 	c.queue.Add(Item{
-		Job: cluster.JobID{Team: k.team, Name: c.names[c.serial%len(c.names)]}, Size: k.size(), Tasks: 1,
+		Job: cluster.JobID{Team: k.team, Name: c.names[c.serial%len(c.names)]}, Size: size, Tasks: 1,
 		Priority: k.priority, Submitted: c.now, RunTime: k.runTime, MaxWait: k.maxWait,
 	})
 }
@@ -185,13 +193,22 @@
 					if full {
 						running = 0
 					}
-					benchmarkDecision(b, newChurn(n, running, p.policy), full)
+					benchmarkDecision(b, newChurn(n, running, p.policy, false), full)
 				})
 			}
 		}
 	}
 }
 
+// BenchmarkDecisionVaried is BenchmarkDecision in a full fleet with items that all differ in size.
+func BenchmarkDecisionVaried(b *testing.B) {
+	for _, n := range fleetSizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			benchmarkDecision(b, newChurn(n, 0, Indexed{}, true), true)
+		})
+	}
+}
+
 func benchmarkDecision(b *testing.B, c *churn, full bool) {
 	histogram := hdrhistogram.New(1, int64(time.Minute), 3)
 	placed, spent := 0, time.Duration(0)
@@ -226,7 +243,7 @@
 func BenchmarkPlace(b *testing.B) {
 	for _, n := range fleetSizes {
 		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
-			c := newChurn(n, 2600*n/590, Indexed{})
+			c := newChurn(n, 2600*n/590, Indexed{}, false)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
--- a/cluster/placement/prop_test.go
+++ b/cluster/placement/prop_test.go
@@ -276,6 +276,36 @@
 	})
 }
 
+// Guards against items that are lost or never tried again when a team has more
+// sizes than are kept apart: with room freed again and again all of them start.
+func TestManySizesAllStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const items = 4 * exactShapes
+		table, now := NewTable(), epoch
+		table.Set(Worker{ID: "w", Rack: "r", Capacity: cluster.Resources{CPU: 10_000}})
+		q := NewQueue(QueueConfig{Total: table.Total()})
+		for i := range items {
+			size := cluster.Resources{CPU: cluster.CPU(rapid.IntRange(1, 10_000).Draw(t, "cpu"))}
+			q.Add(Item{Job: cluster.JobID{Team: "a", Name: cluster.JobName(fmt.Sprint(i))}, Size: size, Tasks: 1, Priority: cluster.PriorityNormal})
+		}
+		for range items {
+			for pick, ok := q.Next(now); ok; pick, ok = q.Next(now) {
+				if _, reason := table.Place(Request{Size: pick.Item.Size}); reason == Placed {
+					table.Occupy("w", pick.Item.Size)
+					q.Started(pick.Item.Job, 1)
+					continue
+				}
+				q.Blocked(pick.Item.Job, now)
+			}
+			table.Release("w", table.Total())
+			q.Freed(table.workers[0].Free())
+		}
+		if q.Len() > 0 {
+			t.Fatalf("%d of %d items did not start", q.Len(), items)
+		}
+	})
+}
+
 // Guards against starvation of a large item by small ones that fit into every
 // gap. Deferrable items are owed a reservation only once they are due.
 func TestLargeItemIsNotStarved(t *testing.T) {
--- a/cluster/placement/queue.go
+++ b/cluster/placement/queue.go
@@ -78,6 +78,9 @@
 	packed   int
 	sequence uint64
 	stale    bool
+	// nobodyAt and nobodyStarts say when no item was found to have been passed over too often.
+	nobodyAt     time.Time
+	nobodyStarts uint64
 	// fill is the scratch space of refresh.
 	fill []claim
 }
@@ -181,7 +184,7 @@
 	case wasReserved:
 		q.Reserved(item.Job)
 	case wasWaiting:
-		q.waiting.insert(e)
+		q.rejoin(e)
 	}
 }
 
@@ -287,7 +290,13 @@
 	}
 	q.detach(e)
 	q.teams[job.Team].insert(e)
+	q.rejoin(e)
+}
+
+// rejoin puts an item back among those that wait for room, at its old place.
+func (q *Queue) rejoin(e *entry) {
 	q.waiting.insert(e)
+	q.nobodyAt = time.Time{}
 }
 
 // Freed makes the blocked items ready that fit into free, which is what some worker now has left.
@@ -297,7 +306,7 @@
 	for _, g := range q.blocked {
 		switch {
 		case g.dropped:
-		case g.size.Fits(free):
+		case g.smallest.Fits(free):
 			g.team.resume(g)
 		default:
 			kept = append(kept, g)
--- a/cluster/placement/queuenext.go
+++ b/cluster/placement/queuenext.go
@@ -77,13 +77,13 @@
 
 // firstOvertaken returns the item that was passed over too often, if another reservation is allowed.
 func (q *Queue) firstOvertaken(now time.Time) *entry {
-	if len(q.reserved) >= q.cfg.MaxReservations {
+	if len(q.reserved) >= q.cfg.MaxReservations || q.nobodyAt.Equal(now) && q.nobodyStarts == q.starts {
 		return nil
 	}
 	for e := q.waiting.first; e != nil; e = e.next {
 		skips := uint64(q.cfg.MaxSkips)
 		if q.starts-e.startsSince < skips && now.Sub(e.since) < q.cfg.MaxBlocked {
-			return nil
+			break
 		}
 		t := q.teams[e.item.Job.Team]
 		// Work that may wait is not worth idle workers before it is due.
@@ -96,6 +96,8 @@
 			return e
 		}
 	}
+	// The answer stays the same until something is started or time passes.
+	q.nobodyAt, q.nobodyStarts = now, q.starts
 	return nil
 }
 
--- a/cluster/placement/queueteam.go
+++ b/cluster/placement/queueteam.go
@@ -88,11 +88,27 @@
 	e.waiting, e.overtaken, e.prev, e.next = false, false, nil, nil
 }
 
-// shape is what the items of a group have in common: if one does not fit, none does.
+// exactShapes is the number of a team's shapes from which sizes are grouped by
+// level. With 10,000 different sizes every release of room made thousands of
+// groups ready, and each of them was tried in vain.
+const exactShapes = 64
+
+// shape is what the items of a group have in common: if one does not fit, none
+// does. Sizes of the same level are taken for equal, although they differ by up
+// to a quarter, once a team has very many.
 type shape struct {
 	size  cluster.Resources
 	tasks int
 	rush  rush
+	// leveled says that size holds levels.
+	leveled bool
+}
+
+// leveledShape returns the shape that holds all sizes of the same level.
+func (s shape) leveledShape() shape {
+	s.size.CPU, s.size.Memory = cluster.CPU(cpuLevel(s.size.CPU)), cluster.Bytes(memoryLevel(s.size.Memory))
+	s.leveled = true
+	return s
 }
 
 // rush is the kind of order that an item is subject to.
@@ -123,6 +139,8 @@
 	shape
 	team    *team
 	entries entryHeap
+	// smallest is at most the size of any entry.
+	smallest cluster.Resources
 	// position is the group's index in its team's heap, or -1 while the group is blocked.
 	position int
 	dropped  bool
@@ -186,10 +204,15 @@
 		s.tasks = e.item.Tasks
 	}
 	g, ok := t.groups[s]
+	if !ok && len(t.groups) >= exactShapes {
+		s = s.leveledShape()
+		g, ok = t.groups[s]
+	}
 	if !ok {
-		g = &group{shape: s, team: t, position: -1}
+		g = &group{shape: s, team: t, position: -1, smallest: e.item.Size}
 		t.groups[s] = g
 	}
+	g.smallest = g.smallest.Min(e.item.Size)
 	e.group = g
 	heap.Push(&g.entries, e)
 	switch {
