--- a/cluster/placement/queue.go
+++ b/cluster/placement/queue.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"container/heap"
 	"math"
 	"time"
 
@@ -15,7 +16,9 @@
 	defaultMaxSkips   = 200
 	// defaultMaxBlocked is shorter than the 5 minutes after which a user asks why a job does not start.
 	defaultMaxBlocked      = 2 * time.Minute
-	defaultMaxReservations = 4
+	defaultMaxReservations = 2
+	// defaultPackTurns bounds what packing may do to the order of a team's work.
+	defaultPackTurns = 8
 	// dueTurn is the number of starts among which one goes to due work of a team over its
 	// share. It bounds the wait of due work and limits what a team gains by submitting
 	// more deferrable work than its share can run.
@@ -37,8 +40,12 @@
 	MaxSkips int
 	// MaxBlocked is the time after which a blocked item gets a reservation; zero means 2 minutes.
 	MaxBlocked time.Duration
-	// MaxReservations limits the items with reservations at one time; zero means 4.
+	// MaxReservations limits the items with reservations at one time; zero means 2.
 	MaxReservations int
+	// PackTurns is the number of starts, of which the last is in strict order, while
+	// the others may prefer an item that fills the freed room better; zero means 8
+	// and 1 means strict order.
+	PackTurns int
 }
 
 // TeamConfig is a team's part in the queue.
@@ -65,8 +72,15 @@
 	reserved []*entry
 	starts   uint64
 	sinceDue int
+	// hole is the room that was freed last, less what was started since.
+	hole cluster.Resources
+	// packed counts the starts since the last one in strict order.
+	packed   int
 	sequence uint64
 	stale    bool
+	// nobodyAt and nobodyStarts say when no item was found to have been passed over too often.
+	nobodyAt     time.Time
+	nobodyStarts uint64
 	// fill is the scratch space of refresh.
 	fill []claim
 }
@@ -88,6 +102,9 @@
 	if cfg.MaxReservations <= 0 {
 		cfg.MaxReservations = defaultMaxReservations
 	}
+	if cfg.PackTurns <= 0 {
+		cfg.PackTurns = defaultPackTurns
+	}
 	return &Queue{cfg: cfg, items: map[cluster.JobID]*entry{}, teams: map[cluster.TeamName]*team{}}
 }
 
@@ -140,21 +157,35 @@
 	if old != nil && old.item == item {
 		return
 	}
+	wasReserved, wasWaiting := old != nil && old.reserved, old != nil && old.waiting
 	q.Remove(item.Job)
 	if item.Tasks <= 0 {
 		return
 	}
 	q.sequence++
 	e := &entry{item: item, sequence: q.sequence, key: q.latestStart(&item)}
-	if old != nil {
-		// A changed count of tasks must not cost the job its place among equals.
-		e.sequence = old.sequence
-	}
 	q.items[item.Job] = e
 	t := q.team(item.Job.Team)
 	t.pending = t.pending.Add(item.Size.Times(int64(item.Tasks)))
 	t.insert(e)
 	q.stale = true
+	if old == nil {
+		return
+	}
+	// A changed size or count of tasks must not cost the job its place among equals
+	// nor what it waited for room.
+	e.sequence = old.sequence
+	heap.Fix(&e.group.entries, e.position)
+	if e.group.active() {
+		heap.Fix(t.heapOf(e.group), e.group.position)
+	}
+	e.since, e.startsSince, e.teamStartsSince = old.since, old.startsSince, old.teamStartsSince
+	switch {
+	case wasReserved:
+		q.Reserved(item.Job)
+	case wasWaiting:
+		q.rejoin(e)
+	}
 }
 
 // Remove removes an item.
@@ -184,7 +215,16 @@
 		q.sinceDue += n
 	}
 	amount := e.item.Size.Times(int64(n))
+	if e.packed {
+		q.packed += n
+	} else {
+		q.packed = 0
+	}
+	if item := &e.item; item.Size.Fits(q.hole) {
+		q.hole = q.hole.Sub(item.Size)
+	}
 	t := q.teams[job.Team]
+	t.starts += uint64(n)
 	t.used = t.used.Add(amount)
 	t.pending = t.pending.Sub(amount)
 	// Used and pending change by opposite amounts, so the entitled shares stay as they are.
@@ -195,6 +235,11 @@
 		return
 	}
 	q.waiting.remove(e)
+	if e.reserved {
+		// The reservation was for one task; the others take their turns again.
+		q.detach(e)
+		t.insert(e)
+	}
 }
 
 // Blocked records that an item did not fit. Items of its team and size are not
@@ -214,7 +259,7 @@
 		q.waiting.remove(e)
 	}
 	if !e.waiting {
-		e.since, e.startsSince, e.overtaken = now, q.starts, false
+		e.since, e.startsSince, e.teamStartsSince, e.overtaken = now, q.starts, q.teams[job.Team].starts, false
 		q.waiting.push(e)
 	}
 	if g := e.group; g.active() {
@@ -234,7 +279,10 @@
 	q.reserved = append(q.reserved, e)
 }
 
-// Unreserved records that the reservation of an item was given up; the item waits again.
+// Unreserved records that the reservation of an item lapsed or was given up. The
+// item counts as passed over since before, so that Next asks for another
+// reservation at once: tasks that run longer than expected must not send a large
+// item back to the end of the line.
 func (q *Queue) Unreserved(job cluster.JobID) {
 	e, ok := q.items[job]
 	if !ok || !e.reserved {
@@ -242,15 +290,23 @@
 	}
 	q.detach(e)
 	q.teams[job.Team].insert(e)
+	q.rejoin(e)
+}
+
+// rejoin puts an item back among those that wait for room, at its old place.
+func (q *Queue) rejoin(e *entry) {
+	q.waiting.insert(e)
+	q.nobodyAt = time.Time{}
 }
 
 // Freed makes the blocked items ready that fit into free, which is what some worker now has left.
 func (q *Queue) Freed(free cluster.Resources) {
+	q.hole = free
 	kept := q.blocked[:0]
 	for _, g := range q.blocked {
 		switch {
 		case g.dropped:
-		case g.size.Fits(free):
+		case g.smallest.Fits(free):
 			g.team.resume(g)
 		default:
 			kept = append(kept, g)
--- a/cluster/placement/queueteam.go
+++ b/cluster/placement/queueteam.go
@@ -17,14 +17,16 @@
 	// position is the entry's index in its group's heap.
 	position int
 	due      bool
+	// packed says that Next returned the item because it fills the freed room.
+	packed   bool
 	reserved bool
 	// tried says that the item with a reservation did not fit since room was last freed.
 	tried bool
-	// waiting, since and startsSince record when the item first did not fit.
-	waiting     bool
-	since       time.Time
-	startsSince uint64
-	next, prev  *entry
+	// waiting and the others record when the item first did not fit.
+	waiting                      bool
+	since                        time.Time
+	startsSince, teamStartsSince uint64
+	next, prev                   *entry
 	// overtaken says that Next returned the item because it was passed over too often.
 	overtaken bool
 }
@@ -50,6 +52,25 @@
 	l.last = e
 }
 
+// insert puts an entry at the place that its time in the list gives it.
+func (l *entryList) insert(e *entry) {
+	after := l.last
+	for after != nil && e.since.Before(after.since) {
+		after = after.prev
+	}
+	e.waiting, e.prev = true, after
+	if after == nil {
+		e.next, l.first = l.first, e
+	} else {
+		e.next, after.next = after.next, e
+	}
+	if e.next == nil {
+		l.last = e
+	} else {
+		e.next.prev = e
+	}
+}
+
 func (l *entryList) remove(e *entry) {
 	if !e.waiting {
 		return
@@ -67,11 +88,27 @@
 	e.waiting, e.overtaken, e.prev, e.next = false, false, nil, nil
 }
 
-// shape is what the items of a group have in common: if one does not fit, none does.
+// exactShapes is the number of a team's shapes from which sizes are grouped by
+// level. With 10,000 different sizes every release of room made thousands of
+// groups ready, and each of them was tried in vain.
+const exactShapes = 64
+
+// shape is what the items of a group have in common: if one does not fit, none
+// does. Sizes of the same level are taken for equal, although they differ by up
+// to a quarter, once a team has very many.
 type shape struct {
 	size  cluster.Resources
 	tasks int
 	rush  rush
+	// leveled says that size holds levels.
+	leveled bool
+}
+
+// leveledShape returns the shape that holds all sizes of the same level.
+func (s shape) leveledShape() shape {
+	s.size.CPU, s.size.Memory = cluster.CPU(cpuLevel(s.size.CPU)), cluster.Bytes(memoryLevel(s.size.Memory))
+	s.leveled = true
+	return s
 }
 
 // rush is the kind of order that an item is subject to.
@@ -102,6 +139,8 @@
 	shape
 	team    *team
 	entries entryHeap
+	// smallest is at most the size of any entry.
+	smallest cluster.Resources
 	// position is the group's index in its team's heap, or -1 while the group is blocked.
 	position int
 	dropped  bool
@@ -116,6 +155,7 @@
 	held          bool
 	used, pending cluster.Resources
 	entitled      float64
+	starts        uint64
 	groups        map[shape]*group
 	// active holds the groups that are not blocked. Normal items are kept apart: an
 	// old one at the head of a common heap would hide a due item.
@@ -164,10 +204,15 @@
 		s.tasks = e.item.Tasks
 	}
 	g, ok := t.groups[s]
+	if !ok && len(t.groups) >= exactShapes {
+		s = s.leveledShape()
+		g, ok = t.groups[s]
+	}
 	if !ok {
-		g = &group{shape: s, team: t, position: -1}
+		g = &group{shape: s, team: t, position: -1, smallest: e.item.Size}
 		t.groups[s] = g
 	}
+	g.smallest = g.smallest.Min(e.item.Size)
 	e.group = g
 	heap.Push(&g.entries, e)
 	switch {
