refactor: scan all racks once per tick and place only where work waits

Change: ownership, lapses, grants, preemption and moves run once per tick; racks with an empty queue skip limits.

--- a/cluster/rack/controller.go
+++ b/cluster/rack/controller.go
@@ -21,6 +21,8 @@
 const (
 	// defaultRetention is how long a job that ended can be looked up and its id counts as taken.
 	defaultRetention = 10 * time.Minute
+	// scanInterval is just below the tick of the daemon, so that every tick scans.
+	scanInterval = 90 * time.Millisecond
 	// driftPercent bounds the difference between the clocks of a worker and of a daemon.
 	driftPercent = 10
 	// inFlight is how long a call of an earlier owner, or a renewal on its behalf, may still be under way.
@@ -77,6 +79,7 @@
 	cancels     cancels
 	declared    declared
 	timers      []timer
+	lastScan    time.Time
 	// nextBalance and nextMoves are when grants and moves are looked at again.
 	nextBalance, nextMoves time.Time
 	draining               bool
@@ -117,6 +120,16 @@
 	}
 }
 
+// scanDue reports whether the systems that look at every rack are due. They
+// depend on time more than on single events, of which many come between two ticks.
+func (c *Controller) scanDue() bool {
+	if c.now.Sub(c.lastScan) < scanInterval {
+		return false
+	}
+	c.lastScan = c.now
+	return true
+}
+
 // Step advances the state machine to now and returns what is to be done, in order.
 func (c *Controller) Step(now time.Time, events []Event) []Effect {
 	c.effects = nil
@@ -131,19 +144,21 @@
 	}
 	c.runTimers()
 	c.poll()
-	c.own()
+	if c.scanDue() {
+		c.own()
+		c.lapse()
+		c.declareJobs()
+		c.expire()
+		c.balanceGrants()
+		c.preempt()
+		c.move()
+	}
 	c.load()
-	c.lapse()
-	c.declareJobs()
 	c.submit()
 	c.cancel()
 	c.endJobs()
-	c.expire()
-	c.balanceGrants()
 	c.runGangs()
 	c.place()
-	c.preempt()
-	c.move()
 	c.flush()
 	c.exchange()
 	c.finishDrain()
--- a/cluster/rack/random_test.go
+++ b/cluster/rack/random_test.go
@@ -167,8 +167,13 @@
 // submitMixed submits jobs over half a minute, each to a daemon that is up.
 func (c *cell) submitMixed(rt *rapid.T) {
 	for i := range rapid.IntRange(3, 12).Draw(rt, "jobs") {
-		spec := batch(fmt.Sprintf("job%d", i*7), rapid.IntRange(1, 40).Draw(rt, "tasks"),
-			cluster.CPU(rapid.IntRange(1, 4).Draw(rt, "cores"))*cluster.Core, rapid.Bool().Draw(rt, "idempotent"))
+		tasks, cores := rapid.IntRange(1, 40).Draw(rt, "tasks"), cluster.CPU(rapid.IntRange(1, 4).Draw(rt, "cores"))*cluster.Core
+		spec := batch(fmt.Sprintf("job%d", i*7), tasks, cores, rapid.Bool().Draw(rt, "idempotent"))
+		spec.Priority = cluster.Priority(rapid.IntRange(0, 2).Draw(rt, "priority"))
+		spec.Checkpoints = rapid.Bool().Draw(rt, "checkpoints")
+		if rapid.IntRange(0, 3).Draw(rt, "kind") == 0 {
+			spec.Workload = &cluster.Gang{Tasks: min(tasks, 8), Size: cluster.Resources{CPU: cores, Memory: cluster.GiB}, RunTime: 5 * time.Second}
+		}
 		c.after(time.Duration(rapid.IntRange(3000, 35000).Draw(rt, "submitted"))*time.Millisecond, func() {
 			for _, d := range c.daemons {
 				if !d.dead && !d.paused && !d.controller.draining {
--- a/cluster/rack/start.go
+++ b/cluster/rack/start.go
@@ -44,14 +44,19 @@
 
 // enqueue brings the rack's queue in line with its assignments.
 func (c *Controller) enqueue(r *rack) {
-	total, _, _ := r.openCapacity()
-	r.queue.SetTotal(total)
+	if total, _, _ := r.openCapacity(); total != r.queueTotal {
+		r.queueTotal = total
+		r.queue.SetTotal(total)
+	}
 	for _, a := range r.list {
 		if !a.requeue && (a.nextReady.IsZero() || c.now.Before(a.nextReady)) {
 			continue
 		}
 		c.enqueueAssignment(a)
 	}
+	if r.queue.Len() == 0 {
+		return
+	}
 	for team := range r.teams() {
 		c.limitQueue(r, team)
 	}
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -175,6 +175,8 @@
 	// queued is what the queue counts as used by each team, and limits what it was told.
 	queued map[cluster.TeamName]cluster.Resources
 	limits map[cluster.TeamName]placement.TeamConfig
+	// queueTotal is the capacity that the queue was told.
+	queueTotal cluster.Resources
 	// zombies are earlier attempts that still run, and where.
 	zombies map[cluster.AttemptID]*worker
 
@@ -259,7 +261,7 @@
 	r.frozen = map[cluster.TeamName]cluster.Resources{}
 	r.demands = map[cluster.TeamName]cluster.Resources{}
 	r.holds = nil
-	r.queue = newQueue()
+	r.queue, r.queueTotal = newQueue(), cluster.Resources{}
 	r.queued = map[cluster.TeamName]cluster.Resources{}
 	r.limits = map[cluster.TeamName]placement.TeamConfig{}
 	r.zombies = map[cluster.AttemptID]*worker{}
