feat: throttle before checkpoint or stop when room is needed

Cause: preemption is to prefer throttling, and workers free the room of a throttled task. Change: the room counts as free once the worker has confirmed; the processors are given back when nothing waits. The fake worker fails the run on a start without room.

--- a/cluster/rack/exchange.go
+++ b/cluster/rack/exchange.go
@@ -191,7 +191,9 @@
 	switch order := cmd.order.(type) {
 	case *platform.StartTask:
 		c.startDone(r, cmd, order, result)
-	case *platform.StopTask, *platform.CheckpointTask, *platform.ThrottleTask, *platform.AcknowledgeResult:
+	case *platform.ThrottleTask:
+		c.throttleDone(cmd, order, result)
+	case *platform.StopTask, *platform.CheckpointTask, *platform.AcknowledgeResult:
 		if result == platform.CommandUnreachable {
 			c.requeue(r, cmd)
 		}
--- a/cluster/rack/fake_test.go
+++ b/cluster/rack/fake_test.go
@@ -214,6 +214,13 @@
 		return f.stop(w, o.Attempt, platform.OutcomeStopped)
 	case *platform.CheckpointTask:
 		return f.stop(w, o.Attempt, platform.OutcomeCheckpointed)
+	case *platform.ThrottleTask:
+		if run, ok := w.running[o.Attempt]; ok {
+			run.size.CPU = o.CPU
+			f.touch(w)
+			return platform.CommandDone
+		}
+		return platform.CommandNoTask
 	case *platform.AcknowledgeResult:
 		if _, ok := w.ended[o.Attempt]; ok {
 			delete(w.ended, o.Attempt)
@@ -240,6 +247,7 @@
 		used = used.Add(run.size)
 	}
 	if !used.Fits(w.capacity) {
+		f.fail(fmt.Sprintf("%s starts on %s, which has %s for %s", o.Attempt, w.id, w.capacity, used))
 		return platform.CommandNoCapacity
 	}
 	f.checkStart(o)
--- a/cluster/rack/preempt.go
+++ b/cluster/rack/preempt.go
@@ -5,6 +5,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/placement"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
 const (
@@ -22,6 +23,8 @@
 		}
 		if a := c.preemptor(r); a != nil {
 			c.preemptFor(r, a)
+		} else {
+			c.unthrottle(r)
 		}
 	}
 }
@@ -75,8 +78,7 @@
 			req.Running = append(req.Running, placement.RunningTask{
 				Attempt: t.attemptID(), Worker: w.id, Size: t.size, Priority: j.spec.Priority, Service: service,
 				Idempotent: j.idempotent(), Checkpoints: j.spec.Checkpoints, Age: c.now.Sub(t.since),
-				// A throttled task keeps its room in the worker's own account, so throttling makes none.
-				Throttled: true,
+				Throttled: t.throttled > 0,
 			})
 		}
 	}
@@ -86,8 +88,71 @@
 		return
 	}
 	for _, v := range victims {
-		if t := r.task(v.Attempt.Task); t != nil && t.worker != nil {
+		t := r.task(v.Attempt.Task)
+		switch {
+		case t == nil || t.worker == nil:
+		case v.Action == placement.Throttle:
+			c.throttle(t, t.size.CPU-v.Frees.CPU, "room for "+a.id.String())
+		default:
 			c.interrupt(t, "room for "+a.id.String())
 		}
 	}
 }
+
+// throttle limits a task to a part of its processors; the room counts as free once the worker has confirmed.
+func (c *Controller) throttle(t *task, cpu cluster.CPU, why string) {
+	c.cfg.Log.Info().Str("task", t.id().String()).Str("worker", string(t.worker.id)).Str("reason", why).
+		Int64("cpu", int64(cpu)).Msg("rack: throttles a task")
+	c.order(t.of.rack, command{
+		order: &platform.ThrottleTask{Worker: t.worker.id, Attempt: t.attemptID(), CPU: cpu}, task: t, attempt: t.attemptID(),
+	})
+}
+
+// throttleDone takes in the outcome of a throttle command; a raise was accounted for before it was sent.
+func (c *Controller) throttleDone(cmd command, order *platform.ThrottleTask, result platform.CommandResult) {
+	t := cmd.task
+	if t.worker == nil || t.attempt != order.Attempt.Attempt || result != platform.CommandDone || order.CPU >= t.size.CPU {
+		return
+	}
+	taken := t.size.CPU - order.CPU
+	c.resize(t, order.CPU)
+	t.throttled = taken
+}
+
+// resize changes what a running task is accounted for.
+func (c *Controller) resize(t *task, cpu cluster.CPU) {
+	r, team := t.of.rack, t.of.id.Team
+	diff := cluster.Resources{CPU: cpu - t.size.CPU}
+	t.size.CPU = cpu
+	r.used[team] = r.used[team].Add(diff)
+	if diff.CPU > 0 {
+		r.countUse(team, diff)
+	} else {
+		r.queue.Release(team, cluster.Resources{}.Sub(diff))
+		r.queued[team] = r.queued[team].Add(diff).Max(cluster.Resources{})
+	}
+	r.syncWorker(t.worker)
+	if diff.CPU < 0 && r.closed(t.worker) == "" {
+		r.queue.Freed(t.worker.capacity.Sub(r.load(t.worker)))
+	}
+}
+
+// unthrottle gives throttled tasks their processors back when nothing waits for them.
+func (c *Controller) unthrottle(r *rack) {
+	if r.waiting() {
+		return
+	}
+	for _, w := range r.order {
+		for _, t := range sortedTasks(w) {
+			raise := cluster.Resources{CPU: t.throttled}
+			if t.throttled == 0 || t.state != cluster.TaskRunning || r.closed(w) != "" {
+				continue
+			}
+			if raise.Fits(w.capacity.Sub(r.load(w))) && raise.Fits(c.available(r, t.of.id.Team)) {
+				c.resize(t, t.size.CPU+t.throttled)
+				t.throttled = 0
+				c.throttle(t, t.size.CPU, "nothing waits for its room")
+			}
+		}
+	}
+}
--- a/cluster/rack/recovery.go
+++ b/cluster/rack/recovery.go
@@ -80,11 +80,7 @@
 // lapseWorker ends the attempts on a worker whose leases have all lapsed.
 func (c *Controller) lapseWorker(r *rack, w *worker) {
 	w.lapsed = true
-	tasks := make([]*task, 0, len(w.tasks))
-	for _, t := range w.tasks {
-		tasks = append(tasks, t)
-	}
-	slices.SortFunc(tasks, compareTasks)
+	tasks := sortedTasks(w)
 	c.cfg.Log.Warn().Str("worker", string(w.id)).Int("tasks", len(tasks)).Msg("rack: leases of a worker have lapsed")
 	c.cfg.Metrics.Counter("rack_workers_lapsed").Inc(1)
 	for _, t := range tasks {
@@ -104,6 +100,15 @@
 	r.syncWorker(w)
 }
 
+func sortedTasks(w *worker) []*task {
+	tasks := make([]*task, 0, len(w.tasks))
+	for _, t := range w.tasks {
+		tasks = append(tasks, t)
+	}
+	slices.SortFunc(tasks, compareTasks)
+	return tasks
+}
+
 func (r *rack) removeWorker(w *worker) {
 	delete(r.workers, w.id)
 	r.order = slices.DeleteFunc(r.order, func(other *worker) bool { return other == w })
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -35,6 +35,8 @@
 	// worker and size are set while the task is starting or running.
 	worker *worker
 	size   cluster.Resources
+	// throttled is the part of the processors that was taken from the running attempt.
+	throttled cluster.CPU
 	// since is when the task entered its state.
 	since     time.Time
 	notBefore time.Time
@@ -291,7 +293,7 @@
 	r.used[team] = r.used[team].Sub(t.size)
 	r.queue.Release(team, t.size)
 	r.queued[team] = r.queued[team].Sub(t.size).Max(cluster.Resources{})
-	t.worker, t.size = nil, cluster.Resources{}
+	t.worker, t.size, t.throttled = nil, cluster.Resources{}, 0
 	r.syncWorker(w)
 	if r.closed(w) == "" {
 		r.queue.Freed(w.capacity.Sub(r.load(w)))
