--- a/cluster/rack/fake_test.go
+++ b/cluster/rack/fake_test.go
@@ -97,7 +97,7 @@
 	fail    func(string)
 	started map[cluster.JobID]time.Time
 	starts  int
-	// executed counts the attempts of each task that a worker began.
+	// executed counts the attempts of each task that a worker began from the start.
 	executed map[cluster.TaskID]int
 	// unchecked leaves out the checks of each start, which cost benchmarks of large fleets too much.
 	unchecked bool
@@ -214,6 +214,13 @@
 		return f.stop(w, o.Attempt, platform.OutcomeStopped)
 	case *platform.CheckpointTask:
 		return f.stop(w, o.Attempt, platform.OutcomeCheckpointed)
+	case *platform.ThrottleTask:
+		if run, ok := w.running[o.Attempt]; ok {
+			run.size.CPU = o.CPU
+			f.touch(w)
+			return platform.CommandDone
+		}
+		return platform.CommandNoTask
 	case *platform.AcknowledgeResult:
 		if _, ok := w.ended[o.Attempt]; ok {
 			delete(w.ended, o.Attempt)
@@ -240,6 +247,7 @@
 		used = used.Add(run.size)
 	}
 	if !used.Fits(w.capacity) {
+		f.fail(fmt.Sprintf("%s starts on %s, which has %s for %s", o.Attempt, w.id, w.capacity, used))
 		return platform.CommandNoCapacity
 	}
 	f.checkStart(o)
@@ -247,7 +255,9 @@
 	w.running[o.Attempt] = &fakeRun{size: o.Size, started: now, ends: now.Add(f.runTime(o.Attempt)), lease: now.Add(req.Lease)}
 	f.touch(w)
 	f.starts++
-	f.executed[o.Attempt.Task]++
+	if !o.Resume {
+		f.executed[o.Attempt.Task]++
+	}
 	if _, ok := f.started[o.Attempt.Task.Job]; !ok {
 		f.started[o.Attempt.Task.Job] = now
 	}
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -35,6 +35,8 @@
 	// worker and size are set while the task is starting or running.
 	worker *worker
 	size   cluster.Resources
+	// throttled is the part of the processors that was taken from the running attempt.
+	throttled cluster.CPU
 	// since is when the task entered its state.
 	since     time.Time
 	notBefore time.Time
@@ -175,6 +177,8 @@
 	// queued is what the queue counts as used by each team, and limits what it was told.
 	queued map[cluster.TeamName]cluster.Resources
 	limits map[cluster.TeamName]placement.TeamConfig
+	// queueTotal is the capacity that the queue was told.
+	queueTotal cluster.Resources
 	// zombies are earlier attempts that still run, and where.
 	zombies map[cluster.AttemptID]*worker
 
@@ -259,7 +263,7 @@
 	r.frozen = map[cluster.TeamName]cluster.Resources{}
 	r.demands = map[cluster.TeamName]cluster.Resources{}
 	r.holds = nil
-	r.queue = newQueue()
+	r.queue, r.queueTotal = newQueue(), cluster.Resources{}
 	r.queued = map[cluster.TeamName]cluster.Resources{}
 	r.limits = map[cluster.TeamName]placement.TeamConfig{}
 	r.zombies = map[cluster.AttemptID]*worker{}
@@ -289,7 +293,7 @@
 	r.used[team] = r.used[team].Sub(t.size)
 	r.queue.Release(team, t.size)
 	r.queued[team] = r.queued[team].Sub(t.size).Max(cluster.Resources{})
-	t.worker, t.size = nil, cluster.Resources{}
+	t.worker, t.size, t.throttled = nil, cluster.Resources{}, 0
 	r.syncWorker(w)
 	if r.closed(w) == "" {
 		r.queue.Freed(w.capacity.Sub(r.load(w)))
