fix: runners missing from the list for a moment, and headers passed on

Cause: a runner that vanished from the platform's list and came back was given a new count of requests in flight, so that its slots could be exceeded; and all headers with the prefix of the product were removed, also those that a caller means for the runner. Change: the slots of a removed runner are kept until its last request ends; only the gateway's own headers are removed; runners without an address are skipped; an answer over the limit weighs less for ejection, since one team's requests could otherwise eject a third of the runners. Conclusion: TestRunnerMissingFromList fails without the change.

--- a/cluster/gateway/admit.go
+++ b/cluster/gateway/admit.go
@@ -121,9 +121,9 @@
 		g.failed(r, statusWeight, "answers with server errors")
 	case errors.Is(a.err, context.Canceled):
 		// The caller has gone, which says nothing about the runner.
-	case errors.Is(a.err, context.DeadlineExceeded):
-		// A short deadline of the caller is not the runner's fault.
-		g.failed(r, statusWeight, "answers after the deadline")
+	case errors.Is(a.err, context.DeadlineExceeded), errors.Is(a.err, errTooLarge):
+		// A short deadline or a request for too much may not be the runner's fault.
+		g.failed(r, statusWeight, a.err.Error())
 	case a.outcome == outcomeLost, a.outcome == outcomeNotSent:
 		g.failed(r, transportWeight, a.err.Error())
 	}
--- a/cluster/gateway/gateway.go
+++ b/cluster/gateway/gateway.go
@@ -190,7 +190,7 @@
 	}
 	listed := map[entry]bool{}
 	for _, vm := range vms {
-		if vm.Role == platform.RoleRunner && vm.Service != "" {
+		if vm.Role == platform.RoleRunner && vm.Service != "" && vm.Addr.IsValid() {
 			listed[entry{vm.Service, cluster.UpstreamID(vm.ID)}] = true
 			g.setUpstream(vm)
 		}
@@ -202,7 +202,7 @@
 			}
 			r.removed = true
 			r.trimIdle(0, g.cfg.Clock())
-			delete(s.ledger.units, r.unit.id)
+			r.retired, r.limit = true, 0
 			g.cfg.Log.Info().Str("service", string(s.name)).Str("upstream", r.vm.ID).Msg("gateway: upstream removed")
 			return true
 		})
@@ -225,24 +225,30 @@
 		g.setLeaving(r, vm.Leaving, "platform")
 		return
 	}
-	r := &runner{
-		vm: vm, service: s, tier: g.tierOf(vm.Place), allConnections: vm.Connections,
-		unit: &unit{id: vm.ID, capacity: vm.Slots},
-	}
+	r := &runner{vm: vm, service: s, tier: g.tierOf(vm.Place), allConnections: vm.Connections, unit: g.unit(s.ledger, vm)}
 	if found {
 		// The VM's address or place changed: it is another machine.
 		s.runners[i].removed = true
 		s.runners[i].trimIdle(0, g.cfg.Clock())
-		r.unit = s.runners[i].unit
-		r.capacity = vm.Slots
 		s.runners[i] = r
 	} else {
 		s.runners = slices.Insert(s.runners, i, r)
-		g.attach(s.ledger, r.unit)
 	}
 	r.leaving = vm.Leaving
 }
 
+// unit returns the slots of a runner. A VM that was missing from the list for a
+// while may still have requests in flight, which count.
+func (g *Gateway) unit(l *ledger, vm platform.VM) *unit {
+	u := l.units[vm.ID]
+	if u == nil {
+		u = &unit{id: vm.ID}
+		g.attach(l, u)
+	}
+	u.capacity, u.retired = vm.Slots, false
+	return u
+}
+
 func (g *Gateway) tierOf(place cluster.Place) tier {
 	switch {
 	case place == g.cfg.Place:
--- a/cluster/gateway/header.go
+++ b/cluster/gateway/header.go
@@ -14,7 +14,6 @@
 
 // Headers of the protocol between callers, the gateway and runners.
 const (
-	headerPrefix     = "Goldcrest-"
 	headerDeadline   = "Goldcrest-Deadline"
 	headerTimeout    = "Goldcrest-Timeout"
 	headerIdempotent = "Goldcrest-Idempotent"
@@ -37,6 +36,11 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
+// ownHeaders are set by the gateway or meant for it, so that a caller or a runner can't forge them.
+var ownHeaders = []string{
+	headerDeadline, headerTimeout, headerIdempotent, headerRun, headerLeaving, headerTeam, headerRequest, headerReplayed,
+}
+
 // passedOn copies a header without those of one connection and of the gateway's own protocol.
 func passedOn(h http.Header) http.Header {
 	out := maps.Clone(h)
@@ -48,10 +52,8 @@
 	for _, name := range hopHeaders {
 		out.Del(name)
 	}
-	for name := range out {
-		if strings.HasPrefix(name, headerPrefix) {
-			delete(out, name)
-		}
+	for _, name := range ownHeaders {
+		out.Del(name)
 	}
 	return out
 }
--- a/cluster/gateway/ledger.go
+++ b/cluster/gateway/ledger.go
@@ -34,6 +34,8 @@
 	// limit is what may be used now; it is at most held and lower while a release is being recorded.
 	limit    int
 	inFlight int
+	// retired says that the runner is no longer listed; the unit is dropped with its last request.
+	retired bool
 }
 
 // holdings is what each daemon holds of one unit.
@@ -231,11 +233,15 @@
 	return n
 }
 
-// use is the number of slots in use, and whether some are being given back.
+// use is the number of slots in use, and whether some are being given back. It
+// drops retired units that aren't in use any more.
 func (l *ledger) use() (inFlight int, releasing bool) {
-	for _, u := range l.units {
+	for id, u := range l.units {
 		inFlight += u.inFlight
 		releasing = releasing || u.limit < u.held
+		if u.retired && u.inFlight == 0 {
+			delete(l.units, id)
+		}
 	}
 	return inFlight, releasing
 }
@@ -291,7 +297,7 @@
 func (l *ledger) target(u *unit, h *holdings, fair int, borrow *int, now time.Time) int {
 	free := max(u.capacity-h.sum(), 0)
 	switch {
-	case u.limit < u.held:
+	case u.retired || u.limit < u.held:
 		return max(u.limit, min(u.inFlight, u.held))
 	case u.held < fair && free > 0 && (*borrow > 0 || !now.Before(l.keepFrom)):
 		grow := min(free, fair-u.held)
--- a/cluster/gateway/lend_test.go
+++ b/cluster/gateway/lend_test.go
@@ -206,3 +206,18 @@
 		c.is.Equal(peak.Load(), int64(3))
 	})
 }
+
+// Guards against more requests than slots at a runner that was missing from the platform's list for a moment.
+func TestRunnerMissingFromList(t *testing.T) {
+	runCell(t, cellOptions{runners: 1, took: 3 * time.Second}, func(c *testCell) {
+		first := c.load(0, 8, "archive", "POST")
+		time.Sleep(time.Second)
+		c.daemons()[0].SetUpstreams(nil)
+		time.Sleep(time.Second)
+		c.refresh()
+		second := c.load(0, 8, "archive", "POST")
+		c.is.Equal(first()[200]+second()[200], 16)
+		requests, _ := c.runners[0].peaks()
+		c.is.Equal(requests, 8)
+	})
+}
