fix: broadcast runners that the list says are leaving; drain waits for rows of late insertions

Cause: the platform's list may reach the other daemons later, and a drain did not wait for the deletion of a row that was written after its request had been refused. Change: a newly leaving runner of the list is broadcast, the deletion counts as running work; tests of both the list at the other daemon and a caller that goes away during a keyed request.

--- a/cluster/gateway/cell_test.go
+++ b/cluster/gateway/cell_test.go
@@ -285,7 +285,6 @@
 	paid     []*paidlink.Counter
 	queue    int
 	mu       sync.Mutex
-	notices  []*peer.UpstreamNotice
 }
 
 type cellOptions struct {
@@ -372,11 +371,6 @@
 
 // Broadcast hands a message to the other daemons after a delay.
 func (s *testSender) Broadcast(m peer.Message) {
-	if n, ok := m.(*peer.UpstreamNotice); ok {
-		s.c.mu.Lock()
-		s.c.notices = append(s.c.notices, n)
-		s.c.mu.Unlock()
-	}
 	go func() {
 		time.Sleep(time.Millisecond)
 		for _, g := range s.c.daemons() {
--- a/cluster/gateway/gateway.go
+++ b/cluster/gateway/gateway.go
@@ -222,7 +222,10 @@
 	if found && s.runners[i].vm.Addr == vm.Addr && s.runners[i].vm.Place == vm.Place {
 		r := s.runners[i]
 		r.capacity, r.allConnections = vm.Slots, vm.Connections
-		g.setLeaving(r, vm.Leaving, "platform")
+		if g.setLeaving(r, vm.Leaving, "platform") {
+			// The list may reach other daemons later.
+			g.broadcast(&peer.UpstreamNotice{Service: s.name, Upstream: r.id(), Leaving: true})
+		}
 		return
 	}
 	r := &runner{vm: vm, service: s, tier: g.tierOf(vm.Place), allConnections: vm.Connections, unit: g.unit(s.ledger, vm)}
--- a/cluster/gateway/idem.go
+++ b/cluster/gateway/idem.go
@@ -128,14 +128,12 @@
 	case r := <-done:
 		return g.inserted(ctx, row, record, r.version, r.err)
 	case <-ctx.Done():
-		if !g.background(func() {
+		g.conclude(func() {
 			if r := <-done; r.err == nil {
 				g.deleteKey(row, r.version)
 			}
 			g.keys.forget(row)
-		}) {
-			g.keys.forget(row)
-		}
+		})
 		return 0, nil, keyRefused("the row was not written before the deadline")
 	}
 }
--- a/cluster/gateway/idem_test.go
+++ b/cluster/gateway/idem_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net"
 	"net/http"
@@ -130,6 +131,20 @@
 	})
 }
 
+// Guards against an answer that is lost for repeats because the first caller has gone.
+func TestCallerGone(t *testing.T) {
+	runCell(t, cellOptions{daemons: 2, runners: 2, took: time.Second}, func(c *testCell) {
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		r := httptest.NewRequest("POST", "/v1/services/booking/x", strings.NewReader("body")).WithContext(ctx)
+		r.Header = http.Header{"Authorization": {"Bearer archive"}, "Idempotency-Key": {"k1"}, "X-Token": {"a"}}
+		c.daemons()[0].ServeService(httptest.NewRecorder(), r, "booking", "/x")
+		time.Sleep(time.Second)
+		c.is.Equal(c.ask(1, "POST", "/x", "body", key).Body.String(), "POST /x body")
+		c.is.Equal(c.ran("a"), 1)
+	})
+}
+
 // Guards against rows of daemons that have left, which nobody would delete.
 func TestSweepOfOrphans(t *testing.T) {
 	runCell(t, cellOptions{daemons: 2, runners: 2}, func(c *testCell) {
--- a/cluster/gateway/outlier_test.go
+++ b/cluster/gateway/outlier_test.go
@@ -97,6 +97,11 @@
 func TestLeavingRunner(t *testing.T) {
 	sources := map[string]func(c *testCell){
 		"platform": func(c *testCell) { c.runners[0].vm.Leaving = true; c.refresh() },
+		"list of the other daemon": func(c *testCell) {
+			vms := c.vms()
+			vms[0].Leaving = true
+			c.daemons()[1].SetUpstreams(vms)
+		},
 		"peer": func(c *testCell) {
 			for _, g := range c.daemons() {
 				g.HandlePeer("daemon-9", &peer.UpstreamNotice{Service: "booking", Upstream: "runner-00", Leaving: true})
