feat: the acceptor pushes its note to the relays; expired reads start anew

Cause: relays found a note up to a second after its acceptance; a daemon cut off for longer than the store keeps deletions could never read again.

--- a/cluster/member/manager.go
+++ b/cluster/member/manager.go
@@ -23,9 +23,11 @@
 	// gap than pauseLimit is logged as a pause.
 	pauseInterval = time.Second
 	pauseLimit    = 2 * time.Second
-	retryFirst    = 100 * time.Millisecond
-	retryMax      = 5 * time.Second
-	callTimeout   = 3 * time.Second
+	// maxSweep bounds the rows that one sweep deletes; the next one goes on.
+	maxSweep    = 200
+	retryFirst  = 100 * time.Millisecond
+	retryMax    = 5 * time.Second
+	callTimeout = 3 * time.Second
 	// missingLists is the number of lists in a row without a VM after which it
 	// is gone; one list may be incomplete.
 	missingLists = 2
@@ -369,7 +371,7 @@
 		case row.Deleted:
 		case len(row.Key) > len(Prefix) && row.Key[:len(Prefix)] == Prefix:
 			members[cluster.DaemonID(row.Key[len(Prefix):])] = true
-		case !members[writerOf(row.Key)]:
+		case !members[writerOf(row.Key)] && len(txn.Deletes) < maxSweep:
 			txn.Checks = append(txn.Checks, platform.Check{Key: row.Key, Version: row.Version}, platform.Check{Key: Key(writerOf(row.Key))})
 			txn.Deletes = append(txn.Deletes, row.Key)
 		}
--- a/cluster/rollout/relay.go
+++ b/cluster/rollout/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -56,6 +57,9 @@
 	// lastRead is when the last successful read of the store was answered.
 	lastRead time.Time
 	failing  bool
+	// readWhole asks for the whole state, because the store no longer knows what
+	// was deleted after the replica's commit.
+	readWhole bool
 	// readNow asks for a read of the store at the next tick.
 	readNow bool
 
@@ -69,7 +73,7 @@
 	// pushAfter is the commit after which changes are to be pushed; push says whether there are any.
 	push      bool
 	pushAfter cluster.Version
-	// acceptedHere says that a note accepted by this daemon is to be pushed, for PushByAcceptor.
+	// acceptedHere says that a note accepted by this daemon is to be pushed.
 	acceptedHere bool
 }
 
@@ -162,6 +166,9 @@
 func (r *Rollout) startRead(ctx context.Context, now time.Time) {
 	r.relay.reading, r.relay.readNow = true, false
 	since := r.replica.asOf
+	if r.relay.readWhole {
+		since = 0
+	}
 	r.work.Go(func() {
 		readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 		reply, err := r.cfg.Store.Read(readCtx, platform.ReadRequest{
@@ -178,6 +185,7 @@
 	now := r.cfg.Clock()
 	r.relay.reading = false
 	r.cfg.Metrics.Counter("config_reads").Inc(1)
+	r.relay.readWhole = rejected(err)
 	if err != nil {
 		// The delay grows and is partly random, so that daemons do not all return to the store at once.
 		r.relay.delay = min(2*r.relay.delay, readRetryMax)
@@ -200,6 +208,20 @@
 	r.wakeUp()
 }
 
+// rejected reports whether the store answered that it can't serve the changes
+// since the replica's commit, rather than failed to answer.
+func rejected(err error) bool {
+	var e *platform.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	switch e.Kind {
+	case platform.KindUnavailable, platform.KindUnknown, platform.KindThrottled:
+		return false
+	}
+	return true
+}
+
 func (r *Rollout) wakeUp() {
 	select {
 	case r.wake <- struct{}{}:
@@ -246,35 +268,52 @@
 	return []send{r.poll(best, now)}
 }
 
-// pushes returns the changes to push to the peers of the region, or of the cell for PushByAcceptor.
+// pushes returns the changes to push after the replica changed.
 func (r *Rollout) pushes(relayID cluster.DaemonID, now time.Time) []send {
 	if !r.relay.push {
 		return nil
 	}
 	r.relay.push = false
-	everywhere := r.cfg.Strategy == PushByAcceptor && r.relay.acceptedHere
+	targets := r.pushTargets(relayID)
 	r.relay.acceptedHere = false
-	if !everywhere && (relayID != r.cfg.Self || r.cfg.Strategy != RelayPerRegion) {
-		return nil
-	}
 	var out []send
-	for _, m := range r.cfg.Members.Live() {
-		if m.ID == r.cfg.Self || !everywhere && m.Place.Region != r.cfg.Place.Region {
-			continue
-		}
-		since, known := r.relay.progress[m.ID]
+	for _, id := range targets {
+		since, known := r.relay.progress[id]
 		if !known {
 			since = r.relay.pushAfter
 		}
 		if since < r.replica.asOf {
 			if push := r.pushSince(since, now); push != nil {
-				out = append(out, send{m.ID, push})
+				out = append(out, send{id, push})
 			}
 		}
 	}
 	return out
 }
 
+// pushTargets returns whom this daemon pushes to: as a relay the members of its
+// region, and as the acceptor of a note the relays, which would otherwise find
+// it up to a second later.
+func (r *Rollout) pushTargets(relayID cluster.DaemonID) []cluster.DaemonID {
+	var targets []cluster.DaemonID
+	relays := map[cluster.Region]bool{}
+	for _, m := range r.cfg.Members.Live() {
+		first := !relays[m.Place.Region]
+		relays[m.Place.Region] = true
+		if m.ID == r.cfg.Self {
+			continue
+		}
+		ofRegion := relayID == r.cfg.Self && m.Place.Region == r.cfg.Place.Region
+		switch {
+		case r.cfg.Strategy == RelayPerRegion && (ofRegion || r.relay.acceptedHere && first):
+			targets = append(targets, m.ID)
+		case r.cfg.Strategy == PushByAcceptor && r.relay.acceptedHere:
+			targets = append(targets, m.ID)
+		}
+	}
+	return targets
+}
+
 // pushSince returns what a peer with the state of since misses, or nil if it is too much for one frame.
 func (r *Rollout) pushSince(since cluster.Version, now time.Time) *peer.ConfigPush {
 	v := r.replica.changes(since)
--- a/cluster/rollout/script_test.go
+++ b/cluster/rollout/script_test.go
@@ -55,8 +55,9 @@
 				t.down, t.loseAnswers, t.loseLast = args[0] == "down", args[0] == "loses", args[0] == "fails"
 			})
 		},
-		"cut":  func(_ *testscript.TestScript, _ bool, args []string) { w.setCut(args[0], args[1], true) },
-		"join": func(_ *testscript.TestScript, _ bool, args []string) { w.setCut(args[0], args[1], false) },
+		"forget": func(*testscript.TestScript, bool, []string) { w.table.set(func(t *table) { t.horizon = t.version }) },
+		"cut":    func(_ *testscript.TestScript, _ bool, args []string) { w.setCut(args[0], args[1], true) },
+		"join":   func(_ *testscript.TestScript, _ bool, args []string) { w.setCut(args[0], args[1], false) },
 		"daemon": func(ts *testscript.TestScript, _ bool, args []string) {
 			d := w.daemon[args[1]]
 			switch args[0] {
--- a/cluster/rollout/store_test.go
+++ b/cluster/rollout/store_test.go
@@ -24,6 +24,8 @@
 	// loseLast makes the table go down after it applied one more note.
 	loseLast bool
 	reads    int
+	// horizon is the commit up to which deletions are forgotten.
+	horizon cluster.Version
 	// onCommit is called with each applied transaction, in order.
 	onCommit func(platform.Txn)
 }
@@ -64,6 +66,10 @@
 		a.mu.Unlock()
 		return fail(errDown)
 	}
+	if req.SinceVersion > 0 && req.SinceVersion < a.horizon {
+		a.mu.Unlock()
+		return platform.ReadReply{}, &platform.Error{Op: "read", Kind: platform.KindInvalid}
+	}
 	reply := platform.ReadReply{Rows: a.matching(req), AsOf: a.version}
 	a.reads++
 	a.mu.Unlock()
