feat: late use of a withdrawn key is a violation; relay silence by its answers

Cause: the withdrawn invariant had no check in the program. Daemons behind a healthy relay read the store too, as the age of a confirmation reaches 2.2 s. Change: the head carries its time of acceptance and each use of a key is noted; the store is read directly after 2 s without an answer of the relay or 3 s without a confirmation.

--- a/cluster/note/apply.go
+++ b/cluster/note/apply.go
@@ -245,10 +245,11 @@
 	for _, id := range req.Note.Withdraw {
 		c.Deletes = append(c.Deletes, EntityKey(id))
 	}
-	put(HeadKey, encodeRecord(headRecord{Version: uint64(version)}))
+	now := r.cfg.Clock()
+	put(HeadKey, EncodeHead(Head{Version: version, Time: now}))
 	put(noteKey(version), encodeRecord(noteRecord{
 		ID: req.ID, Author: req.Author, Summary: req.Note.Summary,
-		Time: r.cfg.Clock().UnixNano(), Digest: digest[:], Entities: names,
+		Time: now.UnixNano(), Digest: digest[:], Entities: names,
 	}))
 	put(requestKey(req.ID), encodeRecord(requestRecord{Version: uint64(version), Digest: digest[:]}))
 	if s.expired != "" {
--- a/cluster/note/history.go
+++ b/cluster/note/history.go
@@ -42,7 +42,7 @@
 		if err != nil {
 			return nil, err
 		}
-		before = head + 1
+		before = head.Version + 1
 	}
 	var versions []cluster.Version
 	for v := before; v > 1 && len(versions) < min(limit, MaxHistory); v-- {
--- a/cluster/note/row.go
+++ b/cluster/note/row.go
@@ -42,6 +42,7 @@
 
 type headRecord struct {
 	Version uint64 `msgpack:"version"`
+	Time    int64  `msgpack:"time"`
 }
 
 type entityRecord struct {
@@ -79,11 +80,23 @@
 	return nil
 }
 
-// DecodeHead returns the version of the last accepted note.
-func DecodeHead(row platform.Row) (cluster.Version, error) {
+// Head is the last accepted note.
+type Head struct {
+	Version cluster.Version
+	// Time is when the note was accepted, on the clock of the daemon that accepted it.
+	Time time.Time
+}
+
+// DecodeHead returns the last accepted note.
+func DecodeHead(row platform.Row) (Head, error) {
 	var r headRecord
 	err := decodeRecord(row, &r)
-	return cluster.Version(r.Version), err
+	return Head{Version: cluster.Version(r.Version), Time: time.Unix(0, r.Time).UTC()}, err
+}
+
+// EncodeHead returns the value of the head row.
+func EncodeHead(h Head) []byte {
+	return encodeRecord(headRecord{Version: uint64(h.Version), Time: h.Time.UnixNano()})
 }
 
 // DecodeEntity returns the entity of a row and the note that wrote it.
--- a/cluster/note/state.go
+++ b/cluster/note/state.go
@@ -52,9 +52,11 @@
 		switch row.Key {
 		case HeadKey:
 			s.headRow = row.Version
-			if s.head, err = DecodeHead(row); err != nil {
+			head, err := DecodeHead(row)
+			if err != nil {
 				return nil, err
 			}
+			s.head = head.Version
 		case requestKey(request):
 			s.request = &reply.Rows[i]
 		default:
--- a/cluster/peer/transport.go
+++ b/cluster/peer/transport.go
@@ -95,7 +95,7 @@
 	}
 }
 
-// want starts to dial a peer.
+// want starts to dial a peer; one without a valid address is waited for.
 func (t *Transport) want(p Peer) {
 	r := t.remote(p.ID)
 	if r.wanted && r.addr == p.Addr {
@@ -106,7 +106,9 @@
 	}
 	ctx, cancel := context.WithCancel(t.ctx)
 	r.wanted, r.addr, r.cancel = true, p.Addr, cancel
-	t.wg.Go(func() { t.dialLoop(ctx, r, p) })
+	if p.Addr.IsValid() {
+		t.wg.Go(func() { t.dialLoop(ctx, r, p) })
+	}
 }
 
 func (t *Transport) remote(id cluster.DaemonID) *remote {
--- a/cluster/rollout/authorize.go
+++ b/cluster/rollout/authorize.go
@@ -50,10 +50,11 @@
 	if q.Team != "" && q.Team != key.Team {
 		return "", r.refuse(KindWrongTeam, fmt.Errorf("queue %s admits only team %s", q.Name, q.Team))
 	}
+	r.used.mark(key, r.cfg.Clock())
 	return key.Team, nil
 }
 
 func (r *Rollout) refuse(kind Kind, err error) error {
-	r.cfg.Metrics.Tagged(map[string]string{"kind": kind.String()}).Counter("authorize_refused").Inc(1)
+	r.refused[kind].Inc(1)
 	return &Error{Op: "authorize", Kind: kind, Err: err}
 }
--- a/cluster/rollout/peers.go
+++ b/cluster/rollout/peers.go
@@ -86,6 +86,7 @@
 	var at time.Time
 	if sent := r.relay.polls[push.Answer%rememberedPolls]; push.Answer != 0 && sent.sequence == push.Answer {
 		at = sent.at.Add(-push.Age)
+		r.relay.lastAnswer = now
 	}
 	before := r.replica.asOf
 	if !r.takeView(view{since: push.Since, asOf: push.AsOf, rows: push.Rows}, at, now) {
--- a/cluster/rollout/relay.go
+++ b/cluster/rollout/relay.go
@@ -34,8 +34,12 @@
 	slowReadInterval = 2 * time.Second
 	// pollInterval is the time between polls of the relay.
 	pollInterval = time.Second
-	// relaySilence is the time without a confirmation after which a daemon reads the store itself.
+	// relaySilence is the time without an answer of the relay after which a daemon reads the store itself.
 	relaySilence = 2 * time.Second
+	// confirmedLately is the age of the confirmation after which a daemon looks
+	// for another source, even if the relay answers. In normal operation the age
+	// reaches 2.2 s: a read interval, a poll interval and two ticks.
+	confirmedLately = 3 * time.Second
 	// readTimeout bounds one read of the store.
 	readTimeout = 2 * time.Second
 	// readRetryMax is the longest delay between reads while the store fails.
@@ -64,6 +68,8 @@
 	readNow bool
 
 	nextPoll time.Time
+	// lastAnswer is when a poll was last answered.
+	lastAnswer time.Time
 	// catchUp is when a peer that holds more may be polled next.
 	catchUp  time.Time
 	sequence uint64
@@ -152,7 +158,8 @@
 		return false
 	}
 	return relayID == r.cfg.Self || r.cfg.Strategy != RelayPerRegion ||
-		member.Elapsed(r.fresh.confirmed, now) > relaySilence
+		member.Elapsed(r.relay.lastAnswer, now) > relaySilence ||
+		member.Elapsed(r.fresh.confirmed, now) > confirmedLately
 }
 
 func (r *Rollout) interval() time.Duration {
@@ -241,7 +248,7 @@
 	if now.Before(r.relay.catchUp) {
 		return nil
 	}
-	cutOff := member.Elapsed(r.fresh.confirmed, now) > relaySilence
+	cutOff := member.Elapsed(r.fresh.confirmed, now) > confirmedLately
 	best, rank := cluster.DaemonID(""), 0
 	for _, id := range r.fresh.others() {
 		p := r.fresh.peers[id]
--- a/cluster/rollout/replica.go
+++ b/cluster/rollout/replica.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/member"
@@ -26,7 +27,9 @@
 type replica struct {
 	asOf cluster.Version
 	head cluster.Version
-	rows map[string]platform.Row
+	// accepted is when the head was accepted, on the clock of its acceptor.
+	accepted time.Time
+	rows     map[string]platform.Row
 	// entities holds the decoded entity of each entity row.
 	entities map[string]cluster.Entity
 	deleted  map[string]platform.Row
@@ -48,7 +51,7 @@
 	for _, row := range v.rows {
 		if row.Key == note.HeadKey && !row.Deleted {
 			if head, err := note.DecodeHead(row); err == nil {
-				return head
+				return head.Version
 			}
 		}
 	}
@@ -116,7 +119,7 @@
 	switch {
 	case row.Key == note.HeadKey:
 		if head, err := note.DecodeHead(row); err == nil {
-			r.head = head
+			r.head, r.accepted = head.Version, head.Time
 		} else {
 			r.malformed = append(r.malformed, row.Key)
 		}
--- a/cluster/rollout/rollout.go
+++ b/cluster/rollout/rollout.go
@@ -46,6 +46,8 @@
 type Rollout struct {
 	cfg       Config
 	published atomic.Pointer[published]
+	used      keyUse
+	refused   [len(kindNames)]tally.Counter
 
 	mu        sync.Mutex
 	replica   *replica
@@ -86,6 +88,9 @@
 		doubts: map[string]*doubt{}, relay: newRelay(),
 		noteLock: make(chan struct{}, 1), wake: make(chan struct{}, 1),
 	}
+	for kind := range r.refused {
+		r.refused[kind] = cfg.Metrics.Tagged(map[string]string{"kind": Kind(kind).String()}).Counter("authorize_refused")
+	}
 	r.published.Store(&published{snapshot: cluster.Assemble(0, nil), decision: r.fresh.decide(cfg.Clock())})
 	return r
 }
@@ -173,6 +178,9 @@
 	}
 	before := r.replica.asOf
 	changed := r.replica.apply(v)
+	if changed {
+		r.used.check(r.replica, r.cfg.Invariants)
+	}
 	r.logMalformed()
 	if changed || !r.fresh.loaded {
 		r.fresh.apply(&viewApplied{version: r.replica.head, members: r.replica.members()})
