fix: a note is doubtful only once its commit is sent

Cause: the doubt began when a note was handed in. Checking it gathers the running work of the whole cell and can take seconds, so that a note which was then refused lowered limits and withheld keys meanwhile. Change: the repository reports when a commit is sent and when one was certainly not applied; running work is gathered once for an apply. Conclusion: TestNoteIsDoubtfulOnlyOnceSent fails without the change.

--- a/cluster/note/apply.go
+++ b/cluster/note/apply.go
@@ -40,6 +40,10 @@
 	// Base is the head that the operator planned against; entities written by a
 	// later note conflict. Zero means the head at the time of the request.
 	Base cluster.Version
+	// Sent is called before each commit of the note is sent, and Failed after one
+	// that was certainly not applied; nil is not called.
+	Sent   func()
+	Failed func()
 }
 
 // Result is an accepted note.
@@ -88,23 +92,26 @@
 // Apply accepts a note in one transaction. It repeats after a conflict on the
 // head alone, so that notes on different entities are all accepted.
 func (r *Repository) Apply(ctx context.Context, req Request) (Result, error) {
+	running := r.running()
 	for range maxTries {
-		p, err := r.prepare(ctx, &req)
+		p, err := r.prepare(ctx, &req, running)
 		if err != nil || p.result.Repeat {
 			return p.result, err
 		}
 		if err := r.putText(ctx, req.Note, p.digest); err != nil {
 			return Result{}, err
 		}
+		call(req.Sent)
 		err = r.commit(ctx, p.change)
 		if err == nil {
 			r.cfg.Metrics.Counter("notes_accepted").Inc(1)
 			r.cfg.Log.Info().Uint64("version", uint64(p.result.Version)).Str("author", req.Author).Msg("note: accepted")
 			return p.result, nil
 		}
-		if !journal.IsKind(err, journal.KindConflict) {
-			return Result{}, commitError(err)
+		if err = commitError(err); err != nil {
+			return Result{}, err
 		}
+		call(req.Failed)
 		r.cfg.Metrics.Counter("notes_retried").Inc(1)
 	}
 	return Result{}, &Error{Op: "apply note", Kind: KindUnavailable, Err: errors.New("too many notes at once; repeat the request")}
@@ -121,9 +128,26 @@
 	}
 }
 
+func call(f func()) {
+	if f != nil {
+		f()
+	}
+}
+
+// running reads the work once for an apply, as it is gathered from the whole cell.
+func (r *Repository) running() Running {
+	if r.cfg.Running == nil {
+		return Running{}
+	}
+	return r.cfg.Running()
+}
+
+// commitError returns the error of a commit that is not to be repeated, or nil after a conflict.
 func commitError(err error) error {
 	kind := KindUnavailable
 	switch {
+	case journal.IsKind(err, journal.KindConflict):
+		return nil
 	case IsKind(err, KindUnknown):
 		return err
 	case journal.IsKind(err, journal.KindUnknown):
@@ -152,7 +176,7 @@
 
 // Apply returns what the note would do.
 func (p preview) Apply(ctx context.Context, req Request) (Result, error) {
-	prepared, err := p.prepare(ctx, &req)
+	prepared, err := p.prepare(ctx, &req, p.running())
 	return prepared.result, err
 }
 
@@ -164,7 +188,7 @@
 }
 
 // prepare reads the configuration, checks the note against it and builds the transaction.
-func (r *Repository) prepare(ctx context.Context, req *Request) (prepared, error) {
+func (r *Repository) prepare(ctx context.Context, req *Request, running Running) (prepared, error) {
 	p := prepared{digest: sha256.Sum256(req.Note.Text)}
 	if err := checkRequest(req); err != nil {
 		return p, err
@@ -189,10 +213,6 @@
 	if problems := Check(req.Note, s.snapshot, fleet); len(problems) > 0 {
 		return p, &Error{Op: "check note", Kind: KindInvalid, Problems: problems}
 	}
-	var running Running
-	if r.cfg.Running != nil {
-		running = r.cfg.Running()
-	}
 	p.result = Result{Version: s.head + 1, Plan: MakePlan(req.Note, s.snapshot, running)}
 	p.change, err = r.transaction(req, s, p.digest)
 	return p, err
--- a/cluster/rollout/guard.go
+++ b/cluster/rollout/guard.go
@@ -57,7 +57,8 @@
 		<-g.r.noteLock
 		return note.Result{}, err
 	}
-	g.r.beginDoubt(req)
+	req.Sent = func() { g.r.beginDoubt(req) }
+	req.Failed = func() { g.r.dropDoubt(req.ID) }
 	done := make(chan applied, 1)
 	g.r.notes.Go(func() {
 		result, err := g.next.Apply(context.WithoutCancel(ctx), req)
@@ -99,11 +100,24 @@
 	r.publish(now, false)
 }
 
+// dropDoubt ends the doubt about a commit that was certainly not applied.
+func (r *Rollout) dropDoubt(id string) {
+	r.mu.Lock()
+	if d := r.doubts[id]; d != nil && !d.unknown {
+		delete(r.doubts, id)
+	}
+	r.publish(r.cfg.Clock(), r.refreshDoubtful())
+	r.mu.Unlock()
+	r.notify()
+}
+
 func (r *Rollout) endDoubt(id string, result note.Result, err error) {
 	r.mu.Lock()
 	now := r.cfg.Clock()
 	d := r.doubts[id]
 	switch {
+	case d == nil:
+		// No commit was sent, or the note was accepted before.
 	case err == nil:
 		d.accepted = result.Version
 		// The note is accepted; reading it at once shortens the time until it is in force here.
--- a/cluster/rollout/replica_test.go
+++ b/cluster/rollout/replica_test.go
@@ -1,10 +1,12 @@
 package rollout
 
 import (
+	"context"
 	"crypto/sha256"
 	"fmt"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -199,3 +201,36 @@
 		is.Equal(violations, want)
 	}
 }
+
+type slowApplier struct{ sent bool }
+
+func (s slowApplier) Apply(_ context.Context, req note.Request) (note.Result, error) {
+	if s.sent {
+		req.Sent()
+	}
+	time.Sleep(5 * doubtGrace)
+	return note.Result{}, &note.Error{Kind: note.KindConflict}
+}
+
+// Guards against a note that lowers limits while it is only being checked, which
+// would stop work for a note that is refused.
+func TestNoteIsDoubtfulOnlyOnceSent(t *testing.T) {
+	for _, sent := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := loaded(time.Now, nil)
+			defer r.Close()
+			r.fresh.acknowledged = true
+			n, err := note.Parse("n", []byte(keyNote("withdraw", "k1")))
+			is.NoErr(err)
+			go func() { _, _ = r.Guard(slowApplier{sent}).Apply(context.Background(), note.Request{ID: "r", Note: n}) }()
+			time.Sleep(2 * doubtGrace)
+			r.mu.Lock()
+			r.publish(time.Now(), r.ageDoubts(time.Now()))
+			r.mu.Unlock()
+			is.Equal(len(r.Status().Doubtful) > 0, sent)
+			time.Sleep(5 * doubtGrace)
+			is.Equal(len(r.Status().Doubtful), 0)
+		})
+	}
+}
