--- a/cluster/rack/workload_test.go
+++ b/cluster/rack/workload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -278,3 +279,53 @@
 		is.Equal(len(w.running)+len(w.ended), 0)
 	}
 }
+
+// Guards against a worker that fails every task taking work from good ones, and
+// against a job that fails everywhere being retried without end.
+func TestFailingWorkerIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 10, 1, 1, 1, 4)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 500 * time.Millisecond }
+	c.racks.workers[0].failing = true
+	c.run(5 * time.Second)
+	for i := range 12 {
+		c.submit(c.daemons[0], batch(fmt.Sprintf("b%d", i), 8, cluster.Core, true))
+	}
+	c.run(20 * time.Second)
+	quarantined := false
+	for _, w := range c.daemons[0].controller.View().Workers {
+		quarantined = quarantined || w.ID == "z0-r0-w0" && w.Closed != ""
+	}
+	is.True(quarantined)
+	for _, w := range c.racks.workers {
+		w.failing = true
+	}
+	c.submit(c.daemons[0], batch("bad", 20, cluster.Core, true))
+	c.run(5 * time.Minute)
+	is.Equal(c.job("bad").state, JobFailed)
+	is.True(c.racks.starts < 12*8+3*20+60) // a bounded number of attempts
+}
+
+// Guards against a team at its limit or a job too large for the changed fleet waiting without a reason.
+func TestExplainNamesTheCause(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 11, 1, 1, 1, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Hour }
+	c.racks.workers[1].capacity.CPU = 2 * cluster.Core
+	c.run(5 * time.Second)
+	c.setLimit(cluster.Resources{CPU: 4 * cluster.Core, Memory: 64 * cluster.GiB})
+	c.run(6 * time.Second)
+	c.submit(c.daemons[0], batch("limit", 6, cluster.Core, true))
+	c.submit(c.daemons[0], batch("large", 1, 4*cluster.Core, true))
+	c.run(5 * time.Second)
+	why, ok := c.daemons[0].controller.Explain(cluster.JobID{Team: "a", Name: "limit"})
+	is.True(ok)
+	is.True(strings.HasPrefix(why, "rack z0-r0: 2 tasks wait: the team's limit of cpu=4.000 memory=65536MiB accelerators=0 leaves too little grant here: cpu=0.000 "))
+	w := c.racks.workers[0] // the only one with 4 cores
+	w.dead = true
+	clear(w.running)
+	c.racks.touch(w)
+	c.run(45 * time.Second)
+	why, _ = c.daemons[0].controller.Explain(cluster.JobID{Team: "a", Name: "large"})
+	is.Equal(why, "a task is larger than every worker of the fleet: cpu=4.000 memory=1024MiB accelerators=0")
+}
