--- a/cluster/peer/transport_test.go
+++ b/cluster/peer/transport_test.go
@@ -27,7 +27,9 @@
 	listeners map[netip.AddrPort]*memListener
 	// frozen addresses accept connections that carry nothing.
 	frozen bool
-	dials  int
+	// delay is the time that a frame is under way.
+	delay time.Duration
+	dials int
 }
 
 type memListener struct {
@@ -59,6 +61,7 @@
 	f.n.mu.Lock()
 	frozen := f.n.frozen
 	f.n.mu.Unlock()
+	time.Sleep(f.n.delay)
 	if frozen {
 		return len(p), nil
 	}
@@ -198,6 +201,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newNetwork()
+		n.delay = 30 * time.Millisecond
 		start0 := time.Now()
 		a := start(n, 0, nil)
 		made := func() Digest { return Digest{ConfigVersion: cluster.Version(time.Since(start0) / time.Millisecond)} }
--- a/cluster/rollout/replica_test.go
+++ b/cluster/rollout/replica_test.go
@@ -62,9 +62,13 @@
 				v = rapid.SampledFrom(kept).Draw(t, "late")
 			}
 			kept = append(kept, v)
+			before := r.asOf
 			if r.fits(v) {
 				r.apply(v)
 			}
+			if r.asOf < before {
+				t.Fatalf("the replica went back from commit %d to %d", before, r.asOf)
+			}
 			if r.asOf == tab.version && !sameRows(r, tab) {
 				t.Fatalf("replica holds %v, the store %v", r.changes(0).rows, storeView(tab, 0).rows)
 			}
@@ -202,6 +206,27 @@
 	}
 }
 
+// Guards against a confirmation that is dated later than the state it is about:
+// a read and an answer are dated by their request, a push by nothing.
+func TestConfirmationsAreDatedByTheRequest(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	r := loaded(func() time.Time { return now }, func(m string) { t.Error(m) })
+	start := now
+	poll := r.poll("b", now).m.(*peer.ConfigPoll)
+	now = now.Add(3 * time.Second)
+	r.HandlePeer("b", &peer.ConfigPush{AsOf: 5})
+	is.Equal(r.Status().Confirmed, start) // unsolicited
+	r.HandlePeer("b", &peer.ConfigPush{Answer: poll.Sequence + 1, AsOf: 5})
+	is.Equal(r.Status().Confirmed, start) // no such poll
+	r.finishRead(view{asOf: 6}, start.Add(time.Second), nil)
+	is.Equal(r.Status().Confirmed, start.Add(time.Second))
+	late := r.poll("b", now).m.(*peer.ConfigPoll)
+	now = now.Add(time.Second)
+	r.HandlePeer("b", &peer.ConfigPush{Answer: late.Sequence, AsOf: 6, Age: 500 * time.Millisecond})
+	is.Equal(r.Status().Confirmed, start.Add(2500*time.Millisecond))
+}
+
 type slowApplier struct{ sent bool }
 
 func (s slowApplier) Apply(_ context.Context, req note.Request) (note.Result, error) {
