--- a/goldcrestd/capacity_probe_test.go
+++ b/goldcrestd/capacity_probe_test.go
@@ -11,6 +11,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
 )
 
 const (
@@ -23,6 +25,8 @@
 	// quietFor is how long no row is written before an idle fleet counts as settled: teams' grants are
 	// distributed over the racks for some seconds after the start.
 	quietFor = 6 * time.Second
+	// startLimit is how long submitted tasks may take to start.
+	startLimit = 45 * time.Second
 )
 
 // causes are the causes of traffic; request isn't control traffic.
@@ -174,6 +178,28 @@
 	})
 }
 
+// waitRunning waits until tasks run; tasks that don't start are an error with the jobs that wait, and the benchmark goes on.
+func (f *fleet) waitRunning(tasks int) {
+	f.b.Helper()
+	for begin := time.Now(); time.Since(begin) < startLimit; time.Sleep(100 * time.Millisecond) {
+		if f.stats().Running >= float64(tasks) {
+			return
+		}
+	}
+	var list api.JobList
+	if err := f.get(f.daemons[0].url+"/v1/jobs", &list); err != nil {
+		f.b.Error(err)
+	}
+	shown := 0
+	for _, j := range list.Jobs {
+		if j.Tasks.Pending+j.Tasks.Starting > 0 && shown < 5 {
+			shown++
+			f.b.Logf("%s/%s (%s): %+v %s", j.Team, j.ID, j.Workload, j.Tasks, j.Reason)
+		}
+	}
+	f.b.Errorf("%v of %d tasks run after %s; %d jobs listed, missing daemons %v", f.stats().Running, tasks, startLimit, len(list.Jobs), list.Missing)
+}
+
 // report measures three windows after a settling time and reports means, and half the range of some as <unit>_pm.
 func (f *fleet) report(b *testing.B, load func(end time.Time)) {
 	b.Helper()
