fix: requests are authorized again after every wait and dial

Cause: a request that had waited was authorized again only if the configuration had changed here; after a pause of the process an unchanged one is not confirmed, so a request under a withdrawn key could be sent. Change: the check is repeated after the wait and after the connection was obtained.

--- a/cluster/gateway/admit.go
+++ b/cluster/gateway/admit.go
@@ -85,24 +85,28 @@
 	if got.problem != nil {
 		return nil, got.problem
 	}
-	snapshot := g.cfg.Authorizer.Snapshot()
-	if snapshot == c.snapshot {
-		return got.runner, nil
-	}
-	// The key may have been withdrawn while the request waited.
-	c.snapshot = snapshot
-	team := c.team
-	p := g.authorize(c)
-	if p == nil && c.team != team {
-		p = refuse(http.StatusForbidden, "not authorized", "the key has moved to another team")
-	}
-	if p != nil {
+	if p := g.authorizeAgain(c); p != nil {
 		g.finish(t, got.runner, attempt{outcome: outcomeNotSent, err: context.Canceled})
 		return nil, p
 	}
 	return got.runner, nil
 }
 
+// authorizeAgain authorizes a request that has waited. The key may have been
+// withdrawn meanwhile, also if the configuration known here is the same: after a
+// pause of the process it is no longer confirmed.
+func (g *Gateway) authorizeAgain(c *call) *problem {
+	c.snapshot = g.cfg.Authorizer.Snapshot()
+	team := c.team
+	if p := g.authorize(c); p != nil {
+		return p
+	}
+	if c.team != team {
+		return refuse(http.StatusForbidden, "not authorized", "the key has moved to another team")
+	}
+	return nil
+}
+
 // finish takes note of the result of an attempt and frees its slot.
 func (g *Gateway) finish(t *ticket, r *runner, a attempt) {
 	g.mu.Lock()
--- a/cluster/gateway/attempt.go
+++ b/cluster/gateway/attempt.go
@@ -57,6 +57,8 @@
 	err     error
 	// abandoned says that this daemon gave up on the answer while the runner may still be at work.
 	abandoned bool
+	// problem is set if the request may no longer be sent to any runner.
+	problem *problem
 }
 
 // send sends a request to a runner once. An idle connection that turns out to
@@ -67,6 +69,10 @@
 		if err != nil {
 			return attempt{outcome: outcomeNotSent, err: err}
 		}
+		if p := g.authorizeAgain(c); p != nil {
+			g.giveBack(r, l, false)
+			return attempt{outcome: outcomeNotSent, err: context.Canceled, problem: p}
+		}
 		fresh := l.verified.IsZero()
 		if !c.idempotent {
 			age := g.cfg.Clock().Sub(l.verified)
--- a/cluster/gateway/cell_test.go
+++ b/cluster/gateway/cell_test.go
@@ -113,6 +113,8 @@
 type testAuthorizer struct {
 	mu       sync.Mutex
 	snapshot *cluster.Snapshot
+	// stale refuses every key, as a daemon does that can't confirm its configuration.
+	stale bool
 }
 
 func (a *testAuthorizer) Snapshot() *cluster.Snapshot {
@@ -127,6 +129,12 @@
 	if q != nil && q.Open {
 		return q.Team, nil
 	}
+	a.mu.Lock()
+	stale := a.stale
+	a.mu.Unlock()
+	if stale {
+		return "", errDenied
+	}
 	key := s.KeysBy[sha256.Sum256([]byte(secret))]
 	if q == nil || key == nil || (q.Team != "" && q.Team != key.Team) {
 		return "", errDenied
--- a/cluster/gateway/route_test.go
+++ b/cluster/gateway/route_test.go
@@ -230,6 +230,28 @@
 	})
 }
 
+// Guards against a request that waited, or whose process was paused, being sent
+// although the same configuration is no longer confirmed.
+func TestWaitingRequestsNeedAConfirmedConfiguration(t *testing.T) {
+	runCell(t, cellOptions{runners: 1, took: 100 * time.Millisecond}, func(c *testCell) {
+		codes := make(chan int, 16)
+		for range 16 {
+			go func() { codes <- c.ask(0, "POST", "/", "").Code }()
+		}
+		time.Sleep(50 * time.Millisecond) // eight run, eight wait
+		c.auth.mu.Lock()
+		c.auth.stale = true
+		c.auth.mu.Unlock()
+		counts := map[int]int{}
+		for range 16 {
+			counts[<-codes]++
+		}
+		c.is.Equal(counts[200], 8)
+		c.is.Equal(counts[401], 8)
+		c.is.Equal(c.runners[0].count(), 8)
+	})
+}
+
 // Guards against "not run" for a request that was lost at one runner before all others refused it.
 func TestLostThenRefused(t *testing.T) {
 	runCell(t, cellOptions{runners: 3}, func(c *testCell) {
--- a/cluster/gateway/serve.go
+++ b/cluster/gateway/serve.go
@@ -248,6 +248,9 @@
 
 // failure describes an attempt that isn't retried.
 func failure(ctx context.Context, a attempt) *problem {
+	if a.problem != nil {
+		return a.problem
+	}
 	expired := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	switch a.outcome {
 	case outcomeNotSent:
@@ -276,7 +279,7 @@
 func (g *Gateway) retry(ctx context.Context, c *call, t *ticket, r *runner, a attempt) bool {
 	// What reached a runner is sent again only if it is idempotent, even if the
 	// runner says that it wasn't run.
-	if ctx.Err() != nil || c.attempts >= maxAttempts || (a.outcome != outcomeNotSent && !c.idempotent) {
+	if a.problem != nil || ctx.Err() != nil || c.attempts >= maxAttempts || (a.outcome != outcomeNotSent && !c.idempotent) {
 		return false
 	}
 	g.mu.Lock()
