--- a/goldcrestd/capacity_fleet_test.go
+++ b/goldcrestd/capacity_fleet_test.go
@@ -61,6 +61,9 @@
 	note     int
 	job      int
 	daemons  []*benchDaemon
+	// settled is how long the fleet wrote rows after its start, startup what the store counted until then.
+	settled time.Duration
+	startup fleetStats
 }
 
 // benchDaemon is a daemon of a benchmark.
@@ -107,6 +110,7 @@
 	f.admin = "http://" + f.admin
 	f.wait("the platform answers", func() bool { return f.get(f.admin+"/admin/stats", nil) == nil })
 	f.patchFaults(`{"vmListLag":"0s"}`)
+	begin := time.Now()
 	for i := range size.daemons {
 		f.addDaemon(targetPlaces[i%len(targetPlaces)])
 	}
@@ -114,6 +118,7 @@
 	f.apply(firstNote())
 	f.waitRacks(size.racks)
 	f.waitQuiet()
+	f.settled, f.startup = time.Since(begin)-quietFor, f.stats()
 	return f
 }
 
