feat: bodies to and from the platform are compressed; the rollout announces a planned stop

Cause: at 350 starts a second a daemon spent 31.8 kB/s on control, 25.6 kB/s of it in exchanges with racks; and Leaving was sent without the digest that lets others go on during an outage. Change: gzip from 400 bytes on, both ways; rollout.Leave at shutdown.

--- a/cluster/daemon/daemon.go
+++ b/cluster/daemon/daemon.go
@@ -301,7 +301,7 @@
 	case <-ctx.Done():
 		d.log.Warn().Msg("daemon: racks were not handed over before the drain timeout")
 	}
-	d.peers.Broadcast(&peer.Leaving{From: d.id})
+	d.rollout.Leave(ctx)
 	// Leave deletes the rows of the journals, so nothing may be committed after it.
 	d.requests.Close()
 	d.journal.Close()
@@ -321,6 +321,8 @@
 	d.peers.Close()
 	d.requests.Close()
 	d.journal.Close()
+	// The rollout waits for the outcomes of notes, so the journal is closed before.
+	d.rollout.Close()
 	d.loop.wait()
 	for _, f := range d.closers {
 		f()
--- a/cluster/platform/client.go
+++ b/cluster/platform/client.go
@@ -252,10 +252,14 @@
 	ctx, cancel := context.WithTimeout(ctx, l.cfg.Timeout)
 	defer cancel()
 	trace := &trace{}
-	req, err := http.NewRequestWithContext(trace.attach(ctx), c.method, l.cfg.BaseURL+c.path, bytes.NewReader(c.body))
+	body, compressed := Compress(c.body)
+	req, err := http.NewRequestWithContext(trace.attach(ctx), c.method, l.cfg.BaseURL+c.path, bytes.NewReader(body))
 	if err != nil {
 		return nil, 0, &Error{Op: c.op, Kind: KindInvalid, Err: err}
 	}
+	if compressed {
+		req.Header.Set(headerEncoding, encodingGzip)
+	}
 	// An empty value keeps the transport from sending its own; each header costs
 	// bytes in every exchange.
 	req.Header.Set("User-Agent", "")
--- a/cluster/platform/link.go
+++ b/cluster/platform/link.go
@@ -31,7 +31,6 @@
 			}
 			return &countedConn{Conn: conn}, nil
 		},
-		DisableCompression:     true,
 		MaxConnsPerHost:        cfg.MaxConns,
 		MaxIdleConnsPerHost:    cfg.MaxConns,
 		IdleConnTimeout:        idleTimeout,
--- a/cluster/platform/standin/handler.go
+++ b/cluster/platform/standin/handler.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -44,7 +43,7 @@
 
 func (h *handler) serve(e endpoint) httprouter.Handle {
 	return func(w http.ResponseWriter, r *http.Request, params httprouter.Params) {
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+		body, err := platform.ReadBody(r.Header, http.MaxBytesReader(w, r.Body, maxRequestBytes), maxRequestBytes)
 		if err != nil {
 			writeError(w, &platform.Error{Op: "read body", Kind: platform.KindInvalid, Err: err})
 			return
@@ -58,7 +57,7 @@
 			writeError(w, err)
 			return
 		}
-		write(w, http.StatusOK, reply)
+		write(w, http.StatusOK, platform.CompressReply(r, w.Header(), reply))
 	}
 }
 
