--- a/cluster/rack/move.go
+++ b/cluster/rack/move.go
@@ -52,13 +52,15 @@
 	if a.blockedSince.IsZero() || c.now.Sub(a.blockedSince) < moveAfter {
 		return false
 	}
-	// A rack without an open worker gets no grant, so a missing grant must not keep its tasks there.
-	return !r.hasOpenWorker(a.size) || a.size.Fits(c.available(r, a.id.Team))
+	// A rack without room asks for no grant, so a missing grant must not keep its tasks there.
+	return !r.hasRoom(a.size) || a.size.Fits(c.available(r, a.id.Team))
 }
 
-// hasOpenWorker reports whether some worker takes new tasks and is large enough.
-func (r *rack) hasOpenWorker(size cluster.Resources) bool {
-	return slices.ContainsFunc(r.order, func(w *worker) bool { return r.closed(w) == "" && size.Fits(w.capacity) })
+// hasRoom reports whether some worker takes new tasks and has enough left for one.
+func (r *rack) hasRoom(size cluster.Resources) bool {
+	return slices.ContainsFunc(r.order, func(w *worker) bool {
+		return r.closed(w) == "" && size.Fits(w.capacity.Sub(r.load(w)))
+	})
 }
 
 // mostCopies returns how many tasks of a size the rack's open workers could hold
--- a/cluster/rack/start.go
+++ b/cluster/rack/start.go
@@ -26,8 +26,8 @@
 }
 
 // noteBlocked notes since when assignments wait that the queue does not offer:
-// those held back with others of the same size, and those in a rack without an
-// open worker, which gets no grant either.
+// those held back with others of the same size, and those in a rack without
+// room, which gets no grant either.
 func (c *Controller) noteBlocked(r *rack) {
 	for _, a := range r.list {
 		if a.pending == 0 || !a.blockedSince.IsZero() {
@@ -36,8 +36,9 @@
 		switch {
 		case r.queue.State(a.id) == placement.ItemBlocked:
 			a.blockedSince, a.waits = c.now, placement.NoRoomNow.String()
-		case !r.hasOpenWorker(a.size):
-			a.blockedSince, a.waits = c.now, placement.AllClosed.String()
+		case !r.hasRoom(a.size):
+			_, reason := r.table.Place(placement.Request{Size: a.size, Job: a.id})
+			a.blockedSince, a.waits = c.now, reason.String()
 		}
 	}
 }
