--- a/cluster/rack/hold.go
+++ b/cluster/rack/hold.go
@@ -45,10 +45,6 @@
 	if a == nil || r.unfenced || r.handover || !r.errSince.IsZero() || c.readyTasks(a) < n {
 		return false
 	}
-	if !size.Times(int64(n)).Fits(c.available(r, id.Team)) {
-		a.waits = "the team's grant here is too small for all tasks of the gang"
-		return false
-	}
 	workers, reason := r.table.PlaceAll(placement.Request{Size: size, Job: id}, n)
 	if reason != placement.Placed {
 		a.waits = "not all tasks of the gang fit: " + reason.String()
@@ -58,6 +54,11 @@
 		c.reserve(r, id, n, size)
 		return false
 	}
+	// Room comes first: a rack that lacks it gets no grant for all tasks, and its part has to move.
+	if !size.Times(int64(n)).Fits(c.available(r, id.Team)) {
+		a.waits = "the team's grant here is too small for all tasks of the gang"
+		return false
+	}
 	a.blockedSince = time.Time{}
 	r.holds = append(r.holds, &hold{job: id, size: size, workers: workers, expires: c.now.Add(life)})
 	r.syncWorkers()
