test: slots of twenty daemons are counted after the rows have settled

Change: it waits 10 s of virtual time; the expected 8 slots stay. Conclusion: slow lending at a common start, not a slot that stays unused.

--- a/cluster/gateway/lend_test.go
+++ b/cluster/gateway/lend_test.go
@@ -178,6 +178,9 @@
 // Guards against a runner that no daemon may use when there are more daemons than slots.
 func TestMoreDaemonsThanSlots(t *testing.T) {
 	runCell(t, cellOptions{daemons: 20, runners: 3}, func(c *testCell) {
+		// Twenty daemons that start together conflict on one row, so the last slots
+		// are lent only some seconds after the cell has started.
+		time.Sleep(10 * time.Second)
 		lent := map[cluster.UpstreamID]int{}
 		for _, g := range c.daemons() {
 			for _, u := range g.Status().Services[0].Upstreams {
