refactor: notes use the name, size and priority rules of the API

Cause: the note package repeated them because it was written beside the API package. Change: one copy, in api.

--- a/cluster/note/apply.go
+++ b/cluster/note/apply.go
@@ -4,12 +4,14 @@
 	"context"
 	"crypto/sha256"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
 	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
@@ -20,7 +22,6 @@
 	// retainRequests is the number of notes for which a repeat of a request is
 	// recognised: ten days at 1,000 notes a day. Older rows are deleted.
 	retainRequests = 10_000
-	maxRequestID   = 128
 	// callTimeout bounds one call to the table service or the object store. Only
 	// the commit is waited for longer, until its outcome is known.
 	callTimeout = 5 * time.Second
@@ -219,8 +220,8 @@
 }
 
 func checkRequest(req *Request) error {
-	if req.ID == "" || len(req.ID) > maxRequestID || !namePattern.MatchString(req.ID) {
-		return &Error{Op: "apply note", Kind: KindRefused, Err: errors.New("the identifier of the request must be 1 to 128 letters, digits, dots, dashes and underscores")}
+	if err := api.CheckName(req.ID); err != nil {
+		return &Error{Op: "apply note", Kind: KindRefused, Err: fmt.Errorf("the identifier of the request %w", err)}
 	}
 	return nil
 }
--- a/cluster/note/convert.go
+++ b/cluster/note/convert.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
 )
 
 func (p *noteParser) convert(w *noteYAML) {
@@ -35,7 +36,7 @@
 }
 
 func (p *noteParser) name(field, s string) string {
-	return value(p, field, s, checkName(s))
+	return value(p, field, s, api.CheckName(s))
 }
 
 // place records where an entity is named; each entity may be named once.
@@ -93,7 +94,7 @@
 			field := at("withdraw."+group, i)
 			if kind == cluster.KindJob {
 				team, job, _ := strings.Cut(name, "/")
-				p.check(field, checkName(team) == nil && checkName(job) == nil, "%q is not of the form team/id", name)
+				p.check(field, api.CheckName(team) == nil && api.CheckName(job) == nil, "%q is not of the form team/id", name)
 			} else {
 				p.name(field, name)
 			}
@@ -142,7 +143,7 @@
 		q.Team = cluster.TeamName(p.name(field+".team", w.Team))
 	}
 	p.check(field+".team", !w.Open || w.Team != "", "is missing; an open queue must name the team that its work runs for")
-	priority, err := parsePriority(w.Priority)
+	priority, err := api.ParsePriority(w.Priority)
 	q.Priority = value(p, field+".priority", priority, err)
 	wait, err := parseDuration(w.MaxWait)
 	q.MaxWait = value(p, field+".maxWait", wait, err)
@@ -175,13 +176,13 @@
 		Queue:      cluster.QueueName(p.name(field+".queue", w.Queue)),
 		Idempotent: w.Idempotent, Checkpoints: w.Checkpoints, MaxAttempts: w.MaxAttempts, Command: w.Command,
 	}
-	p.check(field+".maxAttempts", w.MaxAttempts >= 0 && w.MaxAttempts <= maxAttempts, "%d is not between 0 and %d", w.MaxAttempts, maxAttempts)
+	p.check(field+".api.MaxAttempts", w.MaxAttempts >= 0 && w.MaxAttempts <= api.MaxAttempts, "%d is not between 0 and %d", w.MaxAttempts, api.MaxAttempts)
 	length := 0
 	for _, word := range w.Command {
 		length += len(word)
 	}
 	p.check(field+".command", length <= maxCommand, "has %d bytes; at most %d are allowed", length, maxCommand)
-	priority, err := parsePriority(w.Priority)
+	priority, err := api.ParsePriority(w.Priority)
 	s.Priority = value(p, field+".priority", priority, err)
 	if w.Deadline != "" {
 		deadline, err := time.Parse(time.RFC3339, w.Deadline)
@@ -192,7 +193,7 @@
 }
 
 func (p *noteParser) workload(field string, w *jobYAML) cluster.Workload {
-	err := checkRange(w.Tasks, 1, maxTasks)
+	err := checkRange(w.Tasks, 1, api.MaxTasks)
 	tasks := value(p, field+".tasks", w.Tasks, err)
 	size := p.resources(field, w.CPUs, w.Memory, w.Accelerators)
 	p.check(field+".cpus", size.CPU > 0, "must be above 0")
--- a/cluster/note/units.go
+++ b/cluster/note/units.go
@@ -5,12 +5,11 @@
 	"errors"
 	"fmt"
 	"math"
-	"regexp"
-	"strconv"
 	"strings"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
 )
 
 // Limits of the values of a note.
@@ -18,55 +17,17 @@
 	maxCPUs         = 1 << 20
 	maxAccelerators = 1 << 20
 	maxShare        = 1 << 20
-	maxTasks        = 10_000
-	maxAttempts     = 100
-	maxNameLength   = 128
 	maxDuration     = 366 * 24 * time.Hour
 	maxCommand      = 16 << 10
 )
 
-var (
-	namePattern    = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
-	errMissing     = errors.New("is missing")
-	priorityByName = map[string]cluster.Priority{
-		"": cluster.PriorityNormal, "deferrable": cluster.PriorityDeferrable,
-		"normal": cluster.PriorityNormal, "urgent": cluster.PriorityUrgent,
-	}
-	byteUnits = []struct {
-		suffix string
-		factor cluster.Bytes
-	}{{"GiB", cluster.GiB}, {"MiB", cluster.MiB}, {"KiB", cluster.KiB}, {"B", 1}}
-)
-
-// checkName accepts names that can be part of a row key and of a URL path.
-func checkName(s string) error {
-	switch {
-	case s == "":
-		return errMissing
-	case len(s) > maxNameLength:
-		return fmt.Errorf("has %d bytes; at most %d are allowed", len(s), maxNameLength)
-	case !namePattern.MatchString(s):
-		return fmt.Errorf("%q must start with a letter or digit and hold only letters, digits, dots, dashes and underscores", s)
-	}
-	return nil
-}
+var errMissing = errors.New("is missing")
 
 func parseBytes(s string) (cluster.Bytes, error) {
 	if s == "" {
 		return 0, errMissing
 	}
-	for _, u := range byteUnits {
-		digits, ok := strings.CutSuffix(s, u.suffix)
-		if !ok {
-			continue
-		}
-		n, err := strconv.ParseFloat(digits, 64)
-		if err != nil || math.IsNaN(n) || n < 0 || n*float64(u.factor) > math.MaxInt64/2 {
-			return 0, fmt.Errorf("%q is not a size such as 512MiB", s)
-		}
-		return cluster.Bytes(n * float64(u.factor)), nil
-	}
-	return 0, fmt.Errorf("%q has no unit; use B, KiB, MiB or GiB", s)
+	return api.ParseBytes(s)
 }
 
 func parseCPUs(n float64) (cluster.CPU, error) {
@@ -88,14 +49,6 @@
 	return d, nil
 }
 
-func parsePriority(s string) (cluster.Priority, error) {
-	p, ok := priorityByName[s]
-	if !ok {
-		return 0, fmt.Errorf("%q is not one of deferrable, normal, urgent", s)
-	}
-	return p, nil
-}
-
 func parseHash(s string) ([32]byte, error) {
 	if s == "" {
 		return [32]byte{}, errMissing
