--- a/goldcrestd/burst_test.go
+++ b/goldcrestd/burst_test.go
@@ -35,7 +35,7 @@
 		body, err := json.Marshal(job)
 		c.is.NoErr(err)
 		calls.Go(func() {
-			status, data := c.send(http.MethodPost, c.daemons[i%len(c.daemons)].url+"/v1/queues/work/jobs", testSecret, nil, body)
+			status, data := c.send(http.MethodPost, c.daemons[i%len(c.daemons)].url+"/v1/queues/batch/jobs", testSecret, nil, body)
 			if status != http.StatusCreated {
 				t.Errorf("job %s: %d %s", job.ID, status, data)
 			}
--- a/goldcrestd/capacity_fleet_test.go
+++ b/goldcrestd/capacity_fleet_test.go
@@ -291,8 +291,8 @@
 		hash := sha256.Sum256([]byte(teamSecret(i)))
 		fmt.Fprintf(&s, "    - {name: %s-1, team: %s, hash: %s}\n", teamName(i), teamName(i), hex.EncodeToString(hash[:]))
 	}
-	s.WriteString("  queues:\n    - {name: urgent, priority: urgent}\n    - {name: work, priority: normal}\n")
-	s.WriteString("  services:\n    - {name: booking, queue: work, timeout: 10s, maxAnswer: 1MiB, maxBody: 1MiB}\n")
+	s.WriteString("  queues:\n    - {name: urgent, priority: urgent}\n    - {name: batch, priority: normal}\n")
+	s.WriteString("  services:\n    - {name: booking, queue: batch, timeout: 10s, maxAnswer: 1MiB, maxBody: 1MiB}\n")
 	return s.String()
 }
 
--- a/goldcrestd/crash_test.go
+++ b/goldcrestd/crash_test.go
@@ -23,9 +23,9 @@
     # The SHA-256 of demo-berghof.
     - {name: archive-1, team: archive, hash: 72508983e63b5b539c2610acf0f15e1664c0944bb821d85a1a0a8212ab02379a}
   queues:
-    - {name: work, priority: normal}
+    - {name: batch, priority: normal}
   services:
-    - {name: echo, queue: work, timeout: 10s, maxAnswer: 1MiB, maxBody: 1MiB}
+    - {name: echo, queue: batch, timeout: 10s, maxAnswer: 1MiB, maxBody: 1MiB}
 `
 )
 
@@ -39,7 +39,7 @@
 // runJobs hands in jobs, runs the fault while they run, and checks that every task ran to its end exactly once.
 func (c *cell) runJobs(prefix string, jobs, tasks int, fault func()) {
 	for i := range jobs {
-		c.submit(testSecret, "work", testJob(fmt.Sprintf("%s-%d", prefix, i), tasks))
+		c.submit(testSecret, "batch", testJob(fmt.Sprintf("%s-%d", prefix, i), tasks))
 	}
 	c.eventually("tasks start", func() bool { return c.stats().Starts > 0 })
 	fault()
--- a/goldcrestd/fault_test.go
+++ b/goldcrestd/fault_test.go
@@ -207,7 +207,7 @@
 	})
 	body, err := json.Marshal(testJob("outage", 1))
 	c.is.NoErr(err)
-	status, data := c.send(http.MethodPost, c.daemons[0].url+"/v1/queues/work/jobs", testSecret, nil, body)
+	status, data := c.send(http.MethodPost, c.daemons[0].url+"/v1/queues/batch/jobs", testSecret, nil, body)
 	c.is.Equal(status, http.StatusServiceUnavailable)
 	c.is.Equal(c.run(data), api.RunNo)
 	// Past the staleness bound the daemons confirm to one another that none of them sees the store.
