--- a/goldcrestd/capacity_bench_test.go
+++ b/goldcrestd/capacity_bench_test.go
@@ -121,7 +121,7 @@
 			job := f.batchJob(tasks, runTime)
 			mu.Unlock()
 			wait.Go(func() {
-				status, _ := submitTo(f.daemons[n%len(f.daemons)], n, "work", job)
+				status, _ := submitTo(f.daemons[n%len(f.daemons)], n, "batch", job)
 				if status == http.StatusCreated || status == http.StatusOK {
 					accepted.Add(1)
 				} else {
--- a/goldcrestd/capacity_fault_test.go
+++ b/goldcrestd/capacity_fault_test.go
@@ -52,7 +52,7 @@
 func (f *fleet) submitPaced(team int, job api.JobRequest) {
 	f.b.Helper()
 	f.wait("job "+job.ID+" is accepted", func() bool {
-		status, _ := submitTo(f.daemons[0], team, "work", job)
+		status, _ := submitTo(f.daemons[0], team, "batch", job)
 		return status == http.StatusCreated || status == http.StatusOK
 	})
 	time.Sleep(fillPace)
