refactor: one reader of request bodies, and no parameter that never varied

Cause: a read of the whole change found that notes read their body beside readBody, that every caller of collect asked for the peers, and a one-line wrapper around errors.As. Change: notes use readBody, so a body that breaks off is now answered 400 and not 413; collect has no switch; the wrapper is gone. Conclusion: no pattern, bound or expectation of a test changed.

--- a/cluster/daemon/jobs.go
+++ b/cluster/daemon/jobs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -187,7 +188,7 @@
 }
 
 func (d *Daemon) writeJobStatus(w http.ResponseWriter, r *http.Request, id cluster.JobID, status int) {
-	for _, job := range d.collect(r.Context(), true).jobs() {
+	for _, job := range d.collect(r.Context()).jobs() {
 		if job.Team == string(id.Team) && job.ID == string(id.Name) {
 			writeJSON(w, status, job)
 			return
@@ -203,7 +204,7 @@
 		return
 	}
 	id := cluster.JobID{Team: team, Name: cluster.JobName(p.ByName("job"))}
-	for _, e := range d.collect(r.Context(), true).explanations() {
+	for _, e := range d.collect(r.Context()).explanations() {
 		if e.Job.Team == string(id.Team) && e.Job.ID == string(id.Name) {
 			writeJSON(w, http.StatusOK, e)
 			return
@@ -220,7 +221,7 @@
 	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
-		refuse(w, http.StatusRequestEntityTooLarge, "the body is larger than 1 MiB")
+		refuse(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
 	} else {
 		refuse(w, http.StatusBadRequest, "the body could not be read: "+err.Error())
 	}
--- a/cluster/daemon/listing.go
+++ b/cluster/daemon/listing.go
@@ -111,12 +111,9 @@
 	}
 }
 
-// collect gathers the listings of this daemon and, if asked, of its live peers.
-func (d *Daemon) collect(ctx context.Context, peers bool) *listing {
+// collect gathers the listings of this daemon and of its live peers.
+func (d *Daemon) collect(ctx context.Context) *listing {
 	l := &listing{parts: []localListing{d.local(ctx)}}
-	if !peers {
-		return l
-	}
 	ctx, cancel := context.WithTimeout(ctx, listingTimeout)
 	defer cancel()
 	var mu sync.Mutex
@@ -283,7 +280,7 @@
 // listJobs handles GET /v1/jobs.
 func (d *Daemon) listJobs(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	if d.operator(w, r) {
-		l := d.collect(r.Context(), true)
+		l := d.collect(r.Context())
 		writeJSON(w, http.StatusOK, api.JobList{Jobs: l.jobs(), Missing: l.missing})
 	}
 }
@@ -291,7 +288,7 @@
 // listWorkers handles GET /v1/workers.
 func (d *Daemon) listWorkers(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	if d.operator(w, r) {
-		l := d.collect(r.Context(), true)
+		l := d.collect(r.Context())
 		writeJSON(w, http.StatusOK, api.WorkerList{Workers: l.workers(), Missing: l.missing})
 	}
 }
@@ -299,7 +296,7 @@
 // listTeams handles GET /v1/teams.
 func (d *Daemon) listTeams(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
 	if d.operator(w, r) {
-		l := d.collect(r.Context(), true)
+		l := d.collect(r.Context())
 		writeJSON(w, http.StatusOK, api.TeamList{Teams: l.teams(), Missing: l.missing})
 	}
 }
--- a/cluster/daemon/notes.go
+++ b/cluster/daemon/notes.go
@@ -5,7 +5,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -61,7 +60,7 @@
 func (d *Daemon) runningWork() note.Running {
 	ctx, cancel := context.WithTimeout(context.Background(), listingTimeout)
 	defer cancel()
-	l := d.collect(ctx, true)
+	l := d.collect(ctx)
 	work := note.Running{Use: map[cluster.TeamName]cluster.Resources{}, Jobs: map[cluster.JobID]cluster.QueueName{}}
 	for _, t := range l.teams() {
 		work.Use[cluster.TeamName(t.Name)] = t.Used.ToResources()
@@ -127,9 +126,8 @@
 		writeProblem(w, api.Problem{Status: http.StatusServiceUnavailable, Detail: "the daemon has not joined the cell", Run: api.RunNo}, staleRetryAfter)
 		return note.Request{}, false
 	}
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, note.MaxText+1))
-	if err != nil || len(text) > note.MaxText {
-		refuse(w, http.StatusRequestEntityTooLarge, "a note has at most "+strconv.Itoa(note.MaxText)+" bytes")
+	text, ok := readBody(w, r, note.MaxText)
+	if !ok {
 		return note.Request{}, false
 	}
 	file := r.Header.Get(api.HeaderNoteFile)
--- a/cluster/journal/error.go
+++ b/cluster/journal/error.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-
-	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
 // Kind classifies an Error.
@@ -55,5 +53,3 @@
 	var e *Error
 	return errors.As(err, &e) && e.Kind == kind
 }
-
-func asPlatform(err error, target **platform.Error) bool { return errors.As(err, target) }
--- a/cluster/journal/journal.go
+++ b/cluster/journal/journal.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"sync"
 	"time"
 
@@ -307,7 +308,7 @@
 func (j *Journal) conflict(batch []*pending, err error) []*pending {
 	var perr *platform.Error
 	key := ""
-	if asPlatform(err, &perr) {
+	if errors.As(err, &perr) {
 		key = perr.Key
 	}
 	if key == j.row() {
