fix: pools are owned by the daemons with the most processor

Cause: with VMs of 0.192 and 0.8 cores any daemon near the store won a pool.

Change: a daemon tells its share of a processor in its member row, and leaves a pool for 1 s to daemons that have more. The test fails without the delay.

--- a/cluster/cell/advise.go
+++ b/cluster/cell/advise.go
@@ -139,9 +139,8 @@
 	defer d.mu.Unlock()
 	list := []cluster.DaemonID{d.cfg.Self}
 	for _, m := range d.members {
-		id := cluster.DaemonID(m.ID)
-		if id != d.cfg.Self && time.Since(d.transport.LastHeard(id)) < ownerSilence && !d.peers[id].Draining {
-			list = append(list, id)
+		if d.available(m) {
+			list = append(list, cluster.DaemonID(m.ID))
 		}
 	}
 	return list
--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -66,8 +66,35 @@
 		since = time.Now()
 		d.lostSince[service] = since
 	}
+	return o, time.Since(since) >= d.claimDelay()
+}
+
+// claimDelay returns how long this daemon leaves a pool without an owner to
+// others: to those nearer to the store, with fewer pools or with more of a
+// processor. d.mu is held.
+func (d *Daemon) claimDelay() time.Duration {
 	delay := claimDistance*d.store.near() + claimStagger*time.Duration(len(d.pools))
-	return o, time.Since(since) >= delay
+	if d.strongerMember() {
+		delay += claimYield
+	}
+	return delay
+}
+
+// strongerMember reports whether a daemon with a larger share of a processor can
+// take a pool over; d.mu is held.
+func (d *Daemon) strongerMember() bool {
+	for _, m := range d.members {
+		if m.Cores > d.cfg.Cores && d.available(m) {
+			return true
+		}
+	}
+	return false
+}
+
+// available reports whether another daemon can take work; d.mu is held.
+func (d *Daemon) available(m memberRow) bool {
+	id := cluster.DaemonID(m.ID)
+	return id != d.cfg.Self && time.Since(d.transport.LastHeard(id)) < ownerSilence && !d.peers[id].Draining
 }
 
 // ownerLost reports whether the owner of a pool has released it, has been
--- /dev/null
+++ b/cluster/cell/claim_test.go
@@ -0,0 +1,61 @@
+package cell
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+)
+
+// connect gives a daemon a peer that it hears, and waits until it does.
+func connect(t *testing.T, d *Daemon, other cluster.DaemonID) {
+	t.Helper()
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	remote := peer.New(peer.Config{
+		Self: peer.Hello{From: other}, Listener: listener, Log: zerolog.Nop(), Handler: func(cluster.DaemonID, peer.Message) {},
+	})
+	t.Cleanup(remote.Close)
+	d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.receive, Digest: d.digest})
+	t.Cleanup(d.transport.Close)
+	d.transport.SetPeers([]peer.Peer{{ID: other, Addr: netip.MustParseAddrPort(listener.Addr().String())}})
+	for d.transport.LastHeard(other).IsZero() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a pool that is scheduled by a VM with a small share of a
+// processor while one with a larger share is there.
+func TestClaimYieldsToStrongerMember(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		cores  float64
+		leaves bool
+		yields bool
+	}{
+		{name: "more", cores: 0.8, yields: true},
+		{name: "same", cores: 0.2},
+		{name: "less", cores: 0.1},
+		{name: "more but leaving", cores: 0.8, leaves: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			d := newTestDaemon(t, &slowStore{})
+			d.cfg.Cores = 0.2
+			const other = cluster.DaemonID("other@1")
+			connect(t, d, other)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.members["other"] = memberRow{ID: string(other), Cores: c.cores}
+			d.peers[other] = peer.Digest{Draining: c.leaves}
+			is.Equal(d.claimDelay() >= claimYield, c.yields)
+		})
+	}
+}
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -49,6 +49,8 @@
 	// claimDistance multiplies the time of a call to the store into the delay of
 	// a claim, so that a daemon near the store goes first.
 	claimDistance = 8
+	// claimYield is the delay of a claim while a daemon with a larger share of a processor may claim.
+	claimYield = time.Second
 	// listInterval is the time between two reads of the list of workers.
 	listInterval = 600 * time.Millisecond
 	// gatherTime is how long the control loop collects events before a step.
@@ -92,8 +94,10 @@
 	// VM is the name of the entry VM.
 	VM string
 	// Self identifies this run of the daemon; NewID makes it of the VM and the start of the process.
-	Self     cluster.DaemonID
-	Place    cluster.Place
+	Self  cluster.DaemonID
+	Place cluster.Place
+	// Cores is the processor share of the VM; daemons with the most own the pools.
+	Cores    float64
 	PeerAddr netip.AddrPort
 	// Listener accepts the connections of other daemons.
 	Listener net.Listener
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -173,7 +173,7 @@
 
 // joinCell writes the row of this daemon.
 func (d *Daemon) joinCell() {
-	row := memberRow{ID: string(d.cfg.Self), Addr: d.cfg.PeerAddr.String(), Region: string(d.cfg.Place.Region), Zone: string(d.cfg.Place.Zone)}
+	row := memberRow{ID: string(d.cfg.Self), Addr: d.cfg.PeerAddr.String(), Region: string(d.cfg.Place.Region), Zone: string(d.cfg.Place.Zone), Cores: d.cfg.Cores}
 	data, err := encode("join", &row)
 	if err != nil {
 		d.cfg.Log.Error().Err(err).Msg("cell: member row can't be written")
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -58,6 +58,8 @@
 	Addr   string
 	Region string
 	Zone   string
+	// Cores is the processor share of the VM.
+	Cores float64
 }
 
 // ownerRow is the row of a pool's owner; an empty Owner has released the pool.
--- a/cluster/pool/orders.go
+++ b/cluster/pool/orders.go
@@ -132,23 +132,67 @@
 		if lapsed && w.fenced {
 			s.cfg.Log.Warn().Str("worker", string(w.vm.ID)).Int("runs", len(w.runs)).Msg("pool: leases of a silent worker have lapsed")
 		}
+		if !lapsed && !s.anyDue(w) {
+			continue
+		}
 		for _, r := range sortedRuns(w) {
-			switch {
-			case lapsed:
+			if lapsed {
 				s.lose(r, "lease lapsed")
-			case r.state == runDoubtful && s.now.Sub(r.sent) >= verifyDelay:
-				s.giveUp(r)
-			case s.stalled(r):
-				s.giveUpStalled(r)
-			case r.state == runStopping && r.stopped.IsZero() && s.now.Sub(r.stopSent) >= stopRetry:
-				s.sendStop(r)
-			case r.state == runStopping && !r.stopped.IsZero() && s.now.Sub(r.stopped) >= stopRetry && !w.holding:
-				w.nextHold = s.now
+			} else {
+				s.checkRun(r)
 			}
 		}
 	}
 }
 
+// anyDue reports whether something is to be done about a run of a worker.
+func (s *Scheduler) anyDue(w *worker) bool {
+	for _, r := range w.runs {
+		if s.checkOf(r) != checkNothing {
+			return true
+		}
+	}
+	return false
+}
+
+// check is what is to be done about a run.
+type check int
+
+const (
+	checkNothing check = iota
+	checkDoubtful
+	checkStalled
+	checkStopAgain
+	checkList
+)
+
+func (s *Scheduler) checkOf(r *run) check {
+	switch {
+	case r.state == runDoubtful && s.now.Sub(r.sent) >= verifyDelay:
+		return checkDoubtful
+	case s.stalled(r):
+		return checkStalled
+	case r.state == runStopping && r.stopped.IsZero() && s.now.Sub(r.stopSent) >= stopRetry:
+		return checkStopAgain
+	case r.state == runStopping && !r.stopped.IsZero() && s.now.Sub(r.stopped) >= stopRetry && !r.worker.holding:
+		return checkList
+	}
+	return checkNothing
+}
+
+func (s *Scheduler) checkRun(r *run) {
+	switch s.checkOf(r) {
+	case checkDoubtful:
+		s.giveUp(r)
+	case checkStalled:
+		s.giveUpStalled(r)
+	case checkStopAgain:
+		s.sendStop(r)
+	case checkList:
+		r.worker.nextHold = s.now
+	}
+}
+
 // stalled reports whether a run stands still on a worker that answers. A
 // member of a gang whose own work is done waits for the others.
 func (s *Scheduler) stalled(r *run) bool {
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -21,11 +21,11 @@
 	ready := make([]*step, 0, len(s.open))
 	for _, st := range s.open {
 		if st.waiting > 0 && s.startable(st) {
-			st.urgency = s.urgency(st)
+			st.urgency, st.rank = s.urgency(st), s.rank(st)
 			ready = append(ready, st)
 		}
 	}
-	slices.SortFunc(ready, s.compareSteps)
+	slices.SortFunc(ready, compareSteps)
 	s.reservations = 0
 	spare := s.spareRoom()
 	for _, st := range ready {
@@ -122,10 +122,10 @@
 
 // compareSteps puts work that can still be on time first, then goes by the rank
 // of its queue, then by deadline.
-func (s *Scheduler) compareSteps(a, b *step) int {
+func compareSteps(a, b *step) int {
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
-		cmp.Compare(s.rank(a), s.rank(b)),
+		cmp.Compare(a.rank, b.rank),
 		a.deadline.Compare(b.deadline),
 		cmp.Compare(a.id.Job, b.id.Job),
 		cmp.Compare(a.id.Occurrence, b.id.Occurrence),
--- a/cluster/pool/preempt.go
+++ b/cluster/pool/preempt.go
@@ -38,7 +38,7 @@
 		}
 		free := w.free()
 		p := preemption{worker: w}
-		for _, r := range sortedRuns(w) {
+		for _, r := range w.runs {
 			switch {
 			case r.state == runStopping:
 				free = free.Add(r.size)
@@ -46,6 +46,7 @@
 				p.victims = append(p.victims, r)
 			}
 		}
+		slices.SortFunc(p.victims, compareRuns)
 		have := slots(free, size)
 		for _, r := range p.victims {
 			free = free.Add(r.size)
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -43,8 +43,10 @@
 	// begin is when the promised time of the occurrence starts, deadline when it ends.
 	begin    time.Time
 	deadline time.Time
-	urgency  urgency
-	permits  []permit
+	// urgency and rank hold for one placement pass.
+	urgency urgency
+	rank    int
+	permits []permit
 	// advised says that the permits name every worker that may run the step among those asked.
 	advised  bool
 	advising bool
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -88,9 +88,11 @@
 }
 
 func sortedRuns(w *worker) []*run {
-	return slices.SortedFunc(maps.Values(w.runs), func(a, b *run) int { return cmp.Compare(a.number, b.number) })
+	return slices.SortedFunc(maps.Values(w.runs), compareRuns)
 }
 
+func compareRuns(a, b *run) int { return cmp.Compare(a.number, b.number) }
+
 // settle drops the predecessor's workers on which everything has lapsed.
 func (s *Scheduler) settle() {
 	for id, p := range s.predecessors {
--- a/goldcrestd/node/node.go
+++ b/goldcrestd/node/node.go
@@ -98,7 +98,7 @@
 	n.metrics = closer
 	runners := &platform.Runners{Client: n.client, Log: log}
 	n.daemon, err = cell.New(cell.Config{
-		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place,
+		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place, Cores: s.Cores,
 		PeerAddr: s.Peer, Listener: peers, Store: store, Lister: runners, Workers: runners,
 		Advice: &platform.Advisor{Client: n.client, Addr: s.Advice}, Reader: platform.Manifest{},
 		Log: log, Metrics: scope, PaidLink: paidlink.New(paidlink.Config{Self: s.Place.Region, Metrics: scope}),
--- a/goldcrestd/node/node_test.go
+++ b/goldcrestd/node/node_test.go
@@ -126,7 +126,7 @@
 region: "r"
 listen_addrs: {front: "127.0.0.1:%d", ready: "127.0.0.1:%d"}
 internal_ports: [%d, 65535]
-limits: {memory_mb: 512}
+limits: {cpu_share: 0.4, cores: 1, memory_mb: 512}
 bounds: {max_hold_ms: 6000, grace_s: 6}
 advice: %q
 platform: {address: %q}
