fix: steps ask about further workers while the permitted ones are too few

Cause: a step asked once for advice on at most 100 workers and never about others. Asking about 100 workers also takes 850 to 1,050 ms.

Ruled out: tickets that run out; they were renewed. Room: most of it was free.

Change: a step asks about as many workers as its tasks need, by the learned share of permitted ones, the emptiest first for gangs and the fullest that fit first for single tasks, and about further ones every 100 ms while the permitted ones have too little room. Tickets are kept no longer than their step is open.

--- a/cluster/pool/advice.go
+++ b/cluster/pool/advice.go
@@ -6,51 +6,141 @@
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
-// longAdvice is the time from which a question is long. One daemon is kept free
-// of long questions, so that short ones do not wait behind them.
-const longAdvice = 40 * time.Millisecond
-
-// askAll asks once which of the workers may run a step. The answer does not
-// change, but its tickets run out.
-func (s *Scheduler) askAll(st *step, policy *cluster.AdvicePolicy) {
-	var ask []*worker
-	for _, w := range s.order {
-		if w.listed && !w.vm.Draining && w.sound && slots(w.vm.Capacity, occupied(st.spec)) > 0 &&
-			(st.spec.Label == "" || slices.Contains(w.vm.Labels, st.spec.Label)) {
-			ask = append(ask, w)
-		}
-	}
-	slices.SortStableFunc(ask, func(a, b *worker) int {
-		return -cmp.Compare(a.free().DominantShare(a.vm.Capacity), b.free().DominantShare(b.vm.Capacity))
-	})
-	s.ask(st, policy, ask[:min(len(ask), maxAdvised)])
-}
+const (
+	// longAdvice is the time from which a question is long. One daemon is kept free
+	// of long questions, so that short ones do not wait behind them.
+	longAdvice = 40 * time.Millisecond
+	// adviceMargin is how many times the room that a step needs is asked for, as
+	// other steps take some of it before the answer arrives.
+	adviceMargin = 2
+	// gangChoice is how many times its size a gang needs in permitted workers, whatever runs there now.
+	gangChoice = 2
+	// firstPermitShare is the assumed share of workers that may run a step until answers of its queue are known.
+	firstPermitShare = 0.5
+	// permitGain is the weight of a new answer in that share.
+	permitGain = 0.1
+	// searchPause is the time between two searches for further workers for a step.
+	searchPause = 100 * time.Millisecond
+	// askedCost makes a worker less attractive for each open question that names it, in shares of a worker.
+	askedCost = 0.1
+)
 
-// renewAdvice asks for new tickets where room would do but tickets have run out.
-func (s *Scheduler) renewAdvice(st *step, need int) {
-	q := s.terms(st.job)
-	if q.Advice == nil || st.advising || s.now.Before(st.askAfter) {
+// seekAdvice asks for what a step lacks: tickets for workers that may run it, or
+// further workers. need is the number of tasks that wait.
+func (s *Scheduler) seekAdvice(st *step, need int) {
+	policy := s.terms(st.job).Advice
+	if policy == nil || st.advising || s.now.Before(st.askAfter) {
 		return
 	}
-	var ask []*worker
-	room, expired := 0, 0
+	room, potential, expired := 0, 0, 0
+	var permitted []candidate
 	for _, p := range st.permits {
+		if !p.worker.listed || p.worker.vm.Draining {
+			continue
+		}
+		potential += slots(p.worker.vm.Capacity, occupied(st.spec))
 		c, ok := s.candidate(st, p.worker)
 		if !ok {
 			continue
 		}
 		room += c.slots
-		ask = append(ask, p.worker)
-		if !s.now.Before(p.expires) || p.incarnation != p.worker.vm.Incarnation {
+		permitted = append(permitted, c)
+		if !s.holds(p) {
 			expired += c.slots
 		}
 	}
-	if expired == 0 || (st.spec.Gang && room < need) {
+	switch {
+	case expired > 0 && (!st.spec.Gang || room >= need):
+		s.ask(st, policy, enough(permitted, need*adviceMargin))
+	case room < need:
+		s.askMore(st, policy, need-room, potential < gangChoice*need)
+	}
+}
+
+// holds reports whether a ticket can be used now.
+func (s *Scheduler) holds(p permit) bool {
+	return s.now.Before(p.expires) && p.incarnation == p.worker.vm.Incarnation
+}
+
+// enough returns the workers with the most room that have a number of slots together.
+func enough(list []candidate, need int) []*worker {
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.slots, a.slots) })
+	var workers []*worker
+	for _, c := range list {
+		if need <= 0 || len(workers) == maxAdvised {
+			break
+		}
+		need -= c.slots
+		workers = append(workers, c.worker)
+	}
+	return workers
+}
+
+// askMore asks about workers that were not asked about in their present
+// incarnation. A gang with too few permitted workers asks about full ones as well.
+func (s *Scheduler) askMore(st *step, policy *cluster.AdvicePolicy, need int, few bool) {
+	if s.now.Before(st.searchAfter) {
 		return
 	}
-	s.ask(st, q.Advice, ask)
+	st.searchAfter = s.now.Add(searchPause)
+	share := s.permitShare(st)
+	var list []candidate
+	room := 0
+	for _, w := range s.order {
+		if incarnation, ok := st.asked[w]; ok && incarnation == w.vm.Incarnation {
+			continue
+		}
+		c, ok := s.candidate(st, w)
+		if !ok && !(st.spec.Gang && few && s.suits(st, w)) {
+			continue
+		}
+		room += c.slots
+		c.worker = w
+		list = append(list, c)
+	}
+	if st.spec.Gang && !few && float64(room)*share < float64(need) {
+		return
+	}
+	s.sortForQuestion(st, list)
+	wanted := float64(adviceMargin*need) / share
+	var workers []*worker
+	for _, c := range list {
+		if wanted <= 0 || len(workers) == maxAdvised {
+			break
+		}
+		wanted -= float64(max(c.slots, 1))
+		workers = append(workers, c.worker)
+	}
+	s.ask(st, policy, workers)
+}
+
+// sortForQuestion puts the workers first that a step would rather use: the
+// emptiest for a gang, those left with the least room for single tasks.
+func (s *Scheduler) sortForQuestion(st *step, list []candidate) {
+	if st.spec.Gang {
+		slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(b.slots, a.slots) })
+		return
+	}
+	for i := range list {
+		list[i].score = s.score(st, list[i].worker) + askedCost*float64(list[i].worker.questions)
+	}
+	slices.SortStableFunc(list, func(a, b candidate) int { return cmp.Compare(a.score, b.score) })
+}
+
+// suits reports whether a worker could run a task of a step if nothing else ran there.
+func (s *Scheduler) suits(st *step, w *worker) bool {
+	return w.listed && !w.vm.Draining && (st.spec.Label == "" || slices.Contains(w.vm.Labels, st.spec.Label)) &&
+		slots(w.vm.Capacity, occupied(st.spec)) > 0
+}
+
+func (s *Scheduler) permitShare(st *step) float64 {
+	if share, ok := s.permitShares[st.job.spec.Queue]; ok {
+		return share
+	}
+	return firstPermitShare
 }
 
 // refreshAdvice asks for new tickets before those of a gang that keeps room run out.
@@ -63,7 +153,7 @@
 	soon := s.now.Add(policy.Decide + time.Duration(len(st.permits))*policy.PerWorker + ticketMargin)
 	expiring := false
 	for _, p := range st.permits {
-		if p.worker.usable {
+		if p.worker.usable && len(ask) < maxAdvised {
 			ask = append(ask, p.worker)
 			expiring = expiring || p.expires.Before(soon)
 		}
@@ -86,8 +176,10 @@
 		st.askedLong = true
 	}
 	st.advising = true
+	st.question = workers
 	ids := make([]cluster.WorkerID, 0, len(workers))
 	for _, w := range workers {
+		w.questions++
 		ids = append(ids, w.vm.ID)
 	}
 	s.emit(&AskAdvice{Step: st.id, Workers: ids, Cost: cost})
@@ -99,30 +191,62 @@
 		return
 	}
 	st := j.steps[e.Step.Occurrence*len(j.spec.Steps)+e.Step.Step]
-	st.advising = false
+	question := st.question
+	st.advising, st.question = false, nil
 	if st.askedLong {
 		st.askedLong = false
 		s.advising--
 	}
+	for _, w := range question {
+		w.questions--
+	}
+	if st.closed() {
+		return
+	}
 	if e.Failed {
 		st.askAfter = s.now.Add(adviceRetry)
 		return
 	}
-	s.cfg.Log.Debug().Str("job", string(e.Step.Job)).Int("step", e.Step.Step).Int("permits", len(e.Advice.Permits)).Msg("pool: advice received")
+	s.cfg.Log.Debug().Str("job", string(e.Step.Job)).Int("step", e.Step.Step).Int("asked", len(question)).
+		Int("permits", len(e.Advice.Permits)).Msg("pool: advice received")
+	s.takePermits(st, question, e)
+}
+
+// takePermits keeps the tickets of an answer and which workers it was about.
+func (s *Scheduler) takePermits(st *step, question []*worker, e *Advised) {
+	if st.asked == nil {
+		st.asked = map[*worker]platform.Incarnation{}
+	}
+	fresh, granted := 0, 0
+	for _, w := range question {
+		if incarnation, ok := st.asked[w]; !ok || incarnation != w.vm.Incarnation {
+			fresh++
+		}
+	}
 	expires := e.Received.Add(e.Advice.ValidFor - ticketMargin)
 	for _, p := range e.Advice.Permits {
 		w := s.workers[p.Worker]
 		if w == nil {
 			continue
 		}
+		if incarnation, ok := st.asked[w]; !ok || incarnation != w.vm.Incarnation {
+			granted++
+		}
 		st.setPermit(permit{worker: w, incarnation: w.vm.Incarnation, ticket: p.Ticket, expires: expires})
 	}
-	st.advised = len(st.permits) > 0
-	if !st.advised {
-		st.askAfter = s.now.Add(adviceRetry)
+	for _, w := range question {
+		st.asked[w] = w.vm.Incarnation
+	}
+	if fresh > 0 {
+		share := s.permitShare(st)
+		share += (float64(granted)/float64(fresh) - share) * permitGain
+		s.permitShares[st.job.spec.Queue] = max(share, leastPermitShare)
 	}
 }
 
+// leastPermitShare bounds the learned share from below, so that a question keeps a finite size.
+const leastPermitShare = 0.05
+
 func (st *step) setPermit(p permit) {
 	for i := range st.permits {
 		if st.permits[i].worker == p.worker {
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -151,22 +151,19 @@
 	worker *worker
 	ticket string
 	slots  int
+	// score orders the workers of a question.
+	score float64
 }
 
-// candidates returns the workers that may start tasks of a step now, and asks
-// for advice where it is missing.
+// candidates returns the workers that may start tasks of a step now.
 func (s *Scheduler) candidates(st *step) []candidate {
 	q := s.terms(st.job)
 	if q.Advice == nil {
 		return s.allWorkers(st)
 	}
-	if !st.advised {
-		s.askAll(st, q.Advice)
-		return nil
-	}
 	found := make([]candidate, 0, len(st.permits))
 	for _, p := range st.permits {
-		if !s.now.Before(p.expires) || p.incarnation != p.worker.vm.Incarnation {
+		if !s.holds(p) {
 			continue
 		}
 		if c, ok := s.candidate(st, p.worker); ok {
@@ -245,9 +242,6 @@
 // placeTasks starts as many waiting tasks as there is room for.
 func (s *Scheduler) placeTasks(st *step) {
 	found := s.candidates(st)
-	if found == nil && !st.advised && s.terms(st.job).Advice != nil {
-		return
-	}
 	for index := range st.tasks {
 		t := &st.tasks[index]
 		if t.done || t.run != nil || s.now.Before(t.notBefore) {
@@ -265,7 +259,7 @@
 		c.slots--
 	}
 	if st.waiting > 0 {
-		s.renewAdvice(st, st.waiting)
+		s.seekAdvice(st, st.waiting)
 	}
 }
 
@@ -309,9 +303,6 @@
 		return
 	}
 	found := s.candidates(st)
-	if found == nil && !st.advised && s.terms(st.job).Advice != nil {
-		return
-	}
 	need := st.left
 	for i := range st.tasks {
 		if s.now.Before(st.tasks[i].notBefore) {
@@ -326,7 +317,7 @@
 		room += c.slots
 	}
 	if room < need {
-		s.renewAdvice(st, need)
+		s.seekAdvice(st, need)
 		s.preempt(st, need)
 		if s.reserve(st) {
 			s.refreshAdvice(st)
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -49,6 +49,8 @@
 	reservations int
 	advising     int
 	durations    map[cluster.QueueName]float64
+	// permitShares is the learned share of the workers that may run the steps of a queue.
+	permitShares map[cluster.QueueName]float64
 	metrics      *metrics
 	effects      []Effect
 }
@@ -70,6 +72,7 @@
 		teams:        map[cluster.TeamName]*usage{},
 		predecessors: map[cluster.WorkerID]predecessor{},
 		durations:    map[cluster.QueueName]float64{},
+		permitShares: map[cluster.QueueName]float64{},
 		workersDirty: true,
 		metrics:      newMetrics(cfg.Metrics),
 	}
@@ -283,9 +286,15 @@
 // closed reports whether nothing of a step is to be started any more.
 func (st *step) closed() bool { return st.left == 0 || st.job.progress.State.Final() }
 
-// compact drops the steps that are done.
+// compact drops the steps that are done, with what is only needed to start their tasks.
 func (s *Scheduler) compact() {
-	s.open = slices.DeleteFunc(s.open, (*step).closed)
+	s.open = slices.DeleteFunc(s.open, func(st *step) bool {
+		if !st.closed() {
+			return false
+		}
+		st.permits, st.asked, st.plan = nil, nil, nil
+		return true
+	})
 }
 
 // takeToken counts a job against the weight of its team and returns false if it is beyond it.
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -47,12 +47,15 @@
 	urgency urgency
 	rank    int
 	permits []permit
-	// advised says that the permits name every worker that may run the step among those asked.
-	advised  bool
+	// asked are the workers that advice was received about, question those of the open question.
+	asked    map[*worker]platform.Incarnation
+	question []*worker
 	advising bool
 	// askedLong says that the open question counts as a long one.
 	askedLong bool
 	askAfter  time.Time
+	// searchAfter is when further workers are looked for again.
+	searchAfter time.Time
 	// gangRun is the run number that the members of a gang share; zero if none is active.
 	gangRun platform.RunNumber
 	// preempted is when tasks were stopped for the step last, plan the workers where.
@@ -150,6 +153,8 @@
 	lastFailure cluster.JobName
 	quarantined time.Time
 	speed       float64
+	// questions is the number of open questions about the worker.
+	questions int
 }
 
 // endMark is an end that may be acknowledged once a generation is recorded.
--- a/cluster/pool/world_test.go
+++ b/cluster/pool/world_test.go
@@ -50,6 +50,10 @@
 	failures   map[string]int
 	violations []string
 	attempts   int
+	// advise says which workers may run the steps of queues with advice;
+	// questions counts the questions, longestQuestion the workers of the longest.
+	advise                     func(cluster.WorkerID) bool
+	questions, longestQuestion int
 	// loss is the share of calls whose answer is lost, late that of those carried out seconds later.
 	loss, late float64
 }
@@ -285,6 +289,16 @@
 				Worker: v.Worker.ID, Incarnation: v.Worker.Incarnation, Sent: sent, Received: w.now, Lost: lost, Extra: v.Extra, Reply: reply,
 			}
 		})
+	case *AskAdvice:
+		w.questions++
+		w.longestQuestion = max(w.longestQuestion, len(v.Workers))
+		advice := platform.Advice{ValidFor: time.Second}
+		for _, id := range v.Workers {
+			if w.advise(id) {
+				advice.Permits = append(advice.Permits, platform.Permit{Worker: id, Ticket: "ticket"})
+			}
+		}
+		w.after(v.Cost, func() { w.inbox = append(w.inbox, &Advised{Step: v.Step, Received: w.now, Advice: advice}) })
 	case *Record:
 		w.after(2*worldDelay, func() {
 			if w.owner != owner {
