fix: submissions are spread over 64 parts and back off from a throttling store

Cause: while the store is 60 times slower than usual a part takes three transactions a second.

Ruled out: the placement; jobs that were written started within 0.25 s.

Change: 64 parts; the pause after a failure doubles up to 0.8 s and is spread. A submission whose client does not wait for the next try ends at once, with the answer that it does not run.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -83,8 +83,10 @@
 	maxIntakeBytes = 400 << 10
 	// maxWaiting bounds the submissions that wait at one daemon.
 	maxWaiting = 2000
-	// retryPause is the pause before a call to the store is tried again.
-	retryPause = 100 * time.Millisecond
+	// retryPause is the pause before a call to the store is tried again; that of
+	// submissions doubles up to maxRetryPause.
+	retryPause    = 100 * time.Millisecond
+	maxRetryPause = 800 * time.Millisecond
 )
 
 // ConfigReader turns the operator's row into the configuration.
--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -61,6 +62,7 @@
 // run writes the submissions of one part, one transaction at a time.
 func (in *intake) run(part int) {
 	var batch []*submission
+	pause := retryPause
 	for {
 		if len(batch) == 0 {
 			select {
@@ -73,7 +75,17 @@
 				return
 			}
 		}
-		batch = in.write(in.fill(part, batch))
+		left, failed := in.write(in.fill(part, batch))
+		batch = left
+		if !failed {
+			pause = retryPause
+			continue
+		}
+		// Spreads the retries of many daemons, which would else keep a slow store overloaded.
+		wait := pause/2 + rand.N(pause)
+		batch = in.dropEnded(batch, wait)
+		in.d.sleep(wait)
+		pause = min(2*pause, maxRetryPause)
 	}
 }
 
@@ -94,11 +106,12 @@
 	return batch
 }
 
-// write tries to commit a batch and returns what has to be tried again.
-func (in *intake) write(batch []*submission) []*submission {
-	batch = in.dropEnded(batch)
+// write tries to commit a batch and returns what has to be tried again, and
+// whether the store failed.
+func (in *intake) write(batch []*submission) (left []*submission, failed bool) {
+	batch = in.dropEnded(batch, 0)
 	if len(batch) == 0 {
-		return nil
+		return nil, false
 	}
 	var txn platform.Txn
 	written := map[string]bool{}
@@ -124,7 +137,7 @@
 		for service, puts := range services {
 			in.d.announce(service, puts)
 		}
-		return nil
+		return nil, false
 	case platform.IsKind(err, platform.KindConflict):
 		return in.separate(batch)
 	case platform.IsKind(err, platform.KindUnknown):
@@ -133,17 +146,16 @@
 		}
 	}
 	in.d.cfg.Log.Info().Err(err).Int("jobs", len(batch)).Msg("cell: jobs not written; retrying")
-	in.d.sleep(retryPause)
-	return batch
+	return batch, true
 }
 
-// dropEnded ends the submissions whose callers do not wait any more.
-func (in *intake) dropEnded(batch []*submission) []*submission {
+// dropEnded ends the submissions whose callers do not wait for a try after a pause.
+func (in *intake) dropEnded(batch []*submission, wait time.Duration) []*submission {
 	var left []*submission
 	for _, s := range batch {
 		deadline, ok := s.ctx.Deadline()
 		switch {
-		case s.ctx.Err() != nil, ok && time.Until(deadline) < retryPause:
+		case s.ctx.Err() != nil, ok && time.Until(deadline) < wait+retryPause:
 			s.done <- s.failure()
 		default:
 			left = append(left, s)
@@ -160,7 +172,7 @@
 }
 
 // separate reads which jobs of a batch are in the store already and returns the others.
-func (in *intake) separate(batch []*submission) []*submission {
+func (in *intake) separate(batch []*submission) (left []*submission, failed bool) {
 	var req platform.ReadRequest
 	for _, s := range batch {
 		req.Keys = append(req.Keys, s.key)
@@ -168,14 +180,12 @@
 	reply, err := in.d.store.Read(in.d.ctx, req)
 	if err != nil {
 		in.d.cfg.Log.Info().Err(err).Int("jobs", len(batch)).Msg("cell: jobs can't be read back; retrying")
-		in.d.sleep(retryPause)
-		return batch
+		return batch, true
 	}
 	there := map[string]bool{}
 	for _, r := range reply.Rows {
 		there[r.Key] = true
 	}
-	var left []*submission
 	for _, s := range batch {
 		if there[s.key] {
 			in.d.cfg.Log.Info().Str("job", lastPart(s.key)).Msg("cell: job was accepted before")
@@ -184,7 +194,7 @@
 		}
 		left = append(left, s)
 	}
-	return left
+	return left, false
 }
 
 // Cancel cancels a job of a team. An Error of kind NotFound means that there is no such job.
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -29,8 +29,9 @@
 	memberPrefix   = "cell//member."
 	cancelSuffix   = ".cancel"
 	progressPrefix = "job."
-	// jobParts spreads the submissions over parts of the store, each of which takes 200 transactions a second.
-	jobParts = 8
+	// jobParts spreads the submissions over parts of the store. A part takes 200
+	// transactions a second one after another, and 3 while the store is slow.
+	jobParts = 64
 )
 
 func memberKey(vm string) string                  { return memberPrefix + vm }
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -22,9 +22,11 @@
 	// err ends each transaction, readErr each read.
 	err, readErr error
 	reads        atomic.Int64
+	commits      atomic.Int64
 }
 
 func (s *slowStore) Commit(ctx context.Context, _ platform.Txn) (cluster.Version, error) {
+	s.commits.Add(1)
 	return 7, s.answer(ctx, s.commit, s.err)
 }
 
