fix: orders that reach a worker that started anew start nothing twice

Cause: a worker that starts anew keeps its identifier, so that orders meant for the earlier incarnation reach the new one before the owner knows of it. A run that began there counted as lost with the earlier one and was started again; a hold with the old cursor acknowledged ends of the new incarnation; and a lease with an end on the old clock lasted longer than the owner counted.

Ruled out: late orders across a restart. A worker keeps those to itself, and they end with its process.

Change: a run counts as gone with an incarnation only if a list of that incarnation had it; the count of restarts stands in the low bits of the fencing token; holds to a worker that does not answer acknowledge nothing; leases of a worker that started anew are taken for as long as it grants any. SIGHUP is caught from the start of the process to its end.

The soak is added: go run ./soak.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -107,6 +107,8 @@
 	// Cores is the processor share of the VM; daemons with the most own the pools.
 	Cores    float64
 	PeerAddr netip.AddrPort
+	// MaxLease is the longest lease that a worker grants; zero means pool.DefaultMaxLease.
+	MaxLease time.Duration
 	// Listener accepts the connections of other daemons.
 	Listener net.Listener
 	Store    platform.TableService
--- a/cluster/cell/orders.go
+++ b/cluster/cell/orders.go
@@ -44,7 +44,7 @@
 			reply.Refusal = platform.RefusedUnhealthy
 		}
 	}
-	p.send(&pool.StartAnswered{Task: e.Task, Run: e.Order.Run, Worker: e.Worker.ID, Reply: reply, Lost: lost(err)})
+	p.send(&pool.StartAnswered{Fence: e.Order.Fence, Task: e.Task, Run: e.Order.Run, Worker: e.Worker.ID, Reply: reply, Lost: lost(err)})
 }
 
 func (p *ownedPool) sendStop(e *pool.SendStop) {
@@ -54,7 +54,7 @@
 	if err != nil {
 		p.d.cfg.Log.Debug().Err(err).Str("task", e.Order.Task).Str("worker", string(e.Worker.ID)).Msg("cell: stop failed")
 	}
-	p.send(&pool.StopAnswered{Task: e.Task, Run: e.Order.Run, Worker: e.Worker.ID, Reply: reply, Lost: err != nil})
+	p.send(&pool.StopAnswered{Fence: e.Order.Fence, Task: e.Task, Run: e.Order.Run, Worker: e.Worker.ID, Reply: reply, Lost: err != nil})
 }
 
 func (p *ownedPool) sendHold(e *pool.SendHold) {
@@ -66,7 +66,7 @@
 		p.d.cfg.Log.Debug().Err(err).Str("worker", string(e.Worker.ID)).Msg("cell: hold failed")
 	}
 	p.send(&pool.HoldAnswered{
-		Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Sent: sent, Received: time.Now(), Reply: reply, Lost: err != nil, Extra: e.Extra,
+		Worker: e.Worker.ID, Fence: e.Order.Fence, Incarnation: e.Worker.Incarnation, Sent: sent, Received: time.Now(), Reply: reply, Lost: err != nil, Extra: e.Extra,
 	})
 }
 
--- a/cluster/cell/pool.go
+++ b/cluster/cell/pool.go
@@ -130,7 +130,7 @@
 		}
 	}
 	p.scheduler = pool.New(pool.Config{
-		Service: p.service, Epoch: p.epoch, Now: p.began, Predecessor: workers, PredecessorEnded: p.ended,
+		Service: p.service, Epoch: p.epoch, Now: p.began, MaxLease: p.d.cfg.MaxLease, Predecessor: workers, PredecessorEnded: p.ended,
 		Log: p.d.cfg.Log, Metrics: p.d.cfg.Metrics,
 	})
 	events := []pool.Event{&pool.ConfigChanged{Snapshot: p.d.Snapshot()}}
--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -13,6 +13,8 @@
 const (
 	// DefaultLease is how long everything on a worker runs on without a hold.
 	DefaultLease = 4 * time.Second
+	// DefaultMaxLease is the longest lease of the deployments known.
+	DefaultMaxLease = 10 * time.Second
 	// holdWait is how long a hold waits for an end; a lease is renewed at least this often.
 	holdWait = time.Second
 	// holdRetry is the pause after a hold without an answer.
@@ -33,6 +35,8 @@
 	stopRetry = 500 * time.Millisecond
 	// predecessorTime is how long an earlier owner that has not noticed its successor may go on giving orders.
 	predecessorTime = 2 * time.Second
+	// freshTime is how long an earlier owner may not know that a worker has started anew: until it was silent itself and replaced.
+	freshTime = 10 * time.Second
 	// clockMargin is how far apart the clocks of two daemons may be.
 	clockMargin = 2500 * time.Millisecond
 	// stallTime is how long a run may show no progress, and stallShare the part of
@@ -58,6 +62,8 @@
 	Epoch cluster.Epoch
 	// Lease is how long a worker's tasks run on without a hold; zero means DefaultLease.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants; zero means DefaultMaxLease.
+	MaxLease time.Duration
 	// Now is when the ownership began.
 	Now time.Time
 	// Predecessor lists the workers that earlier owners may have given orders to.
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -22,7 +22,9 @@
 		return
 	}
 	if e.Reply.Fenced {
-		s.supersede(e.Worker)
+		if !s.outdated(e.Worker, e.Fence) {
+			s.supersede(e.Worker)
+		}
 		return
 	}
 	if e.Reply.Rebooted {
@@ -47,6 +49,9 @@
 	if at := e.Received; at.After(w.clockAt) || !w.fenced {
 		w.clock, w.clockAt = e.Reply.Clock, at
 	}
+	if !w.fenced && e.Reply.Clock < s.cfg.MaxLease+freshTime && s.isPredecessor(w) {
+		s.expectLongLease(w)
+	}
 	w.fenced = true
 	delete(s.predecessors, w.vm.ID)
 	s.readEnds(w, e.Reply.Ended)
@@ -235,6 +240,7 @@
 			continue
 		}
 		s.confirm(r)
+		r.listed = true
 		if tr.Percent != r.percent {
 			r.percent, r.moved = tr.Percent, s.now
 		}
@@ -278,12 +284,13 @@
 		s.stopRun(s.bookRun(w, st, id.Index, tr.Run))
 		return
 	}
-	s.emit(&SendStop{Worker: w.vm, Task: id, Order: platform.StopOrder{Task: tr.Task, Run: tr.Run, Fence: s.cfg.Epoch}})
+	s.emit(&SendStop{Worker: w.vm, Task: id, Order: platform.StopOrder{Task: tr.Task, Run: tr.Run, Fence: s.fence(w)}})
 }
 
 func (s *Scheduler) adopt(w *worker, st *step, id workload.TaskID, tr platform.TaskRun) {
 	r := s.addRun(w, st, id.Index, tr.Run)
 	s.confirm(r)
+	r.listed = true
 	r.percent, r.moved = tr.Percent, s.now
 	if tr.Checkpoint != "" {
 		st.saveCheckpoint(id.Index, tr.Checkpoint)
--- a/cluster/pool/event.go
+++ b/cluster/pool/event.go
@@ -36,7 +36,9 @@
 	Task   workload.TaskID
 	Run    platform.RunNumber
 	Worker cluster.WorkerID
-	Reply  platform.StartReply
+	// Fence is that of the order.
+	Fence cluster.Epoch
+	Reply platform.StartReply
 	// Lost says that the order may still be carried out.
 	Lost bool
 }
@@ -46,8 +48,10 @@
 	Task   workload.TaskID
 	Run    platform.RunNumber
 	Worker cluster.WorkerID
-	Reply  platform.StopReply
-	Lost   bool
+	// Fence is that of the order.
+	Fence cluster.Epoch
+	Reply platform.StopReply
+	Lost  bool
 }
 
 // HoldAnswered is the end of a SendHold.
@@ -57,8 +61,10 @@
 	Sent        time.Time
 	// Received is when the answer arrived.
 	Received time.Time
-	Reply    platform.HoldReply
-	Lost     bool
+	// Fence is that of the order.
+	Fence cluster.Epoch
+	Reply platform.HoldReply
+	Lost  bool
 	// Extra says that the call was made beside the regular one.
 	Extra bool
 }
--- a/cluster/pool/orders.go
+++ b/cluster/pool/orders.go
@@ -23,7 +23,7 @@
 	s.metrics.starts.Inc(1)
 	s.metrics.wait.RecordDuration(s.now.Sub(st.job.arrived))
 	s.emit(&SendStart{Worker: w.vm, Task: r.id, Order: platform.StartOrder{
-		Task: r.id.String(), Run: number, Fence: s.cfg.Epoch, Spec: st.job.spec.Spec, Until: s.until(w),
+		Task: r.id.String(), Run: number, Fence: s.fence(w), Spec: st.job.spec.Spec, Until: s.until(w),
 		Checkpoint: st.tasks[index].checkpoint, Ticket: ticket,
 	}})
 	s.cfg.Log.Info().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(number)).Str("worker", string(w.vm.ID)).
@@ -61,8 +61,10 @@
 	st := r.step
 	switch e.Reply.Refusal {
 	case platform.RefusedFence:
-		s.supersede(e.Worker)
-		return
+		if !s.outdated(e.Worker, e.Fence) {
+			s.supersede(e.Worker)
+			return
+		}
 	case platform.RefusedTicket:
 		st.dropPermit(w)
 	case platform.RefusedUnhealthy:
@@ -106,12 +108,14 @@
 
 func (s *Scheduler) sendStop(r *run) {
 	r.stopSent = s.now
-	s.emit(&SendStop{Worker: r.worker.vm, Task: r.id, Order: platform.StopOrder{Task: r.id.String(), Run: r.number, Fence: s.cfg.Epoch}})
+	s.emit(&SendStop{Worker: r.worker.vm, Task: r.id, Order: platform.StopOrder{Task: r.id.String(), Run: r.number, Fence: s.fence(r.worker)}})
 }
 
 func (s *Scheduler) stopAnswered(e *StopAnswered) {
 	if !e.Lost && e.Reply.Fenced {
-		s.supersede(e.Worker)
+		if !s.outdated(e.Worker, e.Fence) {
+			s.supersede(e.Worker)
+		}
 		return
 	}
 	r := s.findRun(e.Worker, e.Task, e.Run)
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -26,8 +26,10 @@
 	nextID uint64
 	// predecessors are the workers on which an earlier owner's tasks may run unseen.
 	predecessors map[cluster.WorkerID]predecessor
-	settled      bool
-	stopped      bool
+	// restarts counts how often each worker was seen to start anew.
+	restarts map[cluster.WorkerID]uint16
+	settled  bool
+	stopped  bool
 	// loaded is set by the first step, which brings the jobs that were accepted before.
 	loaded bool
 	// exposedUntil is until when the earlier owner may have given orders.
@@ -60,6 +62,9 @@
 	if cfg.Lease == 0 {
 		cfg.Lease = DefaultLease
 	}
+	if cfg.MaxLease == 0 {
+		cfg.MaxLease = DefaultMaxLease
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
@@ -71,6 +76,7 @@
 		jobs:         map[cluster.JobName]*job{},
 		teams:        map[cluster.TeamName]*usage{},
 		predecessors: map[cluster.WorkerID]predecessor{},
+		restarts:     map[cluster.WorkerID]uint16{},
 		durations:    map[cluster.QueueName]float64{},
 		permitShares: map[cluster.QueueName]float64{},
 		workersDirty: true,
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -109,6 +109,8 @@
 	sent   time.Time
 	// confirmed is when the start was known to be carried out.
 	confirmed time.Time
+	// listed says that a list of the worker's present incarnation had the run.
+	listed bool
 	// stopSent is when the last stop was sent, stopped when one was answered.
 	stopSent time.Time
 	stopped  time.Time
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -68,25 +68,57 @@
 }
 
 // reboot takes note that a worker has started anew: nothing of before runs there.
-// An order without an answer may still reach the new incarnation.
+// A run that no list had may be one of the new incarnation, which an order may
+// have reached before it was known or may still reach.
 func (s *Scheduler) reboot(w *worker, incarnation platform.Incarnation) {
 	if w.vm.Incarnation != 0 {
 		s.cfg.Log.Info().Str("worker", string(w.vm.ID)).Int("runs", len(w.runs)).Int64("incarnation", int64(incarnation)).Msg("pool: worker has started anew")
 	}
+	if w.vm.Incarnation != 0 {
+		s.restarts[w.vm.ID]++
+		s.expectLongLease(w)
+	}
 	w.vm.Incarnation = incarnation
 	w.fenced = false
 	w.seen, w.acknowledge, w.unrecorded = 0, 0, nil
-	w.lapse = time.Time{}
 	w.failures, w.quarantined = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
-		if r.state == runDoubtful || r.state == runStarting || (r.state == runStopping && r.confirmed.IsZero()) {
-			r.confirmed = time.Time{}
+		if r.listed {
+			s.lose(r, "worker started anew")
 			continue
 		}
-		s.lose(r, "worker started anew")
+		if r.state == runActive {
+			r.state, r.sent = runDoubtful, s.now
+		}
+		r.confirmed, r.stopped = time.Time{}, time.Time{}
+	}
+}
+
+// expectLongLease takes note that the leases of a worker may last as long as it
+// grants any: their ends may have been meant for the clock of an earlier
+// incarnation, which was further on.
+func (s *Scheduler) expectLongLease(w *worker) {
+	if lapse := s.now.Add(lapseTime(s.cfg.MaxLease)); lapse.After(w.lapse) {
+		w.lapse = lapse
 	}
 }
 
+// fence returns the fencing token for a worker: the epoch, and below it how often
+// the worker was seen to start anew. A hold that was meant for an earlier
+// incarnation is refused, as it would acknowledge ends of the present one.
+func (s *Scheduler) fence(w *worker) cluster.Epoch {
+	return s.cfg.Epoch<<restartBits | cluster.Epoch(s.restarts[w.vm.ID])
+}
+
+// restartBits is the width of the count of restarts in a fencing token.
+const restartBits = 16
+
+// outdated reports whether an order was given before its worker was seen to start anew.
+func (s *Scheduler) outdated(id cluster.WorkerID, fence cluster.Epoch) bool {
+	w := s.workers[id]
+	return w != nil && fence < s.fence(w)
+}
+
 func sortedRuns(w *worker) []*run {
 	return slices.SortedFunc(maps.Values(w.runs), compareRuns)
 }
@@ -167,7 +199,11 @@
 
 // sendHold asks for a worker's lists. An extra hold does not wait and leaves the regular one alone.
 func (s *Scheduler) sendHold(w *worker, extra bool) {
-	o := platform.HoldOrder{Fence: s.cfg.Epoch, Acknowledge: w.acknowledge}
+	o := platform.HoldOrder{Fence: s.fence(w)}
+	// The ends of a worker that may have started anew are numbered from one again.
+	if w.sound {
+		o.Acknowledge = w.acknowledge
+	}
 	// A worker that does not answer gets no longer lease, or its tasks would never count as lapsed.
 	if w.fenced && w.sound && !w.silent {
 		o.Until = s.until(w)
--- a/goldcrestd/node/node.go
+++ b/goldcrestd/node/node.go
@@ -57,6 +57,10 @@
 
 // Run serves until ctx ends.
 func Run(ctx context.Context, cfg Config) error {
+	// SIGHUP is caught until the process ends: uncaught during the start or the
+	// shutdown, it would end the process.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	settings, err := platform.LoadSettings(cfg.Settings)
 	if err != nil {
 		return err
@@ -69,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	n.run(ctx, cfg.Settings)
+	n.run(ctx, cfg.Settings, hup)
 	return nil
 }
 
@@ -98,7 +102,7 @@
 	n.metrics = closer
 	runners := &platform.Runners{Client: n.client, Log: log}
 	n.daemon, err = cell.New(cell.Config{
-		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place, Cores: s.Cores,
+		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place, Cores: s.Cores, MaxLease: s.MaxLease,
 		PeerAddr: s.Peer, Listener: peers, Store: store, Lister: runners, Workers: runners,
 		Advice: &platform.Advisor{Client: n.client, Addr: s.Advice}, Reader: platform.Manifest{},
 		Log: log, Metrics: scope, PaidLink: paidlink.New(paidlink.Config{Self: s.Place.Region, Metrics: scope}),
@@ -136,7 +140,7 @@
 }
 
 // run serves until ctx ends and then shuts down.
-func (n *node) run(ctx context.Context, path string) {
+func (n *node) run(ctx context.Context, path string, hup <-chan os.Signal) {
 	n.log.Info().Str("settings", path).Str("zone", string(n.settings.Place.Zone)).Msg("node: started")
 	n.daemon.Start()
 	for i, server := range n.servers {
@@ -146,15 +150,12 @@
 			}
 		})
 	}
-	n.watchSettings(ctx, path)
+	n.watchSettings(ctx, path, hup)
 	n.shutdown()
 }
 
 // watchSettings reads the settings file again after SIGHUP and from time to time.
-func (n *node) watchSettings(ctx context.Context, path string) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (n *node) watchSettings(ctx context.Context, path string, hup <-chan os.Signal) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,185 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/platform"
+)
+
+const (
+	// restartDelay is how long a process that has ended stays away.
+	restartDelay = 300 * time.Millisecond
+	// loadTime is how long a process may take until it can catch a signal.
+	loadTime = 500 * time.Millisecond
+	// graceTime is the time from SIGTERM to SIGKILL, as on the users' platform.
+	graceTime = 6 * time.Second
+	// memoryMB is the memory of the smallest VM of the users' deployments.
+	memoryMB = 184
+)
+
+// process is one daemon, which is started again whenever it ends.
+type process struct {
+	name    string
+	binary  string
+	dir     string
+	front   string
+	metrics int
+	store   *proxy
+	advice  *proxy
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	stopped bool
+	done    chan struct{}
+	// unclean is the last end that no signal of the soak explains.
+	unclean error
+	// started is when the running process was started.
+	started time.Time
+	// killed says that the soak has sent SIGKILL to the running process.
+	killed bool
+}
+
+// newProcess writes the settings of a daemon; start runs it.
+func newProcess(name, binary, dir, storeAddr, adviceAddr string) (*process, error) {
+	p := &process{name: name, binary: binary, dir: dir, done: make(chan struct{})}
+	var err error
+	if p.store, err = newProxy(storeAddr); err != nil {
+		return nil, err
+	}
+	if p.advice, err = newProxy(adviceAddr); err != nil {
+		return nil, err
+	}
+	ports, err := freePorts(4)
+	if err != nil {
+		return nil, err
+	}
+	p.front, p.metrics = fmt.Sprintf("127.0.0.1:%d", ports[0]), ports[3]
+	settings := fmt.Sprintf(`node_name: %q
+ip: "127.0.0.1"
+zone: "a"
+region: "r"
+listen_addrs: {front: %q, ready: "127.0.0.1:%d"}
+internal_ports: [%d, 65535]
+limits: {cpu_share: 1, cores: 1, memory_mb: %d}
+bounds: {max_hold_ms: 6000, grace_s: %g}
+advice: %q
+platform: {address: %q}
+`, name, p.front, ports[1], ports[2], memoryMB, graceTime.Seconds(), p.advice.addr(), p.store.addr())
+	return p, os.WriteFile(p.settings(), []byte(settings), 0o600)
+}
+
+func (p *process) settings() string { return filepath.Join(p.dir, p.name+".yaml") }
+
+func freePorts(n int) ([]int, error) {
+	var ports []int
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+	}
+	return ports, nil
+}
+
+// run starts the daemon again until stop is called.
+func (p *process) run() {
+	defer close(p.done)
+	for p.once() {
+		time.Sleep(restartDelay)
+	}
+}
+
+func (p *process) once() bool {
+	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.note(err)
+		return false
+	}
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(p.binary, "node", "--metrics-port", fmt.Sprint(p.metrics))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings())
+	cmd.Stdout, cmd.Stderr = log, log
+	p.mu.Lock()
+	if p.stopped {
+		p.mu.Unlock()
+		return false
+	}
+	if err := cmd.Start(); err != nil {
+		p.mu.Unlock()
+		p.note(err)
+		return false
+	}
+	ended := make(chan struct{})
+	p.cmd, p.ended, p.killed, p.started = cmd, ended, false, time.Now()
+	p.mu.Unlock()
+	err = cmd.Wait()
+	close(ended)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cmd = nil
+	if err != nil && !p.killed {
+		p.unclean = fmt.Errorf("%s ended by itself: %w", p.name, err)
+	}
+	return !p.stopped
+}
+
+func (p *process) note(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unclean = errors.Join(p.unclean, fmt.Errorf("%s: %w", p.name, err))
+}
+
+// signal sends a signal to the running process and returns when it has ended, or nil if none runs.
+func (p *process) signal(sig syscall.Signal) <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return nil
+	}
+	switch {
+	case sig == syscall.SIGKILL:
+		p.killed = true
+	case sig == syscall.SIGHUP && time.Since(p.started) < loadTime:
+		return p.ended
+	}
+	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		p.unclean = err
+	}
+	return p.ended
+}
+
+// terminate sends SIGTERM, and SIGKILL after the grace time.
+func (p *process) terminate() {
+	ended := p.signal(syscall.SIGTERM)
+	if ended == nil {
+		return
+	}
+	select {
+	case <-ended:
+	case <-time.After(graceTime):
+		p.signal(syscall.SIGKILL)
+	}
+}
+
+// stop ends the daemon for good and returns what was wrong with its ends.
+func (p *process) stop() error {
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.terminate()
+	<-p.done
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return errors.Join(p.unclean, p.store.Close(), p.advice.Close())
+}
