fix: the clock in the answer to a start shows that a worker started anew

Ruled out: late orders; the worker answered each of them at once.

Change: the owner compares the clock in the answer to a start with the one that it expects, and then acknowledges nothing before the lists are read; the first hold after a pause of a worker waits for the answer to the start; the fence is raised at once when a worker was seen to start anew. Submissions that wait for a lost store are tried at once when it is back, which a probe finds out every 0.25 s. The soak takes ports that no outgoing connection is given.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -24,7 +24,7 @@
 	// probeFresh is how long an answered probe speaks for the store.
 	probeFresh = 250 * time.Millisecond
 	// probeInterval is the time between two tries of a store that does not answer.
-	probeInterval = 500 * time.Millisecond
+	probeInterval = 250 * time.Millisecond
 	// probeTimeout limits such a try.
 	probeTimeout = 800 * time.Millisecond
 	// cellFeedWait bounds the silence of the feed of members and owners, which shows that the store answers.
--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -84,7 +84,7 @@
 		// Spreads the retries of many daemons, which would else keep a slow store overloaded.
 		wait := pause/2 + rand.N(pause)
 		batch = in.dropEnded(batch, wait)
-		in.d.sleep(wait)
+		in.d.store.pause(wait)
 		pause = min(2*pause, maxRetryPause)
 	}
 }
--- a/cluster/cell/intake_test.go
+++ b/cluster/cell/intake_test.go
@@ -32,3 +32,26 @@
 		is.True(store.commits.Load() <= 15)
 	})
 }
+
+// Guards against submissions that wait for their next try although the store is
+// back: the time of their clients runs out meanwhile.
+func TestSubmissionsResumeWithTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &slowStore{}
+		store.down.Store(true)
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		d.wg.Go(d.store.watch)
+		job := &workload.Job{ID: "0000000000000001"}
+		d.wg.Go(func() { d.intake.run(partOf(job.ID)) })
+		const outage = 3 * time.Second
+		began := time.Now()
+		time.AfterFunc(outage, func() { store.down.Store(false) })
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		is.NoErr(d.Submit(ctx, job))
+		is.True(time.Since(began) <= outage+probeInterval+intakeGather)
+	})
+}
--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -28,12 +28,14 @@
 	// waits ends the calls that have no answer yet when the store is lost.
 	waits     context.Context
 	stopWaits context.CancelFunc
+	// back is closed when a lost store answers again.
+	back chan struct{}
 	// probing lets one probe run at a time.
 	probing sync.Mutex
 }
 
 func newRelayStore(d *Daemon, local platform.TableService) *relayStore {
-	s := &relayStore{d: d, local: local}
+	s := &relayStore{d: d, local: local, back: make(chan struct{})}
 	s.waits, s.stopWaits = context.WithCancel(d.ctx)
 	return s
 }
@@ -95,6 +97,8 @@
 func (s *relayStore) setAnswered(started time.Time) {
 	if s.down {
 		s.down = false
+		close(s.back)
+		s.back = make(chan struct{})
 		s.waits, s.stopWaits = context.WithCancel(s.d.ctx)
 		s.d.cfg.Log.Info().Dur("away", time.Since(s.answered)).Msg("cell: store is back")
 	}
@@ -181,6 +185,20 @@
 	}
 }
 
+// pause waits, at most until a lost store answers again.
+func (s *relayStore) pause(t time.Duration) {
+	s.mu.Lock()
+	back := s.back
+	s.mu.Unlock()
+	pause := time.NewTimer(t)
+	defer pause.Stop()
+	select {
+	case <-s.d.ctx.Done():
+	case <-back:
+	case <-pause.C:
+	}
+}
+
 // localRead reads and returns whether the store is lost.
 func (s *relayStore) localRead(caller context.Context, req platform.ReadRequest) (platform.ReadReply, bool, error) {
 	ctx, cancel := s.bounded(caller, req.Wait, storeTimeout)
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -23,6 +23,8 @@
 	err, readErr error
 	reads        atomic.Int64
 	commits      atomic.Int64
+	// down turns every call away.
+	down atomic.Bool
 }
 
 func (s *slowStore) Commit(ctx context.Context, _ platform.Txn) (cluster.Version, error) {
@@ -36,6 +38,9 @@
 }
 
 func (s *slowStore) answer(ctx context.Context, after time.Duration, err error) error {
+	if s.down.Load() {
+		return &platform.Error{Op: "test", Kind: platform.KindUnavailable}
+	}
 	if after < 0 {
 		<-ctx.Done()
 		return &platform.Error{Op: "test", Kind: platform.KindUnknown, Err: ctx.Err()}
--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -35,6 +35,8 @@
 	stopRetry = 500 * time.Millisecond
 	// predecessorTime is how long an earlier owner that has not noticed its successor may go on giving orders.
 	predecessorTime = 2 * time.Second
+	// clockSlack is how far the clock in an answer may be behind, for the time of the answer's way.
+	clockSlack = time.Second
 	// freshTime is how long an earlier owner may not know that a worker has started anew: until it was silent itself and replaced.
 	freshTime = 10 * time.Second
 	// clockMargin is how far apart the clocks of two daemons may be.
--- a/cluster/pool/orders.go
+++ b/cluster/pool/orders.go
@@ -51,6 +51,7 @@
 		s.startLost(r)
 		return
 	}
+	s.checkClock(w, e.Reply.Clock)
 	if e.Reply.Refusal == platform.StartAccepted {
 		s.confirm(r)
 		return
--- a/cluster/pool/reboot_test.go
+++ b/cluster/pool/reboot_test.go
@@ -78,3 +78,62 @@
 	}
 	is.Equal(s.jobs[job.ID].steps[0].waiting, 0) // the run is kept
 }
+
+// Guards against ends that are acknowledged unread: the cursor of a worker that
+// has started anew would rule out the ends of its present incarnation.
+func TestClockThatGoesBackStopsAcknowledgements(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	s := New(Config{Service: worldPool, Epoch: 1, Now: now, PredecessorEnded: true, Log: zerolog.Nop()})
+	vm := platform.WorkerVM{ID: "w0", Service: worldPool, Incarnation: 1, Capacity: cluster.Resources{CPU: 8 * cluster.Core, Memory: cluster.GiB}}
+	snapshot := cluster.Assemble(1, []cluster.Entity{
+		&cluster.Queue{Name: worldQueue, Service: worldPool, MaxAttempts: 3, Stretch: 2, Target: time.Second}, &cluster.Team{Name: worldTeam},
+	})
+	const uptime = time.Hour
+	started, restarted := now.Add(-uptime), false
+	var ended []platform.RunEnd
+	acknowledged := uint64(0)
+	events := []Event{&ConfigChanged{Snapshot: snapshot}, &WorkersListed{Workers: []platform.WorkerVM{vm}, Advisors: 1}}
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			effects := s.Step(now, events)
+			events = nil
+			for _, e := range effects {
+				switch v := e.(type) {
+				case *SendStart:
+					events = append(events, &StartAnswered{
+						Task: v.Task, Run: v.Order.Run, Worker: "w0", Fence: v.Order.Fence, Reply: platform.StartReply{Clock: now.Sub(started)},
+					})
+					if !restarted {
+						ended = append(ended, platform.RunEnd{Number: uint64(len(ended) + 1), Task: v.Order.Task, Run: v.Order.Run, Outcome: platform.RunDone})
+					}
+				case *Record:
+					events = append(events, &Recorded{Generation: v.Generation})
+				case *SendHold:
+					acknowledged = max(acknowledged, v.Order.Acknowledge)
+					if restarted {
+						is.Equal(v.Order.Acknowledge, uint64(0)) // nothing is acknowledged before the new lists are read
+						continue
+					}
+					reply := platform.HoldReply{Incarnation: 1, Clock: now.Sub(started), Ended: ended}
+					events = append(events, &HoldAnswered{Worker: "w0", Fence: v.Order.Fence, Sent: now, Received: now, Reply: reply, Extra: v.Extra})
+				}
+			}
+		}
+	}
+	submit := func(id cluster.JobName) {
+		job := &workload.Job{ID: id, Team: worldTeam, Queue: worldQueue, Accepted: now, Terms: workload.TermsOf(snapshot.Queues[worldQueue])}
+		job.Steps = []workload.Step{{Tasks: 1, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second}}
+		events = append(events, &JobAccepted{Job: job})
+	}
+	run(time.Second)
+	submit("0000000000000001")
+	run(time.Second)
+	submit("0000000000000002")
+	run(time.Second)
+	is.True(acknowledged > 0)
+	restarted, started = true, now.Add(-time.Millisecond)
+	submit("0000000000000003")
+	run(2 * time.Second)
+	is.Equal(s.jobs["0000000000000003"].steps[0].waiting, 0) // the run counts until the lists are read
+}
--- a/cluster/pool/worker_test.go
+++ b/cluster/pool/worker_test.go
@@ -116,7 +116,7 @@
 	}
 	f.fence = o.Fence
 	if r := f.running[o.Task]; r != nil && r.run == o.Run {
-		return platform.StartReply{}
+		return platform.StartReply{Clock: w.clock(f)}
 	}
 	if o.Run <= f.highest[o.Task] {
 		return platform.StartReply{Refusal: platform.RefusedOld}
@@ -133,7 +133,7 @@
 		r.gang = step.Tasks
 	}
 	f.running[o.Task] = r
-	return platform.StartReply{}
+	return platform.StartReply{Clock: w.clock(f)}
 }
 
 func (w *world) stop(f *fakeWorker, o platform.StopOrder) platform.StopReply {
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -71,10 +71,11 @@
 // A run that no list had may be one of the new incarnation, which an order may
 // have reached before it was known or may still reach.
 func (s *Scheduler) reboot(w *worker, incarnation platform.Incarnation) {
-	if w.vm.Incarnation != 0 {
+	known := w.vm.Incarnation != 0
+	if known {
 		s.cfg.Log.Info().Str("worker", string(w.vm.ID)).Int("runs", len(w.runs)).Int64("incarnation", int64(incarnation)).Msg("pool: worker has started anew")
 	}
-	if w.vm.Incarnation != 0 {
+	if known {
 		s.restarts[w.vm.ID]++
 		s.expectLongLease(w)
 	}
@@ -92,6 +93,25 @@
 		}
 		r.confirmed, r.stopped = time.Time{}, time.Time{}
 	}
+	if known && w.holding {
+		// Raises the fence before the hold that is under way can acknowledge ends of the new incarnation.
+		s.sendHold(w, true)
+	}
+}
+
+// checkClock asks for the lists of a worker whose clock has gone back, as it has
+// started anew. Until they arrive no end is acknowledged there.
+func (s *Scheduler) checkClock(w *worker, clock time.Duration) {
+	if clock == 0 || !w.fenced || !w.sound {
+		return
+	}
+	expected := w.clock + time.Duration(float64(s.now.Sub(w.clockAt))*(1-drift)) - clockSlack
+	if clock >= expected {
+		return
+	}
+	s.cfg.Log.Warn().Str("worker", string(w.vm.ID)).Dur("clock", clock).Dur("expected", expected).Msg("pool: clock of a worker has gone back")
+	w.sound = false
+	s.sendHold(w, true)
 }
 
 // expectLongLease takes note that the leases of a worker may last as long as it
@@ -185,6 +205,10 @@
 		if !w.listed && len(w.runs) == 0 && !s.isPredecessor(w) {
 			continue
 		}
+		if w.fenced && w.sound && len(w.unrecorded) == 0 && w.onlyStarting() {
+			// The answer to a start tells whether the worker has started anew.
+			continue
+		}
 		if len(w.unrecorded) > 0 && s.now.Before(w.nextHold.Add(recordWait)) {
 			continue
 		}
@@ -192,6 +216,16 @@
 	}
 }
 
+// onlyStarting reports whether every run of a worker waits for the answer to its start.
+func (w *worker) onlyStarting() bool {
+	for _, r := range w.runs {
+		if r.state != runStarting {
+			return false
+		}
+	}
+	return len(w.runs) > 0
+}
+
 func (s *Scheduler) isPredecessor(w *worker) bool {
 	_, ok := s.predecessors[w.vm.ID]
 	return ok
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -116,7 +115,7 @@
 
 // run plays the faults of the seed and returns what was wrong.
 func (d *deployment) run(ctx context.Context) ([]string, error) {
-	rnd := rand.New(rand.NewPCG(d.cfg.seed, 0))
+	rnd := seeded(d.cfg.seed)
 	schedule := newSchedule(rnd, d.cfg.length, d.cfg.daemons, d.cfg.runners)
 	var jobs []*job
 	for at := time.Duration(0); at < d.cfg.length; at += time.Duration(rnd.Int64N(int64(2 * jobPause))) {
@@ -131,9 +130,12 @@
 	if err := d.ready(ctx, c); err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, d.cfg.length+quietLimit)
+	limited, cancel := context.WithTimeout(ctx, d.cfg.length+quietLimit)
 	defer cancel()
-	d.play(ctx, c, schedule, jobs)
+	d.play(limited, c, schedule, jobs)
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("interrupted: %w", ctx.Err())
+	}
 	for _, j := range jobs {
 		if s := j.state(); s == jobOpen || s == jobAccepted {
 			d.checker.report("job %s has not ended %s after the faults (state %d)", j.id, quietLimit, s)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -22,6 +22,9 @@
 	lostAnswers = 12
 )
 
+// seeded returns the random numbers of a run.
+func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+
 // newSchedule draws the faults of a run; several may overlap.
 func newSchedule(rnd *rand.Rand, length time.Duration, daemons, runners int) []fault {
 	var schedule []fault
--- a/soak/process.go
+++ b/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -17,6 +18,11 @@
 const (
 	// restartDelay is how long a process that has ended stays away.
 	restartDelay = 300 * time.Millisecond
+	// firstPort and lastPort bound the ports of the daemons, below those that the system gives to connections.
+	firstPort = 12000
+	lastPort  = 32000
+	// portTries bounds the ports that are tried.
+	portTries = 1000
 	// loadTime is how long a process may take until it can catch a signal.
 	loadTime = 500 * time.Millisecond
 	// graceTime is the time from SIGTERM to SIGKILL, as on the users' platform.
@@ -79,17 +85,20 @@
 
 func (p *process) settings() string { return filepath.Join(p.dir, p.name+".yaml") }
 
+// freePorts returns ports that no outgoing connection takes while the daemon is down.
 func freePorts(n int) ([]int, error) {
 	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range portTries {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
+		if ports = append(ports, l.Addr().(*net.TCPAddr).Port); len(ports) == n {
+			return ports, nil
+		}
 	}
-	return ports, nil
+	return nil, fmt.Errorf("no %d free ports from %d to %d", n, firstPort, lastPort)
 }
 
 // run starts the daemon again until stop is called.
