perf: in a large cell daemons are connected to hubs instead of to all others

Cause: every daemon pinged every other one, and looked ten times a second at each peer that had dialled. At 300 daemons that is 330 pings each way and 3,000 wake-ups a second on VMs of 0.192 cores, and more than the 256 connections that a daemon accepts.

Ruled out: longer pings; the owner must be found silent within 1.6 s.

Change: in cells of more than 48 members each daemon is connected to the 16 with the most processor and to the owners of pools, which are connected to all. A peer that has dialled is looked at once a second.

--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -272,7 +273,11 @@
 
 func (d *Daemon) peerList() []peer.Peer {
 	var peers []peer.Peer
-	for _, m := range d.members {
+	owners := map[string]bool{}
+	for _, o := range d.owners {
+		owners[o.row.Owner] = true
+	}
+	for _, m := range connectedMembers(string(d.cfg.Self), slices.Collect(maps.Values(d.members)), owners) {
 		addr, err := m.addr()
 		if err != nil {
 			d.cfg.Log.Error().Err(err).Msg("cell: member is left out")
--- a/cluster/peer/config.go
+++ b/cluster/peer/config.go
@@ -30,9 +30,11 @@
 	// queueLength is the number of messages that wait for one peer.
 	queueLength = 256
 	// maxConnections bounds the connections accepted at once.
-	maxConnections = 256
+	maxConnections = 1024
 	redialFirst    = 100 * time.Millisecond
-	redialMax      = 2 * time.Second
+	// attachedCheck is the time between two looks whether a peer that has dialled is still connected.
+	attachedCheck = time.Second
+	redialMax     = 2 * time.Second
 	// steadyAfter is the life of a connection after which the redial delay starts again from redialFirst.
 	steadyAfter = 5 * time.Second
 )
--- a/cluster/peer/transport.go
+++ b/cluster/peer/transport.go
@@ -222,7 +222,7 @@
 	delay := redialFirst
 	for ctx.Err() == nil {
 		if t.connected(r) {
-			t.sleep(ctx, redialFirst)
+			t.sleep(ctx, attachedCheck)
 			continue
 		}
 		start := t.cfg.Now()
