--- a/cluster/cell/calls_test.go
+++ b/cluster/cell/calls_test.go
@@ -2,13 +2,10 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/rs/zerolog"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
@@ -20,22 +17,14 @@
 func TestCallEndsWithPeer(t *testing.T) {
 	is := is.New(t)
 	const other = cluster.DaemonID("other@1")
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
 	called := make(chan struct{}, 1)
-	silent := peer.New(peer.Config{
-		Self: peer.Hello{From: other}, Listener: listener, Log: zerolog.Nop(),
-		Handler: func(_ cluster.DaemonID, m peer.Message) {
-			if _, ok := m.(*peer.Call); ok {
-				called <- struct{}{}
-			}
-		},
-	})
 	d := newTestDaemon(t, &slowStore{})
-	d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.receive, Digest: d.digest})
-	defer d.transport.Close()
+	silent := connect(t, d, other, func(m peer.Message) {
+		if _, ok := m.(*peer.Call); ok {
+			called <- struct{}{}
+		}
+	})
 	defer d.stop()
-	d.transport.SetPeers([]peer.Peer{{ID: other, Addr: netip.MustParseAddrPort(listener.Addr().String())}})
 
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
@@ -43,6 +32,7 @@
 		<-called
 		silent.Close()
 	}()
+	var err error
 	for {
 		_, err = call[stateReply](ctx, d, other, methodState, &stateRequest{})
 		if !IsKind(err, KindUnavailable) {
@@ -59,30 +49,18 @@
 func TestSubmissionIsAnnounced(t *testing.T) {
 	is := is.New(t)
 	const owner = cluster.DaemonID("other@1")
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
 	announced := make(chan announcement, 1)
-	remote := peer.New(peer.Config{
-		Self: peer.Hello{From: owner}, Listener: listener, Log: zerolog.Nop(),
-		Handler: func(_ cluster.DaemonID, m peer.Message) {
-			if c, ok := m.(*peer.Call); ok && c.Method == methodAnnounce {
-				a, err := decode[announcement]("test", c.Body)
-				if err == nil {
-					announced <- a
-				}
+	d := newTestDaemon(t, &slowStore{})
+	connect(t, d, owner, func(m peer.Message) {
+		if c, ok := m.(*peer.Call); ok && c.Method == methodAnnounce {
+			a, err := decode[announcement]("test", c.Body)
+			if err == nil {
+				announced <- a
 			}
-		},
+		}
 	})
-	defer remote.Close()
-	d := newTestDaemon(t, &slowStore{})
-	d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.receive, Digest: d.digest})
-	defer d.transport.Close()
 	defer d.wg.Wait()
 	defer d.stop()
-	d.transport.SetPeers([]peer.Peer{{ID: owner, Addr: netip.MustParseAddrPort(listener.Addr().String())}})
-	for d.transport.LastHeard(owner).IsZero() {
-		time.Sleep(time.Millisecond)
-	}
 	d.owners["pool"] = ownership{row: ownerRow{Owner: string(owner), Epoch: 1}, version: 1}
 	job := &workload.Job{ID: "0000000000000001", Terms: workload.Terms{Service: "pool"}}
 	d.wg.Go(func() { d.intake.run(partOf(job.ID)) })
--- a/cluster/cell/claim_test.go
+++ b/cluster/cell/claim_test.go
@@ -13,14 +13,15 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 )
 
-// connect gives a daemon a peer that it hears, and waits until it does.
-func connect(t *testing.T, d *Daemon, other cluster.DaemonID) {
+// connect gives a daemon a peer and waits until it hears the peer, whose messages handle gets.
+func connect(t *testing.T, d *Daemon, other cluster.DaemonID, handle func(peer.Message)) *peer.Transport {
 	t.Helper()
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	remote := peer.New(peer.Config{
-		Self: peer.Hello{From: other}, Listener: listener, Log: zerolog.Nop(), Handler: func(cluster.DaemonID, peer.Message) {},
+		Self: peer.Hello{From: other}, Listener: listener, Log: zerolog.Nop(),
+		Handler: func(_ cluster.DaemonID, m peer.Message) { handle(m) },
 	})
 	t.Cleanup(remote.Close)
 	d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.receive, Digest: d.digest})
@@ -29,6 +30,7 @@
 	for d.transport.LastHeard(other).IsZero() {
 		time.Sleep(time.Millisecond)
 	}
+	return remote
 }
 
 // Guards against a pool that is scheduled by a VM with a small share of a
@@ -50,7 +52,7 @@
 			d := newTestDaemon(t, &slowStore{})
 			d.cfg.Cores = 0.2
 			const other = cluster.DaemonID("other@1")
-			connect(t, d, other)
+			connect(t, d, other, func(peer.Message) {})
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.members["other"] = memberRow{ID: string(other), Cores: c.cores}
