test: the soak leaves processes alone until they can catch signals

Ruled out: SIGTERM at the end of a shutdown; the log of the daemon has no start between the kill and the end.

Conclusion: a fault of the soak, not of the daemon.

--- a/soak/process.go
+++ b/soak/process.go
@@ -156,10 +156,12 @@
 	if p.cmd == nil {
 		return nil
 	}
+	loading := time.Since(p.started) < loadTime
 	switch {
-	case sig == syscall.SIGKILL:
+	case sig == syscall.SIGKILL, sig == syscall.SIGTERM && loading:
 		p.killed = true
-	case sig == syscall.SIGHUP && time.Since(p.started) < loadTime:
+	case loading:
+		// Before it can catch signals, SIGHUP would end the process, also if it is paused meanwhile.
 		return p.ended
 	}
 	if err := p.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
