test: programs under test listen on reserved ports

The test picked a port with a listener on port 0 and closed it before the program was started. The kernel gives such ports, 32768 and up, to outgoing connections of tests that run at the same time, and to the next listener on port 0.

Ruled out: a program left over from an earlier test; every subtest waits for its programs to exit, and the address was picked a moment before.

Change: package loopback reserves ports below the range of outgoing connections. A socket on another loopback address keeps a port from being picked by other processes while the program is down or starting.

--- a/goldcrestctl/main_test.go
+++ b/goldcrestctl/main_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,6 +14,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+	"github.com/goldcrestshift/goldcrestshift/cluster/loopback"
 )
 
 func TestMain(m *testing.M) {
@@ -32,14 +32,15 @@
 			env.Defer(daemon.Close)
 			broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
 			env.Defer(broken.Close)
-			closed, err := closedAddr()
+			closed, err := loopback.Reserve(1)
 			if err != nil {
 				return err
 			}
+			env.Defer(func() { _ = closed.Close() })
 			env.Setenv("GOLDCRESTCTL_SERVER", daemon.URL)
 			env.Setenv("DAEMON", daemon.URL)
 			env.Setenv("BROKEN", broken.URL)
-			env.Setenv("CLOSED", "http://"+closed)
+			env.Setenv("CLOSED", "http://"+closed.Addrs[0].String())
 			env.Setenv("USER", "ruth")
 			return nil
 		},
@@ -47,15 +48,6 @@
 	})
 }
 
-// closedAddr returns a loopback address that refuses connections.
-func closedAddr() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // exitCode runs a command and requires its exit code: exitcode 1 goldcrestctl apply note.yaml.
 func exitCode(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
--- a/goldcrestd/capacity_fleet_test.go
+++ b/goldcrestd/capacity_fleet_test.go
@@ -8,8 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -101,7 +99,8 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	f := &fleet{b: b, dir: dir, platform: benchAddr(b), admin: benchAddr(b)}
+	addrs := reserveAddrs(b, 2)
+	f := &fleet{b: b, dir: dir, platform: addrs[0], admin: addrs[1]}
 	args := append([]string{
 		"serve", "--cell", "target", "--listen", f.platform, "--admin-listen", f.admin, "--log-level", "warn",
 		"--workers", fmt.Sprint(min(size.racks*workersPerRack, targetWorkers)),
@@ -122,22 +121,6 @@
 	return f
 }
 
-// benchAddr returns a free loopback address. Its port is outside the range that
-// the system hands out, so that no connection takes it before the program listens.
-func benchAddr(b *testing.B) string {
-	const least, ports, tries = 12000, 18000, 100
-	for range tries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", least+rand.IntN(ports)))
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		return l.Addr().String()
-	}
-	b.Fatalf("no free port after %d tries", tries)
-	return ""
-}
-
 // start runs a built program until the benchmark ends.
 func (f *fleet) start(program string, args ...string) (*exec.Cmd, chan struct{}) {
 	log := &tailBuffer{}
@@ -167,7 +150,8 @@
 func (f *fleet) addDaemon(place [2]string) *benchDaemon {
 	f.started++
 	d := &benchDaemon{name: fmt.Sprintf("entry-%d", f.started), region: place[0], zone: place[1]}
-	httpAddr, peerAddr := benchAddr(f.b), benchAddr(f.b)
+	addrs := reserveAddrs(f.b, 2)
+	httpAddr, peerAddr := addrs[0], addrs[1]
 	f.sendAdmin(http.MethodPost, "/admin/entries", fmt.Sprintf(`{"id":%q,"zone":%q,"addr":%q}`, d.name, d.zone, peerAddr))
 	d.cmd, d.done = f.start("goldcrestd", "serve", "--http-addr", httpAddr, "--peer-addr", peerAddr, "--region", d.region,
 		"--zone", d.zone, "--store-region", targetPlaces[0][0], "--platform-url", "http://"+f.platform, "--name", d.name,
--- a/goldcrestd/cell_test.go
+++ b/goldcrestd/cell_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -20,6 +19,7 @@
 	"github.com/matryer/is"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+	"github.com/goldcrestshift/goldcrestshift/cluster/loopback"
 )
 
 // smallPlaces holds region and zone of the places of the stand-in's small cell; the store is in the first.
@@ -62,14 +62,18 @@
 	log  *bytes.Buffer
 }
 
-// freeAddr returns a loopback address whose port was free a moment ago.
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// reserveAddrs returns loopback addresses on which the programs of a test can listen until it ends.
+func reserveAddrs(t testing.TB, n int) []string {
+	r, err := loopback.Reserve(n)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = r.Close() })
+	var addrs []string
+	for _, a := range r.Addrs {
+		addrs = append(addrs, a.String())
+	}
+	return addrs
 }
 
 // start runs a built program until the test ends.
@@ -98,7 +102,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := &cell{t: t, is: is.New(t), dir: dir, platform: freeAddr(t), admin: "http://" + freeAddr(t)}
+	addrs := reserveAddrs(t, 2)
+	c := &cell{t: t, is: is.New(t), dir: dir, platform: addrs[0], admin: "http://" + addrs[1]}
 	args := append([]string{"serve", "--cell", "small", "--listen", c.platform, "--admin-listen", strings.TrimPrefix(c.admin, "http://")}, platformArgs...)
 	c.start("platformd", args...)
 	t.Cleanup(c.undo.Wait)
@@ -118,11 +123,11 @@
 
 func (c *cell) startDaemon(i int) *process {
 	place := smallPlaces[i%len(smallPlaces)]
-	httpAddr, peerAddr := freeAddr(c.t), freeAddr(c.t)
-	p := c.start("goldcrestd", "serve", "--http-addr", httpAddr, "--peer-addr", peerAddr,
+	addrs := reserveAddrs(c.t, 2)
+	p := c.start("goldcrestd", "serve", "--http-addr", addrs[0], "--peer-addr", addrs[1],
 		"--region", place[0], "--zone", place[1], "--store-region", smallPlaces[0][0],
 		"--platform-url", "http://"+c.platform, "--name", fmt.Sprintf("entry-%d", i), "--seed", fmt.Sprint(i+1))
-	p.url = "http://" + httpAddr
+	p.url = "http://" + addrs[0]
 	return p
 }
 
--- a/goldcrestd/node/node_test.go
+++ b/goldcrestd/node/node_test.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster/loopback"
 	"github.com/goldcrestshift/goldcrestshift/platform/platformtest"
 )
 
@@ -99,24 +99,15 @@
 	in.store.Put("op", "", "config", data)
 }
 
-func freePorts(t *testing.T, n int) []int {
-	t.Helper()
-	var ports []int
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
-	}
-	return ports
-}
-
 // start runs a daemon on ports of its own.
 func (in *deployment) start(name string) *instance {
 	in.t.Helper()
-	p := freePorts(in.t, 4)
+	reserved, err := loopback.Reserve(4)
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	in.t.Cleanup(func() { _ = reserved.Close() })
+	front, ready, internal, metrics := reserved.Addrs[0], reserved.Addrs[1], reserved.Addrs[2], reserved.Addrs[3]
 	path := filepath.Join(in.dir, name+".yaml")
 	store := &gate{next: in.store}
 	settings := fmt.Sprintf(`
@@ -124,23 +115,23 @@
 ip: "127.0.0.1"
 zone: "a"
 region: "r"
-listen_addrs: {front: "127.0.0.1:%d", ready: "127.0.0.1:%d"}
+listen_addrs: {front: "%s", ready: "%s"}
 internal_ports: [%d, 65535]
 limits: {cpu_share: 0.4, cores: 1, memory_mb: 512}
 bounds: {max_hold_ms: 6000, grace_s: 6}
 advice: %q
 platform: {address: %q}
-`, name, p[0], p[1], p[2], in.advice, serve(in.t, store))
+`, name, front, ready, internal.Port(), in.advice, serve(in.t, store))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		in.t.Fatal(err)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	inst := &instance{
-		front: fmt.Sprintf("http://127.0.0.1:%d", p[0]), ready: fmt.Sprintf("http://127.0.0.1:%d/api/ready", p[1]),
+		front: "http://" + front.String(), ready: fmt.Sprintf("http://%s/api/ready", ready),
 		store: store, stop: cancel, done: make(chan error, 1),
 	}
 	go func() {
-		inst.done <- Run(ctx, Config{Settings: path, MetricsPort: uint16(p[3]), Out: io.Discard})
+		inst.done <- Run(ctx, Config{Settings: path, MetricsPort: metrics.Port(), Out: io.Discard})
 	}()
 	var once sync.Once
 	stop := func() { once.Do(func() { cancel(); <-inst.done }) }
--- a/soak/process.go
+++ b/soak/process.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,17 +10,13 @@
 	"syscall"
 	"time"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster/loopback"
 	"github.com/goldcrestshift/goldcrestshift/platform"
 )
 
 const (
 	// restartDelay is how long a process that has ended stays away.
 	restartDelay = 300 * time.Millisecond
-	// firstPort and lastPort bound the ports of the daemons, below those that the system gives to connections.
-	firstPort = 12000
-	lastPort  = 32000
-	// portTries bounds the ports that are tried.
-	portTries = 1000
 	// loadTime is how long a process may take until it can catch a signal.
 	loadTime = 500 * time.Millisecond
 	// graceTime is the time from SIGTERM to SIGKILL, as on the users' platform.
@@ -37,9 +31,11 @@
 	binary  string
 	dir     string
 	front   string
-	metrics int
-	store   *proxy
-	advice  *proxy
+	metrics uint16
+	// reserved keeps the addresses of the daemon while it is down.
+	reserved *loopback.Reservation
+	store    *proxy
+	advice   *proxy
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -64,43 +60,27 @@
 	if p.advice, err = newProxy(adviceAddr); err != nil {
 		return nil, err
 	}
-	ports, err := freePorts(4)
-	if err != nil {
+	if p.reserved, err = loopback.Reserve(4); err != nil {
 		return nil, err
 	}
-	p.front, p.metrics = fmt.Sprintf("127.0.0.1:%d", ports[0]), ports[3]
+	front, ready, internal, metrics := p.reserved.Addrs[0], p.reserved.Addrs[1], p.reserved.Addrs[2], p.reserved.Addrs[3]
+	p.front, p.metrics = front.String(), metrics.Port()
 	settings := fmt.Sprintf(`node_name: %q
 ip: "127.0.0.1"
 zone: "a"
 region: "r"
-listen_addrs: {front: %q, ready: "127.0.0.1:%d"}
+listen_addrs: {front: %q, ready: %q}
 internal_ports: [%d, 65535]
 limits: {cpu_share: 1, cores: 1, memory_mb: %d}
 bounds: {max_hold_ms: 6000, grace_s: %g}
 advice: %q
 platform: {address: %q}
-`, name, p.front, ports[1], ports[2], memoryMB, graceTime.Seconds(), p.advice.addr(), p.store.addr())
+`, name, p.front, ready, internal.Port(), memoryMB, graceTime.Seconds(), p.advice.addr(), p.store.addr())
 	return p, os.WriteFile(p.settings(), []byte(settings), 0o600)
 }
 
 func (p *process) settings() string { return filepath.Join(p.dir, p.name+".yaml") }
 
-// freePorts returns ports that no outgoing connection takes while the daemon is down.
-func freePorts(n int) ([]int, error) {
-	var ports []int
-	for range portTries {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
-		if err != nil {
-			continue
-		}
-		defer func() { _ = l.Close() }()
-		if ports = append(ports, l.Addr().(*net.TCPAddr).Port); len(ports) == n {
-			return ports, nil
-		}
-	}
-	return nil, fmt.Errorf("no %d free ports from %d to %d", n, firstPort, lastPort)
-}
-
 // run starts the daemon again until stop is called.
 func (p *process) run() {
 	defer close(p.done)
@@ -192,5 +172,5 @@
 	<-p.done
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return errors.Join(p.unclean, p.store.Close(), p.advice.Close())
+	return errors.Join(p.unclean, p.store.Close(), p.advice.Close(), p.reserved.Close())
 }
