--- a/cluster/cell/advise.go
+++ b/cluster/cell/advise.go
@@ -47,8 +47,8 @@
 }
 
 // ask asks through the daemon that is expected to answer first.
-func (a *advisor) ask(ctx context.Context, step pool.StepID, workers []cluster.WorkerID, cost time.Duration) (platform.Advice, error) {
-	at, until := a.assign(cost)
+func (a *advisor) ask(ctx context.Context, shard shardID, step pool.StepID, workers []cluster.WorkerID, cost time.Duration) (platform.Advice, error) {
+	at, until := a.assign(shard, cost)
 	ctx, cancel := context.WithTimeout(ctx, time.Until(until)+adviceSlack)
 	defer cancel()
 	name := stepName(step)
@@ -75,8 +75,8 @@
 }
 
 // assign picks a daemon and returns when it should be done.
-func (a *advisor) assign(cost time.Duration) (cluster.DaemonID, time.Time) {
-	daemons := a.d.reachable()
+func (a *advisor) assign(shard shardID, cost time.Duration) (cluster.DaemonID, time.Time) {
+	daemons := a.d.advisors(shard)
 	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/cluster/cell/announce.go
+++ b/cluster/cell/announce.go
@@ -1,27 +1,26 @@
 package cell
 
 import (
-	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
-// announcement tells the owner of a pool of rows that were just written. The
+// announcement tells the owner of a shard of rows that were just written. The
 // feed of the store brings them as well, but later while the store is slow, the
 // owner is cut off from it or its history is gone.
 type announcement struct {
-	Service string
-	Keys    []string
-	Values  [][]byte
+	Shard  string
+	Keys   []string
+	Values [][]byte
 }
 
-// announce sends the owner of a pool the rows of jobs and cancellations that are in the store.
-func (d *Daemon) announce(service cluster.ServiceName, puts []platform.Put) {
-	owner, ok := d.owner(service)
+// announce sends the owner of a shard the rows of jobs and cancellations that are in the store.
+func (d *Daemon) announce(id shardID, puts []platform.Put) {
+	owner, ok := d.owner(id)
 	if !ok || len(puts) == 0 {
 		return
 	}
-	a := announcement{Service: string(service)}
+	a := announcement{Shard: id.String()}
 	for _, p := range puts {
 		a.Keys = append(a.Keys, p.Key)
 		a.Values = append(a.Values, p.Value)
@@ -42,7 +41,7 @@
 
 // receiveAnnouncement hands announced rows to the pool if this daemon owns it.
 func (d *Daemon) receiveAnnouncement(a announcement) {
-	p := d.pool(cluster.ServiceName(a.Service))
+	p := d.pool(parseShard(a.Shard))
 	if p == nil || len(a.Keys) != len(a.Values) {
 		return
 	}
--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -21,6 +21,7 @@
 	methodCommit  = "commit"
 	methodRead    = "read"
 	methodConfig  = "config"
+	methodLend    = "lend"
 	// methodAnnounce has no answer.
 	methodAnnounce = "announce"
 )
@@ -140,6 +141,8 @@
 		return serve(c, func(r readRequest) (readReply, error) { return d.store.serveRead(ctx, r) })
 	case methodConfig:
 		return serve(c, func(configRequest) (configReply, error) { return d.localConfig(), nil })
+	case methodLend:
+		return serve(c, func(r lendRequest) (lendReply, error) { return d.localLend(r) })
 	case methodAnnounce:
 		return serve(c, func(a announcement) (struct{}, error) { d.receiveAnnouncement(a); return struct{}{}, nil })
 	}
--- a/cluster/cell/calls_test.go
+++ b/cluster/cell/calls_test.go
@@ -61,11 +61,11 @@
 	})
 	defer d.wg.Wait()
 	defer d.stop()
-	d.owners["pool"] = ownership{row: ownerRow{Owner: string(owner), Epoch: 1}, version: 1}
+	d.owners[shardID{Service: "pool"}] = ownership{row: ownerRow{Owner: string(owner), Epoch: 1}, version: 1}
 	job := &workload.Job{ID: "0000000000000001", Terms: workload.Terms{Service: "pool"}}
 	d.wg.Go(func() { d.intake.run(partOf(job.ID)) })
 	is.NoErr(d.Submit(context.Background(), job))
 	a := <-announced
-	is.Equal(a.Service, "pool")
-	is.Equal(a.Keys, []string{jobKey(job.ID)})
+	is.Equal(a.Shard, "pool")
+	is.Equal(a.Keys, []string{jobKey(1, job.ID)})
 }
--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -11,13 +11,11 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
-func cutPrefix(key, prefix string) (string, bool) { return strings.CutPrefix(key, prefix) }
-
-// serviceOf returns the part of a key, which is the service of a pool's rows.
-func serviceOf(key string) cluster.ServiceName {
+// shardOfKey returns the shard that the part of a key names.
+func shardOfKey(key string) shardID {
 	_, rest, _ := strings.Cut(key, "/")
-	service, _, _ := strings.Cut(rest, "/")
-	return cluster.ServiceName(service)
+	part, _, _ := strings.Cut(rest, "/")
+	return parseShard(part)
 }
 
 func tableOf(key string) string {
@@ -25,16 +23,20 @@
 	return table + "/"
 }
 
-// claimLoop takes the pools over that have no owner.
+// claimLoop takes the shards over that have no owner.
 func (d *Daemon) claimLoop() {
 	for d.sleep(claimInterval) {
 		d.reportAges()
 		if d.leaving.Load() || !d.store.visible() {
 			continue
 		}
-		for _, service := range d.services() {
-			if o, ok := d.claimable(service); ok {
-				d.claim(service, o)
+		if d.shardCount() == 0 {
+			d.divide()
+			continue
+		}
+		for _, id := range d.allShards() {
+			if o, ok := d.claimable(id); ok {
+				d.claim(id, o)
 			}
 		}
 	}
@@ -51,20 +53,31 @@
 	return slices.Sorted(maps.Keys(set))
 }
 
-// claimable reports whether this daemon should take a pool over now. Several
+// allShards returns the shards of the pools that queues send jobs to.
+func (d *Daemon) allShards() []shardID {
+	var all []shardID
+	for _, service := range d.services() {
+		for i := range d.shardCount() {
+			all = append(all, shardID{Service: service, Index: i})
+		}
+	}
+	return all
+}
+
+// claimable reports whether this daemon should take a shard over now. Several
 // daemons may; the first transaction wins.
-func (d *Daemon) claimable(service cluster.ServiceName) (ownership, bool) {
+func (d *Daemon) claimable(id shardID) (ownership, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	o := d.owners[service]
-	if d.pools[service] != nil || !d.ownerLost(o) {
-		delete(d.lostSince, service)
+	o := d.owners[id]
+	if d.pools[id] != nil || !d.ownerLost(o) {
+		delete(d.lostSince, id)
 		return o, false
 	}
-	since, ok := d.lostSince[service]
+	since, ok := d.lostSince[id]
 	if !ok {
 		since = time.Now()
-		d.lostSince[service] = since
+		d.lostSince[id] = since
 	}
 	return o, time.Since(since) >= d.claimDelay()
 }
@@ -120,14 +133,14 @@
 }
 
 // claim writes this daemon as the owner, with the next epoch.
-func (d *Daemon) claim(service cluster.ServiceName, o ownership) {
+func (d *Daemon) claim(id shardID, o ownership) {
 	row := ownerRow{Owner: string(d.cfg.Self), Epoch: o.row.Epoch + 1}
 	data, err := encode("claim", &row)
 	if err != nil {
 		d.cfg.Log.Error().Err(err).Msg("cell: claim failed")
 		return
 	}
-	key := ownerKey(service)
+	key := ownerKey(id)
 	began := time.Now()
 	version, err := d.store.Commit(d.ctx, platform.Txn{
 		Checks: []platform.Check{{Key: key, Version: o.version}},
@@ -137,17 +150,17 @@
 		version, err = d.confirmClaim(key, row)
 	}
 	if err != nil {
-		d.cfg.Log.Info().Err(err).Str("service", string(service)).Uint64("epoch", row.Epoch).Msg("cell: claim not won")
+		d.cfg.Log.Info().Err(err).Stringer("shard", id).Uint64("epoch", row.Epoch).Msg("cell: claim not won")
 		return
 	}
-	d.cfg.Log.Info().Str("service", string(service)).Uint64("epoch", row.Epoch).Str("before", o.row.Owner).
+	d.cfg.Log.Info().Stringer("shard", id).Uint64("epoch", row.Epoch).Str("before", o.row.Owner).
 		Dur("sinceSeen", time.Since(o.seen)).Msg("cell: pool taken over")
 	d.mu.Lock()
-	p := newOwnedPool(d, service, cluster.Epoch(row.Epoch), version, began, d.ownerEnded(o))
-	if d.owners[service].version < version {
-		d.owners[service] = ownership{row: row, version: version, seen: time.Now()}
+	p := newOwnedPool(d, id, cluster.Epoch(row.Epoch), version, began, d.ownerEnded(o))
+	if d.owners[id].version < version {
+		d.owners[id] = ownership{row: row, version: version, seen: time.Now()}
 	}
-	d.pools[service] = p
+	d.pools[id] = p
 	d.mu.Unlock()
 	d.wg.Go(p.run)
 }
@@ -178,16 +191,16 @@
 	return ownerRow{}, 0, nil
 }
 
-// owner returns the daemon that owns a pool, and false if none is known.
-func (d *Daemon) owner(service cluster.ServiceName) (cluster.DaemonID, bool) {
+// owner returns the daemon that owns a shard, and false if none is known.
+func (d *Daemon) owner(id shardID) (cluster.DaemonID, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	o := d.owners[service]
+	o := d.owners[id]
 	return cluster.DaemonID(o.row.Owner), o.row.Owner != ""
 }
 
-func (d *Daemon) pool(service cluster.ServiceName) *ownedPool {
+func (d *Daemon) pool(id shardID) *ownedPool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.pools[service]
+	return d.pools[id]
 }
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -29,6 +29,8 @@
 	probeTimeout = 800 * time.Millisecond
 	// cellFeedWait bounds the silence of the feed of members and owners, which shows that the store answers.
 	cellFeedWait = 2 * time.Second
+	// largeCellPause is the mean pause between two reads of the feed of members and owners in a large cell.
+	largeCellPause = 300 * time.Millisecond
 	// configFeedWait and jobFeedWait bound the silence of the other feeds. A feed
 	// may miss changes until its wait ends; a configuration must be in force and
 	// a cancellation carried out within 3 s.
@@ -109,6 +111,9 @@
 	PeerAddr netip.AddrPort
 	// MaxLease is the longest lease that a worker grants; zero means pool.DefaultMaxLease.
 	MaxLease time.Duration
+	// ShardWorkers is the number of workers of the largest pool for which the cell gets one more shard when it
+	// is divided; zero means DefaultShardWorkers.
+	ShardWorkers int
 	// Listener accepts the connections of other daemons.
 	Listener net.Listener
 	Store    platform.TableService
--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -23,7 +23,9 @@
 func (d *Daemon) Snapshot() *cluster.Snapshot { return d.config.Load().snapshot }
 
 // Ready reports whether the daemon can take requests.
-func (d *Daemon) Ready() bool { return d.Snapshot().Version > 0 && !d.leaving.Load() }
+func (d *Daemon) Ready() bool {
+	return d.Snapshot().Version > 0 && d.shardCount() > 0 && !d.leaving.Load()
+}
 
 // followConfig keeps the operator's configuration in force.
 func (d *Daemon) followConfig() {
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,15 +35,21 @@
 
 	config  atomic.Pointer[configState]
 	leaving atomic.Bool
+	// division is nil until the division of the cell is known.
+	division atomic.Pointer[divisionRow]
+	// lastWorkers is the length of the last list of workers; used by claimLoop only.
+	lastWorkers int
 
 	mu      sync.Mutex
 	members map[string]memberRow
-	owners  map[cluster.ServiceName]ownership
-	pools   map[cluster.ServiceName]*ownedPool
+	owners  map[shardID]ownership
+	pools   map[shardID]*ownedPool
 	// peers is the last digest of each daemon.
 	peers map[cluster.DaemonID]peer.Digest
-	// lostSince is when the owner of a pool was first seen to be missing.
-	lostSince map[cluster.ServiceName]time.Time
+	// lostSince is when the owner of a shard was first seen to be missing.
+	lostSince map[shardID]time.Time
+	// undivided is when this daemon first saw that the cell is not divided yet.
+	undivided time.Time
 }
 
 // ownership is the row of a pool's owner with its version.
@@ -57,13 +64,16 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
+	if cfg.ShardWorkers == 0 {
+		cfg.ShardWorkers = DefaultShardWorkers
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
 	d := &Daemon{
 		cfg: cfg, calls: newCalls(), started: time.Now(),
-		members: map[string]memberRow{}, owners: map[cluster.ServiceName]ownership{}, pools: map[cluster.ServiceName]*ownedPool{},
-		peers: map[cluster.DaemonID]peer.Digest{}, lostSince: map[cluster.ServiceName]time.Time{},
+		members: map[string]memberRow{}, owners: map[shardID]ownership{}, pools: map[shardID]*ownedPool{},
+		peers: map[cluster.DaemonID]peer.Digest{}, lostSince: map[shardID]time.Time{},
 	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.store = newRelayStore(d, cfg.Store)
@@ -187,7 +197,7 @@
 			return
 		}
 		d.cfg.Log.Warn().Err(err).Msg("cell: joining failed; retrying")
-		if !d.sleep(feedRetry) {
+		if !d.sleep(feedRetry/2 + rand.N(feedRetry)) {
 			return
 		}
 	}
@@ -219,12 +229,19 @@
 	}
 }
 
-// followCell keeps the members and the owners of the pools.
+// followCell keeps the members and the owners of the pools. In a large cell it
+// pauses after each change, so that daemons that start together do not each
+// read every row of the others by itself.
 func (d *Daemon) followCell() {
-	d.follow(d.ctx, "cell", []string{cellTable}, cellTable, cellFeedWait, d.applyCell)
+	d.follow(d.ctx, "cell", []string{cellTable}, cellTable, cellFeedWait, func(rows []platform.Row, whole bool) {
+		if d.applyCell(rows, whole) > meshMembers {
+			d.sleep(largeCellPause/2 + rand.N(largeCellPause))
+		}
+	})
 }
 
-func (d *Daemon) applyCell(rows []platform.Row, whole bool) {
+// applyCell takes rows of the cell over and returns the number of members.
+func (d *Daemon) applyCell(rows []platform.Row, whole bool) int {
 	d.mu.Lock()
 	if whole {
 		d.members = map[string]memberRow{}
@@ -234,14 +251,15 @@
 			d.cfg.Log.Error().Err(err).Str("row", r.Key).Msg("cell: row is left out")
 		}
 	}
-	peers := d.peerList()
+	peers, members := d.peerList(), len(d.members)
 	d.mu.Unlock()
 	d.transport.SetPeers(peers)
+	return members
 }
 
 func (d *Daemon) applyCellRow(r platform.Row) error {
 	name := lastPart(r.Key)
-	if vm, ok := cutPrefix(r.Key, memberPrefix); ok {
+	if vm, ok := strings.CutPrefix(name, memberPrefix); ok {
 		if r.Deleted {
 			delete(d.members, vm)
 			return nil
@@ -252,20 +270,30 @@
 		}
 		return err
 	}
-	if name != "owner" || r.Deleted {
+	if r.Deleted {
+		return nil
+	}
+	if r.Key == divisionKey {
+		row, err := decode[divisionRow]("read division", r.Value)
+		if err == nil {
+			d.setDivision(row)
+		}
+		return err
+	}
+	if name != "owner" {
 		return nil
 	}
 	row, err := decode[ownerRow]("read owner", r.Value)
 	if err != nil {
 		return err
 	}
-	service := serviceOf(r.Key)
-	if old := d.owners[service]; old.version >= r.Version {
+	id := shardOfKey(r.Key)
+	if old := d.owners[id]; old.version >= r.Version {
 		return nil
 	}
-	d.owners[service] = ownership{row: row, version: r.Version, seen: time.Now()}
-	d.cfg.Log.Info().Str("service", string(service)).Str("owner", row.Owner).Uint64("epoch", row.Epoch).Msg("cell: owner of a pool")
-	if p := d.pools[service]; p != nil && (row.Owner != string(d.cfg.Self) || row.Epoch > uint64(p.epoch)) {
+	d.owners[id] = ownership{row: row, version: r.Version, seen: time.Now()}
+	d.cfg.Log.Info().Stringer("shard", id).Str("owner", row.Owner).Uint64("epoch", row.Epoch).Msg("cell: owner of a shard")
+	if p := d.pools[id]; p != nil && (row.Owner != string(d.cfg.Self) || row.Epoch > uint64(p.epoch)) {
 		p.lose("the store names another owner")
 	}
 	return nil
--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -18,10 +18,10 @@
 
 // submission is a job that waits to be written.
 type submission struct {
-	ctx     context.Context
-	service cluster.ServiceName
-	key     string
-	data    []byte
+	ctx   context.Context
+	shard shardID
+	key   string
+	data  []byte
 	// doubtful says that an earlier try may have been carried out.
 	doubtful bool
 	done     chan error
@@ -43,7 +43,11 @@
 	if err != nil {
 		return err
 	}
-	s := &submission{ctx: ctx, service: job.Terms.Service, key: jobKey(job.ID), data: data, done: make(chan error, 1)}
+	shards := d.shardCount()
+	if shards == 0 {
+		return &Error{Op: "submit", Kind: KindUnavailable, Err: errNotDivided}
+	}
+	s := &submission{ctx: ctx, shard: d.shardOf(job.Terms.Service, job.ID), key: jobKey(shards, job.ID), data: data, done: make(chan error, 1)}
 	select {
 	case d.intake.parts[partOf(job.ID)] <- s:
 	default:
@@ -115,7 +119,7 @@
 	}
 	var txn platform.Txn
 	written := map[string]bool{}
-	services := map[cluster.ServiceName][]platform.Put{}
+	shards := map[shardID][]platform.Put{}
 	for _, s := range batch {
 		if written[s.key] {
 			continue
@@ -124,7 +128,7 @@
 		txn.Checks = append(txn.Checks, platform.Check{Key: s.key})
 		put := platform.Put{Key: s.key, Value: s.data}
 		txn.Puts = append(txn.Puts, put)
-		services[s.service] = append(services[s.service], put)
+		shards[s.shard] = append(shards[s.shard], put)
 	}
 	ctx, cancel := context.WithTimeout(in.d.ctx, storeTimeout+callTimeout)
 	defer cancel()
@@ -134,8 +138,8 @@
 		for _, s := range batch {
 			s.done <- nil
 		}
-		for service, puts := range services {
-			in.d.announce(service, puts)
+		for id, puts := range shards {
+			in.d.announce(id, puts)
 		}
 		return nil, false
 	case platform.IsKind(err, platform.KindConflict):
@@ -199,13 +203,17 @@
 
 // Cancel cancels a job of a team. An Error of kind NotFound means that there is no such job.
 func (d *Daemon) Cancel(ctx context.Context, id cluster.JobName, team cluster.TeamName, queue cluster.QueueName) error {
-	reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{jobKey(id), cancelKey(id)}})
+	shards := d.shardCount()
+	if shards == 0 {
+		return &Error{Op: "cancel", Kind: KindUnavailable, Err: errNotDivided}
+	}
+	reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{jobKey(shards, id), cancelKey(shards, id)}})
 	if err != nil {
 		return &Error{Op: "cancel", Kind: KindUnavailable, Err: err}
 	}
 	var job *workload.Job
 	for _, r := range reply.Rows {
-		if r.Key == cancelKey(id) {
+		if r.Key == cancelKey(shards, id) {
 			return nil
 		}
 		if job, err = workload.DecodeJob(id, r.Value); err != nil {
@@ -216,10 +224,10 @@
 		return &Error{Op: "cancel", Kind: KindNotFound}
 	}
 	for ctx.Err() == nil {
-		_, err = d.store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: cancelKey(id), Value: []byte{1}}}})
+		_, err = d.store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: cancelKey(shards, id), Value: []byte{1}}}})
 		if err == nil {
 			d.cfg.Log.Info().Str("job", string(id)).Msg("cell: cancellation accepted")
-			d.announce(job.Terms.Service, []platform.Put{{Key: cancelKey(id), Value: []byte{1}}})
+			d.announce(d.shardOf(job.Terms.Service, id), []platform.Put{{Key: cancelKey(shards, id), Value: []byte{1}}})
 			return nil
 		}
 		d.sleep(retryPause)
--- a/cluster/cell/mesh.go
+++ b/cluster/cell/mesh.go
@@ -22,9 +22,7 @@
 	if len(members) <= meshMembers {
 		return members
 	}
-	slices.SortFunc(members, func(a, b memberRow) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(spread(a.ID), spread(b.ID)))
-	})
+	slices.SortFunc(members, compareMembers)
 	list := slices.Clone(members[:hubMembers])
 	if owners[self] || slices.ContainsFunc(list, func(m memberRow) bool { return m.ID == self }) {
 		return members
@@ -37,6 +35,11 @@
 	return list
 }
 
+// compareMembers puts the members with the most processor first.
+func compareMembers(a, b memberRow) int {
+	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(spread(a.ID), spread(b.ID)))
+}
+
 // spread orders the VMs of daemons across zones; a new start of a daemon keeps its place.
 func spread(id string) uint64 {
 	vm, _, _ := strings.Cut(id, daemonSeparator)
--- a/cluster/cell/metrics.go
+++ b/cluster/cell/metrics.go
@@ -15,10 +15,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.cfg.Metrics.Gauge("owned_pools").Update(float64(len(d.pools)))
-	for service, p := range d.pools {
+	for id, p := range d.pools {
 		if listed := p.listed.Load(); listed != 0 {
 			age := time.Since(time.UnixMilli(listed))
-			d.cfg.Metrics.Tagged(map[string]string{"service": string(service)}).Gauge("worker_list_age_seconds").Update(age.Seconds())
+			d.cfg.Metrics.Tagged(map[string]string{"shard": id.String()}).Gauge("worker_list_age_seconds").Update(age.Seconds())
 		}
 	}
 }
--- a/cluster/cell/orders.go
+++ b/cluster/cell/orders.go
@@ -23,6 +23,8 @@
 			p.work.Go(func() { p.askAdvice(v) })
 		case *pool.Record:
 			p.work.Go(func() { p.record(v) })
+		case *pool.SeekShare:
+			p.work.Go(func() { p.seekShare(v) })
 		case *pool.Superseded:
 			p.lose("a worker follows a later owner")
 		}
@@ -71,7 +73,7 @@
 }
 
 func (p *ownedPool) askAdvice(e *pool.AskAdvice) {
-	advice, err := p.d.advisor.ask(p.ctx, e.Step, e.Workers, e.Cost)
+	advice, err := p.d.advisor.ask(p.ctx, p.id, e.Step, e.Workers, e.Cost)
 	if err != nil && p.ctx.Err() == nil {
 		p.d.cfg.Log.Debug().Err(err).Str("job", string(e.Step.Job)).Msg("cell: no advice")
 	}
@@ -106,7 +108,7 @@
 				continue
 			}
 		}
-		p.d.cfg.Log.Warn().Err(err).Str("service", string(p.service)).Uint64("generation", e.Generation).Msg("cell: record not written; retrying")
+		p.d.cfg.Log.Warn().Err(err).Stringer("shard", p.id).Uint64("generation", e.Generation).Msg("cell: record not written; retrying")
 		p.sleep(retryPause)
 	}
 }
@@ -122,21 +124,21 @@
 		return platform.Txn{}, err
 	}
 	txn := platform.Txn{
-		Checks: []platform.Check{{Key: ownerKey(p.service), Version: p.version}, {Key: sequenceKey(p.service), Version: p.sequence}},
-		Puts:   []platform.Put{{Key: sequenceKey(p.service), Value: sequence}},
+		Checks: []platform.Check{{Key: ownerKey(p.id), Version: p.version}, {Key: sequenceKey(p.id), Version: p.sequence}},
+		Puts:   []platform.Put{{Key: sequenceKey(p.id), Value: sequence}},
 	}
 	for _, j := range e.Progress {
-		txn.Puts = append(txn.Puts, platform.Put{Key: progressKey(p.service, j.ID), Value: j.Data})
+		txn.Puts = append(txn.Puts, platform.Put{Key: progressKey(p.id, j.ID), Value: j.Data})
 	}
 	if e.Workers != nil {
 		data, err := encodeWorkers(e.Workers)
 		if err != nil {
 			return platform.Txn{}, err
 		}
-		txn.Puts = append(txn.Puts, platform.Put{Key: workersKey(p.service), Value: data})
+		txn.Puts = append(txn.Puts, platform.Put{Key: workersKey(p.id), Value: data})
 	}
 	for _, id := range e.Expired {
-		txn.Deletes = append(txn.Deletes, progressKey(p.service, id))
+		txn.Deletes = append(txn.Deletes, progressKey(p.id, id))
 	}
 	p.expire(e.Expired)
 	return txn, nil
@@ -144,9 +146,10 @@
 
 // expire removes the rows of jobs that ended long ago; what is left of a failed try is removed by a later owner.
 func (p *ownedPool) expire(jobs []cluster.JobName) {
+	shards := p.d.shardCount()
 	deletes := map[int][]string{}
 	for _, id := range jobs {
-		deletes[partOf(id)] = append(deletes[partOf(id)], jobKey(id), cancelKey(id))
+		deletes[partOf(id)] = append(deletes[partOf(id)], jobKey(shards, id), cancelKey(shards, id))
 	}
 	for _, keys := range deletes {
 		p.work.Go(func() {
@@ -160,18 +163,18 @@
 // readRecord reads whether a record is in the store. It gives the pool up if
 // another daemon owns it; ok is false if the store did not answer.
 func (p *ownedPool) readRecord(generation uint64) (version cluster.Version, applied, ok bool) {
-	reply, err := p.d.store.Read(p.ctx, platform.ReadRequest{Keys: []string{ownerKey(p.service), sequenceKey(p.service)}})
+	reply, err := p.d.store.Read(p.ctx, platform.ReadRequest{Keys: []string{ownerKey(p.id), sequenceKey(p.id)}})
 	if err != nil {
 		return 0, false, false
 	}
 	for _, r := range reply.Rows {
 		switch r.Key {
-		case ownerKey(p.service):
+		case ownerKey(p.id):
 			if r.Version != p.version {
 				p.lose("the row of the owner has changed")
 				return 0, false, true
 			}
-		case sequenceKey(p.service):
+		case sequenceKey(p.id):
 			row, err := decode[sequenceRow]("read record", r.Value)
 			if err != nil {
 				p.d.cfg.Log.Error().Err(err).Msg("cell: sequence row can't be read")
--- a/cluster/cell/pool.go
+++ b/cluster/cell/pool.go
@@ -16,13 +16,13 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
-// ownedPool runs the scheduler of a pool while this daemon owns it. The
+// ownedPool runs the scheduler of a shard of a pool while this daemon owns it. The
 // scheduler is used by the goroutine of run alone; calls to workers and the
 // store run in others and return their ends as events.
 type ownedPool struct {
-	d       *Daemon
-	service cluster.ServiceName
-	epoch   cluster.Epoch
+	d     *Daemon
+	id    shardID
+	epoch cluster.Epoch
 	// version is that of the owner's row, which every record checks.
 	version cluster.Version
 	began   time.Time
@@ -41,14 +41,15 @@
 	// sequence is the version of the row that numbers the records.
 	sequence cluster.Version
 	once     sync.Once
+	split    shareSplit
 }
 
 // queueLength bounds the events that wait for the control loop.
 const queueLength = 4096
 
-func newOwnedPool(d *Daemon, service cluster.ServiceName, epoch cluster.Epoch, version cluster.Version, began time.Time, ended bool) *ownedPool {
+func newOwnedPool(d *Daemon, id shardID, epoch cluster.Epoch, version cluster.Version, began time.Time, ended bool) *ownedPool {
 	p := &ownedPool{
-		d: d, service: service, epoch: epoch, version: version, began: began, ended: ended, done: make(chan struct{}),
+		d: d, id: id, epoch: epoch, version: version, began: began, ended: ended, done: make(chan struct{}),
 		events: make(chan pool.Event, queueLength), queries: make(chan func(*pool.Scheduler)),
 	}
 	p.ctx, p.stop = context.WithCancel(d.ctx)
@@ -73,15 +74,15 @@
 func (p *ownedPool) forget() {
 	p.d.mu.Lock()
 	defer p.d.mu.Unlock()
-	if p.d.pools[p.service] == p {
-		delete(p.d.pools, p.service)
+	if p.d.pools[p.id] == p {
+		delete(p.d.pools, p.id)
 	}
 }
 
 // lose ends the ownership.
 func (p *ownedPool) lose(reason string) {
 	p.once.Do(func() {
-		p.d.cfg.Log.Warn().Str("service", string(p.service)).Uint64("epoch", uint64(p.epoch)).Str("reason", reason).Msg("cell: pool given up")
+		p.d.cfg.Log.Warn().Stringer("shard", p.id).Uint64("epoch", uint64(p.epoch)).Str("reason", reason).Msg("cell: pool given up")
 	})
 	p.stop()
 }
@@ -93,14 +94,18 @@
 		if err == nil {
 			return version, true
 		}
-		p.d.cfg.Log.Warn().Err(err).Str("service", string(p.service)).Msg("cell: pool can't be loaded; retrying")
+		p.d.cfg.Log.Warn().Err(err).Stringer("shard", p.id).Msg("cell: pool can't be loaded; retrying")
 		p.sleep(retryPause)
 	}
 	return 0, false
 }
 
 func (p *ownedPool) tryLoad() (cluster.Version, error) {
-	recorded, err := p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{progressTable(p.service)}})
+	recorded, err := p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{progressTable(p.id)}})
+	if err != nil {
+		return 0, err
+	}
+	shares, err := p.joinSplit()
 	if err != nil {
 		return 0, err
 	}
@@ -113,9 +118,9 @@
 	for _, r := range recorded.Rows {
 		name := lastPart(r.Key)
 		switch {
-		case r.Key == sequenceKey(p.service):
+		case r.Key == sequenceKey(p.id):
 			p.sequence = r.Version
-		case r.Key == workersKey(p.service):
+		case r.Key == workersKey(p.id):
 			if workers, err = decodeWorkers(r.Value); err != nil {
 				return 0, err
 			}
@@ -130,13 +135,13 @@
 		}
 	}
 	p.scheduler = pool.New(pool.Config{
-		Service: p.service, Epoch: p.epoch, Now: p.began, MaxLease: p.d.cfg.MaxLease, Predecessor: workers, PredecessorEnded: p.ended,
+		Service: p.id.Service, Shard: p.id.Index, Shards: p.d.shardCount(), Epoch: p.epoch, Now: p.began, MaxLease: p.d.cfg.MaxLease, Predecessor: workers, PredecessorEnded: p.ended,
 		Log: p.d.cfg.Log, Metrics: p.d.cfg.Metrics,
 	})
-	events := []pool.Event{&pool.ConfigChanged{Snapshot: p.d.Snapshot()}}
+	events := []pool.Event{&pool.ConfigChanged{Snapshot: p.d.Snapshot()}, &pool.SharesChanged{Shares: shares}}
 	events = append(events, p.jobEvents(jobs.Rows, progress)...)
 	p.carryOut(p.scheduler.Step(time.Now(), events))
-	p.d.cfg.Log.Info().Str("service", string(p.service)).Uint64("epoch", uint64(p.epoch)).Int("rows", len(jobs.Rows)).
+	p.d.cfg.Log.Info().Stringer("shard", p.id).Uint64("epoch", uint64(p.epoch)).Int("rows", len(jobs.Rows)).
 		Int("workers", len(workers)).Dur("took", time.Since(p.began)).Msg("cell: pool loaded")
 	return jobs.AsOf, nil
 }
@@ -149,7 +154,7 @@
 	var errs [jobParts]error
 	for part := range jobParts {
 		reads.Go(func() {
-			replies[part], errs[part] = p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{jobPart(part)}})
+			replies[part], errs[part] = p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{jobPart(p.id.Index, part)}})
 		})
 	}
 	reads.Wait()
@@ -178,7 +183,7 @@
 			p.d.cfg.Log.Error().Err(err).Str("job", name).Msg("cell: job can't be read")
 			continue
 		}
-		if job.Terms.Service == p.service {
+		if p.d.shardOf(job.Terms.Service, job.ID) == p.id {
 			accepted = append(accepted, &pool.JobAccepted{Job: job, Progress: progress[job.ID]})
 		}
 	}
@@ -187,7 +192,7 @@
 
 func (p *ownedPool) followJobs(version cluster.Version) {
 	for p.ctx.Err() == nil {
-		reply, err := p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{jobsTable}, SinceVersion: version, Wait: jobFeedWait})
+		reply, err := p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{jobsTable(p.id.Index)}, SinceVersion: version, Wait: jobFeedWait})
 		if platform.IsKind(err, platform.KindExpired) {
 			p.d.cfg.Log.Warn().Str("feed", "jobs").Uint64("version", uint64(version)).Msg("cell: history is gone; reading everything")
 			reply, err = p.readJobs()
@@ -224,7 +229,7 @@
 		cancel()
 		if err == nil {
 			p.listed.Store(time.Now().UnixMilli())
-			p.send(&pool.WorkersListed{Workers: list, Advisors: len(p.d.reachable())})
+			p.send(&pool.WorkersListed{Workers: p.d.division.Load().workersOf(list, p.id), Advisors: len(p.d.advisors(p.id))})
 		} else if p.ctx.Err() == nil {
 			p.d.cfg.Log.Debug().Err(err).Msg("cell: workers not listed")
 		}
@@ -301,10 +306,10 @@
 // gives the pool up and returns false if another daemon owns it, or if the store
 // does not tell.
 func (p *ownedPool) confirm(gap time.Duration) bool {
-	p.d.cfg.Log.Warn().Str("service", string(p.service)).Dur("pause", gap).Msg("cell: process was paused; checking the owner")
+	p.d.cfg.Log.Warn().Stringer("shard", p.id).Dur("pause", gap).Msg("cell: process was paused; checking the owner")
 	ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 	defer cancel()
-	row, _, err := p.d.readOwner(ctx, ownerKey(p.service))
+	row, _, err := p.d.readOwner(ctx, ownerKey(p.id))
 	if err != nil {
 		p.lose("the owner can't be confirmed after a pause")
 		return false
@@ -323,7 +328,7 @@
 	case <-p.done:
 	case <-ctx.Done():
 	}
-	key := ownerKey(p.service)
+	key := ownerKey(p.id)
 	data, err := encode("release", &ownerRow{Epoch: uint64(p.epoch)})
 	if err == nil {
 		_, err = p.d.store.Commit(ctx, platform.Txn{
@@ -332,8 +337,8 @@
 		})
 	}
 	if err != nil {
-		p.d.cfg.Log.Warn().Err(err).Str("service", string(p.service)).Msg("cell: pool not released; its next owner waits for the silence")
+		p.d.cfg.Log.Warn().Err(err).Stringer("shard", p.id).Msg("cell: pool not released; its next owner waits for the silence")
 		return
 	}
-	p.d.cfg.Log.Info().Str("service", string(p.service)).Msg("cell: pool released")
+	p.d.cfg.Log.Info().Stringer("shard", p.id).Msg("cell: pool released")
 }
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -16,39 +16,58 @@
 
 // Rows of a cell. A key is table/part/name; the rows of one transaction share a part.
 //
-//	cell//member.<daemon's VM>     a daemon that runs
-//	cell/<service>/owner           the owner and the epoch of a pool
-//	progress/<service>/sequence    the last record of the owner
-//	progress/<service>/workers     the workers that owners may have given orders to
-//	progress/<service>/job.<id>    the progress of a job
-//	jobs/<part>/<id>               an accepted job
-//	jobs/<part>/<id>.cancel        a cancellation
+//	cell//division               the number of shards of every pool
+//	cell/<part>/member.<VM>      a daemon that runs
+//	cell/<shard>/owner           the owner and the epoch of a shard
+//	progress/<shard>/sequence    the last record of the owner
+//	progress/<shard>/workers     the workers that owners may have given orders to
+//	progress/<shard>/job.<id>    the progress of a job
+//	shares/<service>/split       how the shards split the limits of the teams
+//	jobs/<part>/<id>             an accepted job of the first shard
+//	jobs-<index>/<part>/<id>     an accepted job of another shard
+//	jobs/<part>/<id>.cancel      a cancellation
 const (
 	cellTable      = "cell/"
-	jobsTable      = "jobs/"
-	memberPrefix   = "cell//member."
+	divisionKey    = "cell//division"
+	jobsPrefix     = "jobs"
+	memberPrefix   = "member."
 	cancelSuffix   = ".cancel"
 	progressPrefix = "job."
+	// memberParts spreads the rows of daemons that start at the same moment.
+	memberParts = 8
 	// jobParts spreads the submissions over parts of the store. A part takes 200
 	// transactions a second one after another, and 3 while the store is slow.
 	jobParts = 64
 )
 
-func memberKey(vm string) string                  { return memberPrefix + vm }
-func ownerKey(service cluster.ServiceName) string { return cellTable + string(service) + "/owner" }
+func memberKey(vm string) string {
+	return cellTable + "members-" + strconv.Itoa(int(xxhash.Sum64String(vm)%memberParts)) + "/" + memberPrefix + vm
+}
+func ownerKey(id shardID) string { return cellTable + id.String() + "/owner" }
+
+func progressTable(id shardID) string { return "progress/" + id.String() + "/" }
+func sequenceKey(id shardID) string   { return progressTable(id) + "sequence" }
+func workersKey(id shardID) string    { return progressTable(id) + "workers" }
+func progressKey(id shardID, job cluster.JobName) string {
+	return progressTable(id) + progressPrefix + string(job)
+}
 
-func progressTable(service cluster.ServiceName) string { return "progress/" + string(service) + "/" }
+func splitKey(service cluster.ServiceName) string { return "shares/" + string(service) + "/split" }
 
-func sequenceKey(service cluster.ServiceName) string { return progressTable(service) + "sequence" }
-func workersKey(service cluster.ServiceName) string  { return progressTable(service) + "workers" }
-func cancelKey(id cluster.JobName) string            { return jobKey(id) + cancelSuffix }
-func jobPart(part int) string                        { return jobsTable + strconv.Itoa(part) + "/" }
+// jobsTable returns the table of a shard's jobs, which the feed of its owner reads.
+func jobsTable(shard int) string {
+	if shard == 0 {
+		return jobsPrefix + "/"
+	}
+	return jobsPrefix + "-" + strconv.Itoa(shard) + "/"
+}
 
-func partOf(id cluster.JobName) int    { return int(xxhash.Sum64String(string(id)) % jobParts) }
-func jobKey(id cluster.JobName) string { return jobPart(partOf(id)) + string(id) }
-func progressKey(s cluster.ServiceName, id cluster.JobName) string {
-	return progressTable(s) + progressPrefix + string(id)
+func jobPart(shard, part int) string { return jobsTable(shard) + strconv.Itoa(part) + "/" }
+func partOf(id cluster.JobName) int  { return int(xxhash.Sum64String(string(id)) % jobParts) }
+func jobKey(shards int, id cluster.JobName) string {
+	return jobPart(jobShard(id, shards), partOf(id)) + string(id)
 }
+func cancelKey(shards int, id cluster.JobName) string { return jobKey(shards, id) + cancelSuffix }
 
 // lastPart returns what stands behind the last slash of a key.
 func lastPart(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -13,8 +13,8 @@
 )
 
 type stateRequest struct {
-	Service string
-	ID      string
+	Shard string
+	ID    string
 }
 
 type stateReply struct {
@@ -24,16 +24,24 @@
 	Queue string
 }
 
-type pendingRequest struct{ Service string }
+type pendingRequest struct{ Shard string }
 
 type pendingReply struct{ Queues map[string]int }
 
-var errNotOwner = errors.New("this daemon does not own the pool")
+var (
+	errNotOwner = errors.New("this daemon does not own the shard")
+	// errNotDivided says that the rows of jobs can't be found yet.
+	errNotDivided = errors.New("the division of the cell is not known yet")
+)
 
 // State returns the state of a job. The owner of its pool is asked first; the
 // store decides if the owner does not know the job or can't be reached.
 func (d *Daemon) State(ctx context.Context, id cluster.JobName, team cluster.TeamName, queue *cluster.Queue) (workload.State, error) {
-	reply, err := d.ownerState(ctx, stateRequest{Service: string(queue.Service), ID: string(id)})
+	if d.shardCount() == 0 {
+		return 0, &Error{Op: "state", Kind: KindUnavailable, Err: errNotDivided}
+	}
+	shard := d.shardOf(queue.Service, id)
+	reply, err := d.ownerState(ctx, shard, stateRequest{Shard: shard.String(), ID: string(id)})
 	if err == nil && reply.Known {
 		if reply.Team != string(team) || reply.Queue != string(queue.Name) {
 			return 0, &Error{Op: "state", Kind: KindNotFound}
@@ -43,8 +51,8 @@
 	return d.storedState(ctx, id, team, queue)
 }
 
-func (d *Daemon) ownerState(ctx context.Context, r stateRequest) (stateReply, error) {
-	owner, ok := d.owner(cluster.ServiceName(r.Service))
+func (d *Daemon) ownerState(ctx context.Context, shard shardID, r stateRequest) (stateReply, error) {
+	owner, ok := d.owner(shard)
 	if !ok {
 		return stateReply{}, &Error{Op: "state", Kind: KindUnavailable, Err: errNotOwner}
 	}
@@ -57,7 +65,7 @@
 }
 
 func (d *Daemon) localState(r stateRequest) (stateReply, error) {
-	p := d.pool(cluster.ServiceName(r.Service))
+	p := d.pool(parseShard(r.Shard))
 	var reply stateReply
 	if p == nil || !p.query(func(s *pool.Scheduler) {
 		state, team, queue, known := s.State(cluster.JobName(r.ID))
@@ -70,14 +78,15 @@
 
 // storedState reads the state from the rows of a job.
 func (d *Daemon) storedState(ctx context.Context, id cluster.JobName, team cluster.TeamName, queue *cluster.Queue) (workload.State, error) {
-	reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{jobKey(id), progressKey(queue.Service, id)}})
+	key := jobKey(d.shardCount(), id)
+	reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{key, progressKey(d.shardOf(queue.Service, id), id)}})
 	if err != nil {
 		return 0, &Error{Op: "state", Kind: KindUnavailable, Err: err}
 	}
 	var job *workload.Job
 	state := workload.StateQueued
 	for _, r := range reply.Rows {
-		if r.Key == jobKey(id) {
+		if r.Key == key {
 			if job, err = workload.DecodeJob(id, r.Value); err != nil {
 				return 0, err
 			}
@@ -96,7 +105,7 @@
 }
 
 func (d *Daemon) localPending(r pendingRequest) (pendingReply, error) {
-	p := d.pool(cluster.ServiceName(r.Service))
+	p := d.pool(parseShard(r.Shard))
 	reply := pendingReply{Queues: map[string]int{}}
 	if p == nil || !p.query(func(s *pool.Scheduler) {
 		for queue, n := range s.Pending() {
@@ -148,15 +157,30 @@
 	return reply, err
 }
 
+// fetch adds up what the owners of the shards say.
 func (c *pendingCache) fetch(ctx context.Context, service cluster.ServiceName) (pendingReply, error) {
-	owner, ok := c.d.owner(service)
+	sum := pendingReply{Queues: map[string]int{}}
+	for i := range max(1, c.d.shardCount()) {
+		reply, err := c.fetchShard(ctx, shardID{Service: service, Index: i})
+		if err != nil {
+			return sum, err
+		}
+		for queue, n := range reply.Queues {
+			sum.Queues[queue] += n
+		}
+	}
+	return sum, nil
+}
+
+func (c *pendingCache) fetchShard(ctx context.Context, id shardID) (pendingReply, error) {
+	owner, ok := c.d.owner(id)
 	if !ok {
 		return pendingReply{}, &Error{Op: "pending", Kind: KindUnavailable, Err: errNotOwner}
 	}
 	if owner == c.d.cfg.Self {
-		return c.d.localPending(pendingRequest{Service: string(service)})
+		return c.d.localPending(pendingRequest{Shard: id.String()})
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return call[pendingReply](ctx, c.d, owner, methodPending, &pendingRequest{Service: string(service)})
+	return call[pendingReply](ctx, c.d, owner, methodPending, &pendingRequest{Shard: id.String()})
 }
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -70,6 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.setDivision(divisionRow{Shards: 1})
 	return d
 }
 
--- a/cluster/platform/workers.go
+++ b/cluster/platform/workers.go
@@ -28,6 +28,14 @@
 	Labels []string
 }
 
+// Rack returns the label that names the worker's rack; the other label is its kind.
+func (w *WorkerVM) Rack() string {
+	if len(w.Labels) == 0 {
+		return ""
+	}
+	return w.Labels[len(w.Labels)-1]
+}
+
 // WorkerLister reads the platform's list of workers.
 type WorkerLister interface {
 	// ListWorkers leaves out the entries that can't be read.
--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -60,6 +60,9 @@
 // Config configures a Scheduler.
 type Config struct {
 	Service cluster.ServiceName
+	// Shard is the index of the scheduled shard, Shards the number of shards of the pool; zero means 1.
+	Shard  int
+	Shards int
 	// Epoch is the fencing token of this ownership.
 	Epoch cluster.Epoch
 	// Lease is how long a worker's tasks run on without a hold; zero means DefaultLease.
--- a/cluster/pool/event.go
+++ b/cluster/pool/event.go
@@ -80,7 +80,12 @@
 // Recorded says that a Record is in the store.
 type Recorded struct{ Generation uint64 }
 
+// SharesChanged says which parts of the limits of teams this shard may use, in
+// units of WholeLimit. A team that is missing has an equal share.
+type SharesChanged struct{ Shares map[cluster.TeamName]int }
+
 func (*ConfigChanged) event() {}
+func (*SharesChanged) event() {}
 func (*WorkersListed) event() {}
 func (*JobAccepted) event()   {}
 func (*JobCancelled) event()  {}
@@ -138,6 +143,13 @@
 	Data []byte
 }
 
+// SeekShare asks the other shards for parts of a team's limit.
+type SeekShare struct {
+	Team cluster.TeamName
+	// Missing is the number of parts in units of WholeLimit.
+	Missing int
+}
+
 // Superseded says that a worker has seen the fencing token of a later owner.
 type Superseded struct{ Worker cluster.WorkerID }
 
@@ -146,6 +158,7 @@
 func (*SendHold) effect()   {}
 func (*AskAdvice) effect()  {}
 func (*Record) effect()     {}
+func (*SeekShare) effect()  {}
 func (*Superseded) effect() {}
 
 // StepID identifies a step of an occurrence of a job.
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -226,19 +226,6 @@
 // maxSlots bounds the tasks of one step on one worker if they use nothing.
 const maxSlots = 64
 
-// fitsLimit reports whether a team may run n more tasks of a step.
-func (s *Scheduler) fitsLimit(st *step, n int) bool {
-	team := s.snapshot.Teams[st.job.spec.Team]
-	if team == nil {
-		return true
-	}
-	u := s.team(team.Name)
-	running := u.running.Add(u.unseen).Add(st.spec.Size.Times(int64(n)))
-	l := team.Limit
-	return (l.CPU == 0 || running.CPU <= l.CPU) && (l.Memory == 0 || running.Memory <= l.Memory) &&
-		(l.Accelerators == 0 || running.Accelerators <= l.Accelerators)
-}
-
 // placeTasks starts as many waiting tasks as there is room for.
 func (s *Scheduler) placeTasks(st *step) {
 	found := s.candidates(st)
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -21,8 +21,10 @@
 	order []*worker
 	jobs  map[cluster.JobName]*job
 	// open are the steps that are not done, in no order.
-	open   []*step
-	teams  map[cluster.TeamName]*usage
+	open  []*step
+	teams map[cluster.TeamName]*usage
+	// shares holds the parts of the limits of teams that this shard may use.
+	shares map[cluster.TeamName]int
 	nextID uint64
 	// predecessors are the workers on which an earlier owner's tasks may run unseen.
 	predecessors map[cluster.WorkerID]predecessor
@@ -65,6 +67,7 @@
 	if cfg.MaxLease == 0 {
 		cfg.MaxLease = DefaultMaxLease
 	}
+	cfg.Shards = max(cfg.Shards, 1)
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
@@ -125,6 +128,8 @@
 	switch v := e.(type) {
 	case *ConfigChanged:
 		s.snapshot = v.Snapshot
+	case *SharesChanged:
+		s.sharesChanged(v.Shares)
 	case *WorkersListed:
 		s.advisors = max(1, v.Advisors)
 		s.listWorkers(v.Workers)
@@ -310,7 +315,7 @@
 	if team == nil || team.Share == 0 {
 		return true
 	}
-	rate := float64(team.Share)
+	rate := float64(team.Share) / float64(s.cfg.Shards)
 	if t.updated.IsZero() {
 		t.tokens = rate * burstTime.Seconds()
 	} else {
--- /dev/null
+++ b/cluster/pool/share.go
@@ -0,0 +1,105 @@
+package pool
+
+import (
+	"math"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+const (
+	// WholeLimit is the limit of a team in the unit of its shares.
+	WholeLimit = 10000
+	// shareRetry is the pause between two requests for a larger share.
+	shareRetry = 200 * time.Millisecond
+)
+
+// EqualShare returns the share of a team's limit that a shard has at first.
+func EqualShare(shard, shards int) int {
+	share := WholeLimit / shards
+	if shard < WholeLimit%shards {
+		share++
+	}
+	return share
+}
+
+// share returns the part of a team's limit that this shard may use.
+func (s *Scheduler) share(team cluster.TeamName) int {
+	if s.cfg.Shards == 1 {
+		return WholeLimit
+	}
+	if share, ok := s.shares[team]; ok {
+		return share
+	}
+	return EqualShare(s.cfg.Shard, s.cfg.Shards)
+}
+
+// sharesChanged takes over how the limits are split.
+func (s *Scheduler) sharesChanged(shares map[cluster.TeamName]int) { s.shares = shares }
+
+// shareOf returns the part of a limit that an amount takes, rounded up.
+func shareOf(amount, limit cluster.Resources) int {
+	part := func(amount, limit int64) int {
+		if limit <= 0 {
+			return 0
+		}
+		return int(math.Ceil(float64(amount) / float64(limit) * WholeLimit))
+	}
+	return max(part(int64(amount.CPU), int64(limit.CPU)), part(int64(amount.Memory), int64(limit.Memory)),
+		part(amount.Accelerators, limit.Accelerators))
+}
+
+// fitsLimit reports whether a team may run n more tasks of a step. If only the
+// split of its limit forbids it, a larger share is asked for.
+func (s *Scheduler) fitsLimit(st *step, n int) bool {
+	team := s.snapshot.Teams[st.job.spec.Team]
+	if team == nil {
+		return true
+	}
+	running := s.team(team.Name).running.Add(s.team(team.Name).unseen)
+	needed := shareOf(running.Add(st.spec.Size.Times(int64(n))), team.Limit)
+	if needed <= s.share(team.Name) {
+		return true
+	}
+	if s.cfg.Shards > 1 && needed <= WholeLimit {
+		s.seekShare(team.Name, shareOf(running.Add(st.spec.Size.Times(int64(max(n, st.waiting)))), team.Limit))
+	}
+	return false
+}
+
+// seekShare asks for what a team's share lacks.
+func (s *Scheduler) seekShare(team cluster.TeamName, needed int) {
+	u := s.team(team)
+	if s.now.Before(u.askAfter) {
+		return
+	}
+	u.askAfter = s.now.Add(shareRetry)
+	s.emit(&SeekShare{Team: team, Missing: min(needed, WholeLimit) - s.share(team)})
+}
+
+// Lend takes up to a number of parts of a team's limit out of this shard's share
+// and returns how many. What the team's tasks use and wait for here stays.
+func (s *Scheduler) Lend(name cluster.TeamName, wanted int) int {
+	team := s.snapshot.Teams[name]
+	if team == nil || s.stopped || !s.settled {
+		return 0
+	}
+	needed := s.team(name).running.Add(s.team(name).unseen)
+	for _, st := range s.open {
+		if st.job.spec.Team == name && st.waiting > 0 && s.startable(st) {
+			needed = needed.Add(st.spec.Size.Times(int64(st.waiting)))
+		}
+	}
+	given := min(wanted, s.share(name)-shareOf(needed, team.Limit))
+	if given <= 0 {
+		return 0
+	}
+	shares := map[cluster.TeamName]int{name: s.share(name) - given}
+	for team, share := range s.shares {
+		if team != name {
+			shares[team] = share
+		}
+	}
+	s.shares = shares
+	return given
+}
--- /dev/null
+++ b/cluster/pool/share_test.go
@@ -0,0 +1,75 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+// shardWorld returns a world whose owner schedules the first of two shards, with
+// one team that may run 24 cores in both together.
+func shardWorld() *world {
+	w := newWorld(1, 8)
+	w.owner.cfg.Shards = 2
+	return w
+}
+
+func wideJob(id cluster.JobName, tasks int) *workload.Job {
+	return &workload.Job{ID: id, Steps: []workload.Step{{
+		Tasks: tasks, Size: cluster.Resources{CPU: 2 * cluster.Core, Memory: cluster.GiB}, Estimate: 5 * time.Second,
+	}}}
+}
+
+func (w *world) runningTasks() int {
+	n := 0
+	for _, f := range w.workers {
+		n += len(f.running)
+	}
+	return n
+}
+
+// Guards against a shard that starts more than its part of a team's limit, so
+// that the shards together exceed it, and against one that never asks for more.
+func TestShardKeepsToItsShare(t *testing.T) {
+	is := is.New(t)
+	w := shardWorld()
+	w.submit(wideJob("0000000000000001", 10))
+	w.run(time.Second)
+	is.Equal(w.runningTasks(), 6)            // half of 24 cores
+	is.Equal(w.shareWanted[worldTeam], 3334) // the waiting four tasks as well
+	w.inbox = append(w.inbox, &SharesChanged{Shares: map[cluster.TeamName]int{worldTeam: 8400}})
+	w.run(time.Second)
+	is.Equal(w.runningTasks(), 10)
+}
+
+// Guards against a shard that gives away what its own tasks use or wait for.
+func TestLendKeepsWhatIsNeeded(t *testing.T) {
+	is := is.New(t)
+	w := shardWorld()
+	w.submit(wideJob("0000000000000001", 4))
+	w.run(time.Second)
+	is.Equal(w.owner.Lend(worldTeam, 9000), EqualShare(0, 2)-3334) // 8 of 24 cores are in use
+	is.Equal(w.owner.Lend(worldTeam, 9000), 0)
+	w.submit(wideJob("0000000000000002", 2))
+	w.run(time.Second)
+	is.Equal(w.runningTasks(), 4) // the second job waits for a larger share
+	w.inbox = append(w.inbox, &SharesChanged{Shares: map[cluster.TeamName]int{worldTeam: 5000}})
+	w.run(worldTick)
+	is.Equal(w.owner.Lend(worldTeam, 9000), 0) // 12 cores are in use
+}
+
+// Guards against equal shares that do not add up to the limit.
+func TestEqualSharesAddUp(t *testing.T) {
+	is := is.New(t)
+	for shards := 1; shards <= 64; shards++ {
+		sum := 0
+		for i := range shards {
+			sum += EqualShare(i, shards)
+		}
+		is.Equal(sum, WholeLimit)
+	}
+}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -187,4 +187,6 @@
 	// tokens are the jobs that the team may hand in now within its weight.
 	tokens  float64
 	updated time.Time
+	// askAfter is when a larger share of the limit may be asked for again.
+	askAfter time.Time
 }
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -43,18 +43,10 @@
 	incarnation := w.vm.Incarnation
 	w.vm = vm
 	w.vm.Incarnation = max(incarnation, vm.Incarnation)
-	w.rack = rackLabel(vm.Labels)
+	w.rack = vm.Rack()
 	w.listed = true
 }
 
-// rackLabel returns the label that names the rack; the other label is the worker's kind.
-func rackLabel(labels []string) string {
-	if len(labels) == 0 {
-		return ""
-	}
-	return labels[len(labels)-1]
-}
-
 // dropWorkers forgets the workers that are gone and on which nothing can run.
 func (s *Scheduler) dropWorkers() {
 	for id, w := range s.workers {
--- a/cluster/pool/world_test.go
+++ b/cluster/pool/world_test.go
@@ -54,6 +54,8 @@
 	// questions counts the questions, longestQuestion the workers of the longest.
 	advise                     func(cluster.WorkerID) bool
 	questions, longestQuestion int
+	// shareWanted holds the last request of each team for a larger share.
+	shareWanted map[cluster.TeamName]int
 	// loss is the share of calls whose answer is lost, late that of those carried out seconds later.
 	loss, late float64
 }
@@ -93,7 +95,7 @@
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_800_000_000, 0), jobs: map[cluster.JobName]*workload.Job{},
 		cancels: map[cluster.JobName]time.Time{}, progress: map[cluster.JobName]*workload.Progress{}, done: map[string]bool{}, finished: map[string]bool{}, failures: map[string]int{},
-		attempts: 3,
+		attempts: 3, shareWanted: map[cluster.TeamName]int{},
 	}
 	w.snapshot = cluster.Assemble(1, []cluster.Entity{
 		&cluster.Queue{Name: worldQueue, Service: worldPool, MaxAttempts: w.attempts, Stretch: 2, Target: time.Second},
@@ -326,6 +328,8 @@
 			}
 			w.inbox = append(w.inbox, &Recorded{Generation: v.Generation})
 		})
+	case *SeekShare:
+		w.shareWanted[v.Team] = v.Missing
 	case *Superseded:
 		w.violations = append(w.violations, "an owner without a successor was superseded")
 	}
--- a/goldcrestd/node/node.go
+++ b/goldcrestd/node/node.go
@@ -42,8 +42,12 @@
 	idleTimeout = 60 * time.Second
 )
 
-// DefaultMetricsPort is the port of the metrics that deploy/system.toml names.
-const DefaultMetricsPort = 9464
+const (
+	// DefaultMetricsPort is the port of the metrics that deploy/system.toml names.
+	DefaultMetricsPort = 9464
+	// DefaultShardWorkers is the most workers of a shard unless a setting says otherwise.
+	DefaultShardWorkers = cell.DefaultShardWorkers
+)
 
 // Config configures Run.
 type Config struct {
@@ -51,6 +55,8 @@
 	Settings string
 	// MetricsPort is the port of the metrics on the address of the VM.
 	MetricsPort uint16
+	// ShardWorkers is the most workers of a shard when the cell is divided.
+	ShardWorkers int
 	// Out gets the log.
 	Out io.Writer
 }
@@ -69,7 +75,7 @@
 	debug.SetGCPercent(gcPercent)
 	logger := newLogger(cfg.Out, settings.VM)
 	defer logger.Close()
-	n, err := newNode(settings, cfg.MetricsPort, logger)
+	n, err := newNode(settings, cfg, logger)
 	if err != nil {
 		return err
 	}
@@ -90,7 +96,7 @@
 	wg       conc.WaitGroup
 }
 
-func newNode(s *platform.Settings, metricsPort uint16, logger *logger) (*node, error) {
+func newNode(s *platform.Settings, cfg Config, logger *logger) (*node, error) {
 	log := logger.Logger()
 	n := &node{settings: s, log: log, logger: logger, client: platform.NewClient()}
 	peers, err := net.Listen("tcp", s.Peer.String())
@@ -102,7 +108,7 @@
 	n.metrics = closer
 	runners := &platform.Runners{Client: n.client, Log: log}
 	n.daemon, err = cell.New(cell.Config{
-		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place, Cores: s.Cores, MaxLease: s.MaxLease,
+		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place, Cores: s.Cores, MaxLease: s.MaxLease, ShardWorkers: cfg.ShardWorkers,
 		PeerAddr: s.Peer, Listener: peers, Store: store, Lister: runners, Workers: runners,
 		Advice: &platform.Advisor{Client: n.client, Addr: s.Advice}, Reader: platform.Manifest{},
 		Log: log, Metrics: scope, PaidLink: paidlink.New(paidlink.Config{Self: s.Place.Region, Metrics: scope}),
@@ -117,7 +123,7 @@
 	}
 	routes := http.NewServeMux()
 	routes.Handle("GET /metrics", handler)
-	if err := n.listen(netip.AddrPortFrom(s.Peer.Addr(), metricsPort).String(), routes); err != nil {
+	if err := n.listen(netip.AddrPortFrom(s.Peer.Addr(), cfg.MetricsPort).String(), routes); err != nil {
 		return nil, err
 	}
 	return n, n.listen(s.Ready.String(), http.HandlerFunc(n.ready))
--- a/goldcrestd/node/node_test.go
+++ b/goldcrestd/node/node_test.go
@@ -36,6 +36,8 @@
 	runners []*platformtest.Runner
 	dir     string
 	advice  string
+	// shardWorkers is the setting of the daemons.
+	shardWorkers int
 }
 
 // gate stands between one daemon and the store; it answers every call with its status unless that is zero.
@@ -131,7 +133,7 @@
 		store: store, stop: cancel, done: make(chan error, 1),
 	}
 	go func() {
-		inst.done <- Run(ctx, Config{Settings: path, MetricsPort: metrics.Port(), Out: io.Discard})
+		inst.done <- Run(ctx, Config{Settings: path, MetricsPort: metrics.Port(), ShardWorkers: in.shardWorkers, Out: io.Discard})
 	}()
 	var once sync.Once
 	stop := func() { once.Do(func() { cancel(); <-inst.done }) }
@@ -214,10 +216,20 @@
 
 // Guards against a job that is lost, not finished or run twice on its way
 // through the whole daemon: accepted by one, scheduled by another, asked for at
-// both, handed in twice, and taken over when its owner leaves.
+// both, handed in twice, and taken over when its owner leaves; with one shard
+// and with one for each worker.
 func TestJobsThroughTwoDaemons(t *testing.T) {
+	for _, shardWorkers := range []int{3, 1} {
+		t.Run(fmt.Sprintf("%d workers a shard", shardWorkers), func(t *testing.T) {
+			in := newDeployment(t, 3)
+			in.shardWorkers = shardWorkers
+			testJobsThroughTwoDaemons(t, in)
+		})
+	}
+}
+
+func testJobsThroughTwoDaemons(t *testing.T, in *deployment) {
 	is := is.New(t)
-	in := newDeployment(t, 3)
 	first := in.start("vm-1")
 	second := in.start("vm-2")
 	for n := range 6 {
--- a/goldcrestd/nodecmd.go
+++ b/goldcrestd/nodecmd.go
@@ -27,26 +27,38 @@
 		Args:    cobra.NoArgs,
 		RunE:    runNodeCmd,
 	}
-	cmd.Flags().Uint16(metricsPortFlag, node.DefaultMetricsPort, "port of the metrics, also set by "+metricsPortVariable)
+	cmd.Flags().Uint16(metricsPort.flag, node.DefaultMetricsPort, "port of the metrics, also set by "+metricsPort.variable)
+	cmd.Flags().Uint16(shardWorkers.flag, node.DefaultShardWorkers,
+		"most workers of a shard when the cell is divided at its first start, also set by "+shardWorkers.variable)
 	return cmd
 }
 
-// Setting of the port of the metrics. The flag goes before the variable.
-const (
-	metricsPortFlag     = "metrics-port"
-	metricsPortVariable = "GOLDCRESTD_METRICS_PORT"
+// numberSetting is a number that a flag or an environment variable sets; the flag goes before the variable.
+type numberSetting struct {
+	flag     string
+	variable string
+	// what says which numbers are allowed.
+	what string
+}
+
+var (
+	metricsPort  = numberSetting{"metrics-port", "GOLDCRESTD_METRICS_PORT", "a port from 1 to 65535"}
+	shardWorkers = numberSetting{"shard-workers", "GOLDCRESTD_SHARD_WORKERS", "a number from 1 to 65535"}
 )
 
-// metricsPort returns the port of the flag or the variable.
-func metricsPort(cmd *cobra.Command) (uint16, error) {
-	port, err := cmd.Flags().GetUint16(metricsPortFlag)
-	value := os.Getenv(metricsPortVariable)
-	if err != nil || cmd.Flags().Changed(metricsPortFlag) || value == "" {
-		return port, err
+// value returns the number of the flag or the variable.
+func (s *numberSetting) value(cmd *cobra.Command) (uint16, error) {
+	number, err := cmd.Flags().GetUint16(s.flag)
+	if err != nil {
+		return 0, err
+	}
+	given, name := strconv.Itoa(int(number)), "--"+s.flag
+	if value := os.Getenv(s.variable); value != "" && !cmd.Flags().Changed(s.flag) {
+		given, name = value, s.variable
 	}
-	n, err := strconv.ParseUint(value, 10, 16)
+	n, err := strconv.ParseUint(given, 10, 16)
 	if err != nil || n == 0 {
-		return 0, &usageError{fmt.Errorf("%s is %q; a port from 1 to 65535 is needed", metricsPortVariable, value)}
+		return 0, &usageError{fmt.Errorf("%s is %q; %s is needed", name, given, s.what)}
 	}
 	return uint16(n), nil
 }
@@ -54,11 +66,17 @@
 func runNodeCmd(cmd *cobra.Command, _ []string) error {
 	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	port, err := metricsPort(cmd)
+	port, err := metricsPort.value(cmd)
+	if err != nil {
+		return err
+	}
+	workers, err := shardWorkers.value(cmd)
 	if err != nil {
 		return err
 	}
-	err = node.Run(ctx, node.Config{Settings: os.Getenv(platform.SettingsVariable), MetricsPort: port, Out: cmd.OutOrStdout()})
+	err = node.Run(ctx, node.Config{
+		Settings: os.Getenv(platform.SettingsVariable), MetricsPort: port, ShardWorkers: int(workers), Out: cmd.OutOrStdout(),
+	})
 	var setting *platform.Error
 	if errors.As(err, &setting) && setting.Kind == platform.KindSetting {
 		return &usageError{err}
