fix: records and submissions go to another part while one is down

Cause: an outage may take single parts of the store. The progress of a shard stood in one part, so that no job was shown as completed while that was down, and a submission could not be accepted while the part of its job was down. The log shows one record that is retried for the whole outage.

Ruled out: showing a job as completed before its end is recorded. If the owner and the worker end together, its tasks would run again.

Change: a record goes to a second part when the first fails; an owner reads both and merges them. An owner numbers both parts anew before it reads them, so that a late record of its predecessor fails; this replaces the check of the owner's row, which stands in another part. A submission whose part fails goes to a second part; the owner takes a job that stands in both once. A cancellation may stand in either. An identifier counts as unknown only if both parts say so.

The test of throttled submissions now runs all lanes, as a submission moves to another one; what it checks is as before.

Known limit: if a queue is moved to another service while the part of a job is down and its submission is repeated meanwhile, both services may take the job.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -19,6 +19,8 @@
 	// storeTimeout limits a call to the store. A store that is 70 times slower
 	// than usual takes 0.7 s for a transaction, and others wait before it.
 	storeTimeout = 2600 * time.Millisecond
+	// recordTimeout limits the first try of a record in each of its parts.
+	recordTimeout = 1200 * time.Millisecond
 	// verifyAfter is the time after which a call without an answer brings a probe, which tells a slow store from a lost one.
 	verifyAfter = 600 * time.Millisecond
 	// probeFresh is how long an answered probe speaks for the store.
--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -20,8 +20,12 @@
 type submission struct {
 	ctx   context.Context
 	shard shardID
+	id    cluster.JobName
+	part  int
 	key   string
 	data  []byte
+	// moved says that the usual part of the job failed.
+	moved bool
 	// doubtful says that an earlier try may have been carried out.
 	doubtful bool
 	done     chan error
@@ -47,9 +51,12 @@
 	if shards == 0 {
 		return &Error{Op: "submit", Kind: KindUnavailable, Err: errNotDivided}
 	}
-	s := &submission{ctx: ctx, shard: d.shardOf(job.Terms.Service, job.ID), key: jobKey(shards, job.ID), data: data, done: make(chan error, 1)}
+	s := &submission{
+		ctx: ctx, shard: d.shardOf(job.Terms.Service, job.ID), id: job.ID, part: partOf(job.ID), key: jobKey(shards, job.ID), data: data,
+		done: make(chan error, 1),
+	}
 	select {
-	case d.intake.parts[partOf(job.ID)] <- s:
+	case d.intake.parts[s.part] <- s:
 	default:
 		return &Error{Op: "submit", Kind: KindOverloaded}
 	}
@@ -81,7 +88,10 @@
 		}
 		left, failed := in.write(in.fill(part, batch))
 		batch = left
-		if !failed {
+		if failed && in.d.store.visible() {
+			batch = in.move(batch)
+		}
+		if !failed || len(batch) == 0 {
 			pause = retryPause
 			continue
 		}
@@ -93,6 +103,30 @@
 	}
 }
 
+// move hands the submissions of a part that fails to another part, each once.
+func (in *intake) move(batch []*submission) []*submission {
+	var left []*submission
+	moved := 0
+	for _, s := range batch {
+		if s.moved {
+			left = append(left, s)
+			continue
+		}
+		s.moved, s.part = true, otherPart(s.part)
+		s.key = jobKeyIn(in.d.shardCount(), s.part, s.id)
+		select {
+		case in.parts[s.part] <- s:
+			moved++
+		default:
+			s.done <- s.failure()
+		}
+	}
+	if moved > 0 {
+		in.d.cfg.Log.Info().Int("jobs", moved).Msg("cell: jobs go to another part of the store")
+	}
+	return left
+}
+
 func (in *intake) fill(part int, batch []*submission) []*submission {
 	size := 0
 	for _, s := range batch {
@@ -203,34 +237,52 @@
 
 // Cancel cancels a job of a team. An Error of kind NotFound means that there is no such job.
 func (d *Daemon) Cancel(ctx context.Context, id cluster.JobName, team cluster.TeamName, queue cluster.QueueName) error {
-	shards := d.shardCount()
-	if shards == 0 {
+	if d.shardCount() == 0 {
 		return &Error{Op: "cancel", Kind: KindUnavailable, Err: errNotDivided}
 	}
-	reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{jobKey(shards, id), cancelKey(shards, id)}})
+	job, cancelled, err := d.readJob(ctx, id)
 	if err != nil {
 		return &Error{Op: "cancel", Kind: KindUnavailable, Err: err}
 	}
-	var job *workload.Job
-	for _, r := range reply.Rows {
-		if r.Key == cancelKey(shards, id) {
-			return nil
-		}
-		if job, err = workload.DecodeJob(id, r.Value); err != nil {
-			return err
-		}
-	}
 	if job == nil || job.Team != team || job.Queue != queue {
 		return &Error{Op: "cancel", Kind: KindNotFound}
 	}
-	for ctx.Err() == nil {
-		_, err = d.store.Commit(ctx, platform.Txn{Puts: []platform.Put{{Key: cancelKey(shards, id), Value: []byte{1}}}})
-		if err == nil {
+	if cancelled {
+		return nil
+	}
+	// Either part will do, as the owner follows both.
+	keys := jobKeys(d.shardCount(), id)
+	for i := 0; ctx.Err() == nil; i++ {
+		put := platform.Put{Key: keys[i%len(keys)] + cancelSuffix, Value: []byte{1}}
+		if _, err = d.store.Commit(ctx, platform.Txn{Puts: []platform.Put{put}}); err == nil {
 			d.cfg.Log.Info().Str("job", string(id)).Msg("cell: cancellation accepted")
-			d.announce(d.shardOf(job.Terms.Service, id), []platform.Put{{Key: cancelKey(shards, id), Value: []byte{1}}})
+			d.announce(d.shardOf(job.Terms.Service, id), []platform.Put{put})
 			return nil
 		}
 		d.sleep(retryPause)
 	}
 	return &Error{Op: "cancel", Kind: KindUnknown, Err: err}
 }
+
+// readJob reads a job and whether it is cancelled. The job is nil if no part has it.
+func (d *Daemon) readJob(ctx context.Context, id cluster.JobName) (job *workload.Job, cancelled bool, err error) {
+	var failed error
+	for _, key := range jobKeys(d.shardCount(), id) {
+		reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{key, key + cancelSuffix}})
+		if err != nil {
+			failed = err
+			continue
+		}
+		for _, r := range reply.Rows {
+			if r.Key != key {
+				cancelled = true
+			} else if job, err = workload.DecodeJob(id, r.Value); err != nil {
+				return nil, false, err
+			}
+		}
+		if job != nil {
+			return job, cancelled, nil
+		}
+	}
+	return nil, false, failed
+}
--- a/cluster/cell/intake_test.go
+++ b/cluster/cell/intake_test.go
@@ -24,7 +24,9 @@
 		defer d.wg.Wait()
 		defer d.stop()
 		job := &workload.Job{ID: "0000000000000001"}
-		d.wg.Go(func() { d.intake.run(partOf(job.ID)) })
+		for part := range jobParts {
+			d.wg.Go(func() { d.intake.run(part) })
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
 		err := d.Submit(ctx, job)
--- a/cluster/cell/pool.go
+++ b/cluster/cell/pool.go
@@ -38,10 +38,10 @@
 	scheduler *pool.Scheduler
 	// listed is when the workers were listed last, in Unix milliseconds.
 	listed atomic.Int64
-	// sequence is the version of the row that numbers the records.
-	sequence cluster.Version
-	once     sync.Once
-	split    shareSplit
+	// records is used by the goroutine of run until the scheduler steps, then by that of the one record under way.
+	records recordState
+	once    sync.Once
+	split   shareSplit
 }
 
 // queueLength bounds the events that wait for the control loop.
@@ -101,7 +101,7 @@
 }
 
 func (p *ownedPool) tryLoad() (cluster.Version, error) {
-	recorded, err := p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{progressTable(p.id)}})
+	recorded, err := p.loadRecords()
 	if err != nil {
 		return 0, err
 	}
@@ -113,33 +113,13 @@
 	if err != nil {
 		return 0, err
 	}
-	progress := map[cluster.JobName]*workload.Progress{}
-	var workers []pool.RecordedWorker
-	for _, r := range recorded.Rows {
-		name := lastPart(r.Key)
-		switch {
-		case r.Key == sequenceKey(p.id):
-			p.sequence = r.Version
-		case r.Key == workersKey(p.id):
-			if workers, err = decodeWorkers(r.Value); err != nil {
-				return 0, err
-			}
-		case strings.HasPrefix(name, progressPrefix):
-			id := cluster.JobName(strings.TrimPrefix(name, progressPrefix))
-			got, err := workload.DecodeProgress(r.Value)
-			if err != nil {
-				p.d.cfg.Log.Error().Err(err).Str("job", string(id)).Msg("cell: progress can't be read")
-				continue
-			}
-			progress[id] = got
-		}
-	}
+	workers := recorded.workers.list()
 	p.scheduler = pool.New(pool.Config{
-		Service: p.id.Service, Shard: p.id.Index, Shards: p.d.shardCount(), Epoch: p.epoch, Now: p.began, MaxLease: p.d.cfg.MaxLease, Predecessor: workers, PredecessorEnded: p.ended,
-		Log: p.d.cfg.Log, Metrics: p.d.cfg.Metrics,
+		Service: p.id.Service, Shard: p.id.Index, Shards: p.d.shardCount(), Epoch: p.epoch, Now: p.began, MaxLease: p.d.cfg.MaxLease,
+		Predecessor: workers, PredecessorEnded: p.ended, Log: p.d.cfg.Log, Metrics: p.d.cfg.Metrics,
 	})
 	events := []pool.Event{&pool.ConfigChanged{Snapshot: p.d.Snapshot()}, &pool.SharesChanged{Shares: shares}}
-	events = append(events, p.jobEvents(jobs.Rows, progress)...)
+	events = append(events, p.jobEvents(jobs.Rows, recorded.progress)...)
 	p.carryOut(p.scheduler.Step(time.Now(), events))
 	p.d.cfg.Log.Info().Stringer("shard", p.id).Uint64("epoch", uint64(p.epoch)).Int("rows", len(jobs.Rows)).
 		Int("workers", len(workers)).Dur("took", time.Since(p.began)).Msg("cell: pool loaded")
--- /dev/null
+++ b/cluster/cell/records_test.go
@@ -0,0 +1,184 @@
+package cell
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+const recordedJob = cluster.JobName("0000000000000001")
+
+var testShard = shardID{Service: "s"}
+
+// newRecorder returns an owner that has loaded the records, without a scheduler.
+func newRecorder(t *testing.T, d *Daemon, epoch cluster.Epoch) (*ownedPool, records) {
+	t.Helper()
+	p := newOwnedPool(d, testShard, epoch, 1, time.Now(), true)
+	got, err := p.loadRecords()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, got
+}
+
+// recordDone makes a record of the tasks up to a slot, which are done.
+func recordDone(t *testing.T, generation uint64, slot int, workers ...cluster.WorkerID) *pool.Record {
+	t.Helper()
+	progress := &workload.Progress{State: workload.StateRunning}
+	for i := range slot + 1 {
+		progress.SetDone(i)
+	}
+	data, err := workload.EncodeProgress(progress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &pool.Record{Generation: generation, Progress: []pool.JobProgress{{ID: recordedJob, Data: data}}}
+	for _, id := range workers {
+		e.Workers = append(e.Workers, pool.RecordedWorker{ID: id})
+	}
+	return e
+}
+
+// Guards against ends that are not recorded, so that no job completes, while one
+// part of the store is down, and against ends that are lost when it is back.
+func TestRecordsGoToAnotherPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &rowStore{rows: map[string]platform.Row{}}
+		d := newTestDaemon(t, store)
+		defer d.stop()
+		first, _ := newRecorder(t, d, 1)
+		first.record(recordDone(t, 1, 0, "a"))
+		store.setDown(progressPart(testShard, 0))
+		began := time.Now()
+		first.record(recordDone(t, 2, 1, "a", "b"))
+		is.True(time.Since(began) < retryPause)
+		is.Equal(len(first.events), 2)
+		store.setDown()
+		_, got := newRecorder(t, d, 2)
+		is.True(got.progress[recordedJob].IsDone(0))
+		is.True(got.progress[recordedJob].IsDone(1))
+		is.Equal(got.workers.Workers, []string{"a", "b"})
+	})
+}
+
+// Guards against an owner that begins without what one of the parts holds.
+func TestLoadNeedsEveryPart(t *testing.T) {
+	is := is.New(t)
+	store := &rowStore{rows: map[string]platform.Row{}}
+	d := newTestDaemon(t, store)
+	defer d.stop()
+	for part := range recordParts {
+		store.setDown(progressPart(testShard, part))
+		_, err := newOwnedPool(d, testShard, 1, 1, time.Now(), true).loadRecords()
+		is.True(err != nil)
+	}
+}
+
+// Guards against a record of an earlier owner that is carried out after its
+// successor has read the records: its ends would count as recorded for it alone.
+func TestLateRecordOfEarlierOwnerFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &rowStore{rows: map[string]platform.Row{}}
+		d := newTestDaemon(t, store)
+		defer d.stop()
+		first, _ := newRecorder(t, d, 1)
+		store.late = time.Second
+		_, err := store.Commit(t.Context(), must(first.recordTxn(0, recordDone(t, 1, 0))))
+		is.True(platform.IsKind(err, platform.KindUnknown))
+		_, got := newRecorder(t, d, 2)
+		is.Equal(len(got.progress), 0)
+		time.Sleep(2 * time.Second)
+		for part := range recordParts {
+			_, there := store.rows[progressKey(testShard, part, recordedJob)]
+			is.True(!there)
+		}
+		first.record(recordDone(t, 1, 0))
+		is.True(first.ctx.Err() != nil) // the shard is given up
+		is.Equal(len(first.events), 0)
+	})
+}
+
+// Guards against a record that is counted as lost, or written twice with other
+// contents, when its answer is lost.
+func TestRecordWithLostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &rowStore{rows: map[string]platform.Row{}}
+		d := newTestDaemon(t, store)
+		defer d.stop()
+		p, _ := newRecorder(t, d, 1)
+		store.late = time.Millisecond
+		p.record(recordDone(t, 1, 0))
+		time.Sleep(time.Second)
+		p.record(recordDone(t, 2, 1))
+		p.records.part = 0 // whose version changed with the late record
+		p.record(recordDone(t, 3, 2))
+		is.Equal(len(p.events), 3)
+		_, got := newRecorder(t, d, 2)
+		for slot := range 3 {
+			is.True(got.progress[recordedJob].IsDone(slot))
+		}
+	})
+}
+
+func must[T any](v T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// Guards against submissions that are refused, and cancellations that are not
+// accepted, while the part of their job is down, and against a repeat that is
+// not recognized as the same job.
+func TestSubmissionGoesToAnotherPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &rowStore{rows: map[string]platform.Row{}}
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // the store counts as visible
+		is.NoErr(err)
+		for part := range jobParts {
+			d.wg.Go(func() { d.intake.run(part) })
+		}
+		queue := &cluster.Queue{Name: "q", Service: "s"}
+		job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: "s"}, Steps: []workload.Step{{Tasks: 1}}}
+		usual := jobPart(0, partOf(job.ID))
+		store.setDown(usual)
+		began := time.Now()
+		is.NoErr(d.Submit(t.Context(), job))
+		is.True(time.Since(began) < retryPause)
+		_, err = d.State(t.Context(), job.ID, "team", queue)
+		is.NoErr(err)
+		is.NoErr(d.Cancel(t.Context(), job.ID, "team", "q"))
+
+		// Another job can't be said to be unknown while its part is down.
+		other := cluster.JobName("0000000000000002")
+		store.setDown(jobPart(0, partOf(other)))
+		_, err = d.State(t.Context(), other, "team", queue)
+		is.True(IsKind(err, KindUnavailable))
+
+		store.setDown()
+		is.NoErr(d.Submit(t.Context(), job)) // a repeat
+		p := newOwnedPool(d, testShard, 1, 1, time.Now(), true)
+		rows, err := p.readJobs()
+		is.NoErr(err)
+		s := pool.New(pool.Config{Service: "s", Now: time.Now()})
+		s.Step(time.Now(), p.jobEvents(rows.Rows, nil))
+		state, _, _, known := s.State(job.ID)
+		is.True(known)
+		is.True(state == workload.StateQueued || state == workload.StateCancelled)
+		is.Equal(len(s.Pending()), 0) // cancelled, in whichever part the rows stand
+	})
+}
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -22,10 +22,14 @@
 //	progress/<shard>/sequence    the last record of the owner
 //	progress/<shard>/workers     the workers that owners may have given orders to
 //	progress/<shard>/job.<id>    the progress of a job
+//	progress/<shard>#spare/...   the same, while that part is down
 //	shares/<service>/split       how the shards split the limits of the teams
 //	jobs/<part>/<id>             an accepted job of the first shard
 //	jobs-<index>/<part>/<id>     an accepted job of another shard
 //	jobs/<part>/<id>.cancel      a cancellation
+//
+// A job whose part is down has its rows in another one; an owner takes a job of
+// two parts once.
 const (
 	cellTable      = "cell/"
 	divisionKey    = "cell//division"
@@ -33,8 +37,9 @@
 	memberPrefix   = "member."
 	cancelSuffix   = ".cancel"
 	progressPrefix = "job."
+	workersName    = "workers"
 	// memberParts spreads the rows of daemons that start at the same moment.
-	memberParts = 8
+	memberParts = 4
 	// jobParts spreads the submissions over parts of the store. A part takes 200
 	// transactions a second one after another, and 3 while the store is slow.
 	jobParts = 64
@@ -45,11 +50,24 @@
 }
 func ownerKey(id shardID) string { return cellTable + id.String() + "/owner" }
 
-func progressTable(id shardID) string { return "progress/" + id.String() + "/" }
-func sequenceKey(id shardID) string   { return progressTable(id) + "sequence" }
-func workersKey(id shardID) string    { return progressTable(id) + "workers" }
-func progressKey(id shardID, job cluster.JobName) string {
-	return progressTable(id) + progressPrefix + string(job)
+// recordParts is the number of parts that records of a shard go to: while one
+// is down, the other takes them. An owner reads both.
+const recordParts = 2
+
+// progressPart returns a part of the records of a shard.
+func progressPart(id shardID, part int) string {
+	if part == 0 {
+		return "progress/" + id.String() + "/"
+	}
+	return "progress/" + id.String() + shardSeparator + "spare/"
+}
+
+func sequenceKey(id shardID, part int) string { return progressPart(id, part) + "sequence" }
+
+func workersKey(id shardID, part int) string { return progressPart(id, part) + workersName }
+
+func progressKey(id shardID, part int, job cluster.JobName) string {
+	return progressPart(id, part) + progressPrefix + string(job)
 }
 
 func splitKey(service cluster.ServiceName) string { return "shares/" + string(service) + "/split" }
@@ -63,11 +81,22 @@
 }
 
 func jobPart(shard, part int) string { return jobsTable(shard) + strconv.Itoa(part) + "/" }
-func partOf(id cluster.JobName) int  { return int(xxhash.Sum64String(string(id)) % jobParts) }
-func jobKey(shards int, id cluster.JobName) string {
-	return jobPart(jobShard(id, shards), partOf(id)) + string(id)
+
+func partOf(id cluster.JobName) int { return int(xxhash.Sum64String(string(id)) % jobParts) }
+
+// otherPart returns the part that takes the rows of a part's jobs while that one is down.
+func otherPart(part int) int { return (part + jobParts/2) % jobParts }
+
+func jobKeyIn(shards, part int, id cluster.JobName) string {
+	return jobPart(jobShard(id, shards), part) + string(id)
+}
+
+func jobKey(shards int, id cluster.JobName) string { return jobKeyIn(shards, partOf(id), id) }
+
+// jobKeys returns where the row of a job may stand, the usual key first.
+func jobKeys(shards int, id cluster.JobName) []string {
+	return []string{jobKey(shards, id), jobKeyIn(shards, otherPart(partOf(id)), id)}
 }
-func cancelKey(shards int, id cluster.JobName) string { return jobKey(shards, id) + cancelSuffix }
 
 // lastPart returns what stands behind the last slash of a key.
 func lastPart(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
@@ -95,7 +124,10 @@
 }
 
 type workersRow struct {
-	Workers []string
+	// Epoch and Generation are those of the record.
+	Epoch      uint64
+	Generation uint64
+	Workers    []string
 	// Lapses holds the end of the leases of each worker in Unix milliseconds; 0 if it answers.
 	Lapses []int64
 }
@@ -124,8 +156,8 @@
 	return addr, nil
 }
 
-func encodeWorkers(list []pool.RecordedWorker) ([]byte, error) {
-	var row workersRow
+func encodeWorkers(epoch cluster.Epoch, generation uint64, list []pool.RecordedWorker) ([]byte, error) {
+	row := workersRow{Epoch: uint64(epoch), Generation: generation}
 	for _, w := range list {
 		row.Workers = append(row.Workers, string(w.ID))
 		lapse := int64(0)
@@ -137,18 +169,19 @@
 	return encode("encode workers", &row)
 }
 
-func decodeWorkers(data []byte) ([]pool.RecordedWorker, error) {
-	row, err := decode[workersRow]("read workers", data)
-	if err != nil {
-		return nil, err
-	}
+// newer reports whether a row is of a later record than another one.
+func (r *workersRow) newer(other *workersRow) bool {
+	return r.Epoch > other.Epoch || (r.Epoch == other.Epoch && r.Generation > other.Generation)
+}
+
+func (r *workersRow) list() []pool.RecordedWorker {
 	var list []pool.RecordedWorker
-	for i, id := range row.Workers {
+	for i, id := range r.Workers {
 		w := pool.RecordedWorker{ID: cluster.WorkerID(id)}
-		if i < len(row.Lapses) && row.Lapses[i] != 0 {
-			w.Lapse = time.UnixMilli(row.Lapses[i])
+		if i < len(r.Lapses) && r.Lapses[i] != 0 {
+			w.Lapse = time.UnixMilli(r.Lapses[i])
 		}
 		list = append(list, w)
 	}
-	return list, nil
+	return list
 }
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -23,11 +25,37 @@
 	rows    map[string]platform.Row
 	version cluster.Version
 	late    time.Duration
+	// down holds the parts that do not answer, as table/part/.
+	down map[string]bool
+}
+
+// unavailable returns an error if one of the keys is in a part that is down; s.mu is held.
+func (s *rowStore) unavailable(keys ...string) error {
+	for _, key := range keys {
+		if s.down[key[:len(key)-len(lastPart(key))]] {
+			return &platform.Error{Op: "test", Kind: platform.KindUnknown, Key: key}
+		}
+	}
+	return nil
+}
+
+func (s *rowStore) setDown(parts ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = map[string]bool{}
+	for _, part := range parts {
+		s.down[part] = true
+	}
 }
 
 func (s *rowStore) apply(txn platform.Txn) (cluster.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, p := range txn.Puts {
+		if err := s.unavailable(p.Key); err != nil {
+			return 0, err
+		}
+	}
 	for _, c := range txn.Checks {
 		if s.rows[c.Key].Version != c.Version {
 			return 0, &platform.Error{Op: "test", Kind: platform.KindConflict, Key: c.Key}
@@ -56,6 +84,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	reply := platform.ReadReply{AsOf: s.version}
+	if err := s.unavailable(slices.Concat(req.Keys, req.Prefixes)...); err != nil {
+		return reply, err
+	}
+	for _, prefix := range req.Prefixes {
+		for _, key := range slices.Sorted(maps.Keys(s.rows)) {
+			if strings.HasPrefix(key, prefix) {
+				reply.Rows = append(reply.Rows, s.rows[key])
+			}
+		}
+	}
 	for _, key := range req.Keys {
 		if r, ok := s.rows[key]; ok {
 			reply.Rows = append(reply.Rows, r)
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -78,28 +78,32 @@
 
 // storedState reads the state from the rows of a job.
 func (d *Daemon) storedState(ctx context.Context, id cluster.JobName, team cluster.TeamName, queue *cluster.Queue) (workload.State, error) {
-	key := jobKey(d.shardCount(), id)
-	reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{key, progressKey(d.shardOf(queue.Service, id), id)}})
+	job, _, err := d.readJob(ctx, id)
 	if err != nil {
 		return 0, &Error{Op: "state", Kind: KindUnavailable, Err: err}
 	}
-	var job *workload.Job
+	if job == nil || job.Team != team || job.Queue != queue.Name {
+		return 0, &Error{Op: "state", Kind: KindNotFound}
+	}
+	shard := d.shardOf(queue.Service, id)
 	state := workload.StateQueued
-	for _, r := range reply.Rows {
-		if r.Key == key {
-			if job, err = workload.DecodeJob(id, r.Value); err != nil {
-				return 0, err
-			}
+	var failed error
+	for part := range recordParts {
+		reply, err := d.store.Read(ctx, platform.ReadRequest{Keys: []string{progressKey(shard, part, id)}})
+		if err != nil {
+			failed = err
 			continue
 		}
-		progress, err := workload.DecodeProgress(r.Value)
-		if err != nil {
-			return 0, err
+		for _, r := range reply.Rows {
+			progress, err := workload.DecodeProgress(r.Value)
+			if err != nil {
+				return 0, err
+			}
+			state = max(state, progress.State)
 		}
-		state = progress.State
 	}
-	if job == nil || job.Team != team || job.Queue != queue.Name {
-		return 0, &Error{Op: "state", Kind: KindNotFound}
+	if failed != nil && !state.Final() {
+		return 0, &Error{Op: "state", Kind: KindUnavailable, Err: failed}
 	}
 	return state, nil
 }
--- a/cluster/workload/progress.go
+++ b/cluster/workload/progress.go
@@ -1,6 +1,7 @@
 package workload
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -61,6 +62,24 @@
 	return slot/8 < len(p.Done) && p.Done[slot/8]&(1<<(slot%8)) != 0
 }
 
+// Merge adds what another record of the same job has.
+func (p *Progress) Merge(other *Progress) {
+	if other.State > p.State {
+		p.State, p.Ended = other.State, other.Ended
+	}
+	for len(p.Done) < len(other.Done) {
+		p.Done = append(p.Done, 0)
+	}
+	for i, bits := range other.Done {
+		p.Done[i] |= bits
+	}
+	for _, slot := range slices.Sorted(maps.Keys(other.Failures)) {
+		for _, run := range other.Failures[slot] {
+			p.AddFailure(slot, run)
+		}
+	}
+}
+
 // AddFailure takes note of a failed run and returns how many there are. A run
 // that is listed again, in whatever order, is not counted twice.
 func (p *Progress) AddFailure(slot int, run uint64) int {
--- a/cluster/workload/workload_test.go
+++ b/cluster/workload/workload_test.go
@@ -104,3 +104,22 @@
 		is.True(!ok)
 	}
 }
+
+// Guards against tasks that run again, or attempts that do not count, because
+// they are recorded in one of two records only.
+func TestMergeKeepsWhatEitherRecordHas(t *testing.T) {
+	is := is.New(t)
+	a, b := &Progress{State: StateRunning}, &Progress{State: StateCompleted, Ended: time.Unix(5, 0)}
+	a.SetDone(1)
+	a.AddFailure(3, 7)
+	b.SetDone(20)
+	b.AddFailure(3, 7)
+	b.AddFailure(3, 9)
+	a.Merge(b)
+	is.Equal(a.State, StateCompleted)
+	is.Equal(a.Ended, time.Unix(5, 0))
+	is.True(a.IsDone(1) && a.IsDone(20) && !a.IsDone(2))
+	is.Equal(a.Failures, map[int][]uint64{3: {7, 9}})
+	b.Merge(&Progress{State: StateRunning})
+	is.Equal(b.State, StateCompleted)
+}
