perf: daemons of a large cell start and take over without a storm

Cause: after all 297 daemons were killed the first request was served after 22.5 s. The log shows that 144 of them knew the division of the cell only 6 s after their start: a read of the cell's table asks for a dozen parts one after the other, which from another region takes longer than the time of a call if some answers are late. The new owners called 1,000 workers each at once, and half of the answers came after the 0.7 s that a call may take.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -17,6 +17,9 @@
 	DefaultMaxLease = 10 * time.Second
 	// holdWait is how long a hold waits for an end; a lease is renewed at least this often.
 	holdWait = time.Second
+	// maxFirstHolds bounds the calls to workers that have not answered this owner yet, so that
+	// their answers are not late after a takeover because of one another.
+	maxFirstHolds = 256
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 300 * time.Millisecond
 	// recordWait bounds the pause of holds while ends wait to be recorded.
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -186,6 +186,12 @@
 
 // hold renews the leases of the workers that have runs or ends, and reads the lists of those not fenced yet.
 func (s *Scheduler) hold() {
+	first := 0
+	for _, w := range s.order {
+		if w.holding && !w.fenced {
+			first++
+		}
+	}
 	for _, w := range s.order {
 		if w.holding || s.now.Before(w.nextHold) {
 			continue
@@ -204,6 +210,12 @@
 		if len(w.unrecorded) > 0 && s.now.Before(w.nextHold.Add(recordWait)) {
 			continue
 		}
+		if !w.fenced {
+			if first >= maxFirstHolds {
+				continue
+			}
+			first++
+		}
 		s.sendHold(w, false)
 	}
 }
