perf: the number of gangs that keep room grows with the pool

Ruled out: steps of a lower rank that take the limit of the team.

Change: one gang for each 16 workers may keep room, three at least.

The deployments with 48 workers are not changed by it.

--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -343,7 +343,7 @@
 // reserve keeps what becomes free from steps behind in the order, on as few
 // workers as the gang needs, and returns whether the gang may keep room.
 func (s *Scheduler) reserve(st *step) bool {
-	if st.urgency != onTime || s.reservations >= maxReservations {
+	if st.urgency != onTime || s.reservations >= max(minReservations, len(s.order)/reservingWorkers) {
 		return false
 	}
 	s.reservations++
@@ -359,5 +359,10 @@
 	return true
 }
 
-// maxReservations bounds the gangs that keep room at a time, so that the pool does not stand idle for them.
-const maxReservations = 3
+const (
+	// reservingWorkers is the number of workers for each gang that may keep room at
+	// a time, so that the pool does not stand idle for gangs.
+	reservingWorkers = 16
+	// minReservations is the number of gangs that may in a small pool.
+	minReservations = 3
+)
--- a/cluster/pool/random_test.go
+++ b/cluster/pool/random_test.go
@@ -120,6 +120,38 @@
 	is.Equal(state, workload.StateCompleted)
 }
 
+// Guards against a large pool in which few gangs may keep room, so that the
+// others wait until single tasks leave some by chance.
+func TestGangsKeepRoomByPoolSize(t *testing.T) {
+	for _, c := range []struct{ workers, gangs int }{{8, 3}, {48, 3}, {128, 8}} {
+		t.Run(fmt.Sprint(c.workers), func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, c.workers)
+			w.snapshot = cluster.Assemble(2, []cluster.Entity{w.snapshot.Queues[worldQueue], &cluster.Team{Name: worldTeam}})
+			w.inbox = append(w.inbox, &ConfigChanged{Snapshot: w.snapshot})
+			job := func(n, tasks int, size cluster.CPU, gang bool) {
+				w.submit(&workload.Job{ID: cluster.JobName(fmt.Sprintf("%016x", n)), Steps: []workload.Step{{
+					Tasks: tasks, Size: cluster.Resources{CPU: size}, Estimate: 30 * time.Second, Gang: gang,
+				}}})
+			}
+			// Every worker has half of its room left, too little for a member of a gang.
+			job(0, c.workers, 5*cluster.Core, false)
+			w.run(500 * time.Millisecond)
+			for n := range 2 * c.gangs {
+				job(1+n, 2, 8*cluster.Core, true)
+			}
+			w.run(100 * time.Millisecond)
+			reserved := 0
+			for _, v := range w.owner.order {
+				if v.reserved.CPU > 0 {
+					reserved++
+				}
+			}
+			is.Equal(reserved, 2*c.gangs)
+		})
+	}
+}
+
 // Guards against an urgent gang that waits behind long work of a lower rank
 // which could be stopped and resumed.
 func TestGangPreemptsCheckpointingWork(t *testing.T) {
