test: the soak cuts daemons from each other and takes parts of the store away

The soak put no faults between daemons, as they tell each other the address that they listen on, and its store was down as a whole only. Odd seeds run with three shards. The new faults have random numbers of their own, so that the seeds that failed before keep theirs.

--- a/goldcrestd/node/node.go
+++ b/goldcrestd/node/node.go
@@ -57,6 +57,8 @@
 	MetricsPort uint16
 	// ShardWorkers is the most workers of a shard when the cell is divided.
 	ShardWorkers int
+	// Advertise is where other daemons reach this one; zero means the address that it listens on.
+	Advertise netip.AddrPort
 	// Out gets the log.
 	Out io.Writer
 }
@@ -107,9 +109,13 @@
 	scope, closer, handler := metrics.New(log, metricsInterval)
 	n.metrics = closer
 	runners := &platform.Runners{Client: n.client, Log: log}
+	reached := s.Peer
+	if cfg.Advertise.IsValid() {
+		reached = cfg.Advertise
+	}
 	n.daemon, err = cell.New(cell.Config{
 		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place, Cores: s.Cores, MaxLease: s.MaxLease, ShardWorkers: cfg.ShardWorkers,
-		PeerAddr: s.Peer, Listener: peers, Store: store, Lister: runners, Workers: runners,
+		PeerAddr: reached, Listener: peers, Store: store, Lister: runners, Workers: runners,
 		Advice: &platform.Advisor{Client: n.client, Addr: s.Advice}, Reader: platform.Manifest{},
 		Log: log, Metrics: scope, PaidLink: paidlink.New(paidlink.Config{Self: s.Place.Region, Metrics: scope}),
 	})
--- a/goldcrestd/nodecmd.go
+++ b/goldcrestd/nodecmd.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"strconv"
@@ -30,9 +31,37 @@
 	cmd.Flags().Uint16(metricsPort.flag, node.DefaultMetricsPort, "port of the metrics, also set by "+metricsPort.variable)
 	cmd.Flags().Uint16(shardWorkers.flag, node.DefaultShardWorkers,
 		"most workers of a shard when the cell is divided at its first start, also set by "+shardWorkers.variable)
+	cmd.Flags().String(advertiseFlag, "", "IP address and port at which other daemons reach this one if it is not the address\n"+
+		"that it listens on, also set by "+advertiseVariable)
 	return cmd
 }
 
+// Setting of the address that other daemons are told. The flag goes before the variable.
+const (
+	advertiseFlag     = "advertise-addr"
+	advertiseVariable = "GOLDCRESTD_ADVERTISE_ADDR"
+)
+
+// advertised returns the address of the flag or the variable, and zero if neither is set.
+func advertised(cmd *cobra.Command) (netip.AddrPort, error) {
+	given, err := cmd.Flags().GetString(advertiseFlag)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	name := "--" + advertiseFlag
+	if given == "" {
+		given, name = os.Getenv(advertiseVariable), advertiseVariable
+	}
+	if given == "" {
+		return netip.AddrPort{}, nil
+	}
+	addr, err := netip.ParseAddrPort(given)
+	if err != nil || addr.Addr().IsUnspecified() || addr.Port() == 0 {
+		return netip.AddrPort{}, &usageError{fmt.Errorf("%s is %q; an IP address and a port are needed", name, given)}
+	}
+	return addr, nil
+}
+
 // numberSetting is a number that a flag or an environment variable sets; the flag goes before the variable.
 type numberSetting struct {
 	flag     string
@@ -74,8 +103,12 @@
 	if err != nil {
 		return err
 	}
+	addr, err := advertised(cmd)
+	if err != nil {
+		return err
+	}
 	err = node.Run(ctx, node.Config{
-		Settings: os.Getenv(platform.SettingsVariable), MetricsPort: port, ShardWorkers: int(workers), Out: cmd.OutOrStdout(),
+		Settings: os.Getenv(platform.SettingsVariable), MetricsPort: port, ShardWorkers: int(workers), Advertise: addr, Out: cmd.OutOrStdout(),
 	})
 	var setting *platform.Error
 	if errors.As(err, &setting) && setting.Kind == platform.KindSetting {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -34,7 +34,9 @@
 	length  time.Duration
 	daemons int
 	runners int
-	binary  string
+	// shardWorkers is the most runners of a shard.
+	shardWorkers int
+	binary       string
 	// dir gets the settings and the logs of the daemons.
 	dir string
 	out io.Writer
@@ -70,7 +72,7 @@
 		return d, err
 	}
 	for i := range cfg.daemons {
-		p, err := newProcess(fmt.Sprintf("entry-%d", i), cfg.binary, cfg.dir, store, advice)
+		p, err := newProcess(cfg, fmt.Sprintf("entry-%d", i), store, advice)
 		if err != nil {
 			return d, err
 		}
@@ -115,8 +117,9 @@
 
 // run plays the faults of the seed and returns what was wrong.
 func (d *deployment) run(ctx context.Context) ([]string, error) {
-	rnd := seeded(d.cfg.seed)
+	rnd := seeded(d.cfg.seed, 0)
 	schedule := newSchedule(rnd, d.cfg.length, d.cfg.daemons, d.cfg.runners)
+	schedule = append(schedule, newFurtherFaults(seeded(d.cfg.seed, 1), d.cfg.length, d.cfg.daemons)...)
 	var jobs []*job
 	for at := time.Duration(0); at < d.cfg.length; at += time.Duration(rnd.Int64N(int64(2 * jobPause))) {
 		jobs = append(jobs, newJob(rnd, at))
@@ -219,6 +222,12 @@
 
 // soak plays one seed and removes the logs of a run without violations.
 func soak(ctx context.Context, cfg config) error {
+	if cfg.shardWorkers == 0 {
+		cfg.shardWorkers = cfg.runners
+		if cfg.seed%2 == 1 {
+			cfg.shardWorkers = (cfg.runners + 2) / 3
+		}
+	}
 	cfg.dir = filepath.Join(cfg.dir, fmt.Sprintf("seed-%d", cfg.seed))
 	if err := os.RemoveAll(cfg.dir); err != nil {
 		return err
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"math/rand/v2"
 	"syscall"
 	"time"
@@ -22,8 +23,8 @@
 	lostAnswers = 12
 )
 
-// seeded returns the random numbers of a run.
-func seeded(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 0)) }
+// seeded returns one of the sequences of random numbers of a run.
+func seeded(seed, sequence uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, sequence)) }
 
 // newSchedule draws the faults of a run; several may overlap.
 func newSchedule(rnd *rand.Rand, length time.Duration, daemons, runners int) []fault {
@@ -34,6 +35,44 @@
 	return schedule
 }
 
+// newCut draws how a proxy holds up or delays bytes for a time.
+func newCut(rnd *rand.Rand, at, span time.Duration, name string, p func(*deployment) *proxy) fault {
+	kind := passage(1 + rnd.IntN(int(passNothing)))
+	return fault{at, fmt.Sprintf("%s: %s for %s", name, kind, span), func(d *deployment) {
+		p(d).set(kind)
+		time.Sleep(span)
+		p(d).set(passOpen)
+	}}
+}
+
+// newFurtherFaults draws faults between daemons and of parts of the store. They
+// have random numbers of their own, so that seeds keep the faults of newSchedule.
+func newFurtherFaults(rnd *rand.Rand, length time.Duration, daemons int) []fault {
+	var list []fault
+	for at := time.Second; at < length; at += time.Duration(rnd.Int64N(int64(4 * time.Second))) {
+		span := time.Duration(rnd.Int64N(int64(longestFault)))
+		n := rnd.IntN(daemons)
+		peers := func(d *deployment) *proxy { return d.processes[n].peers }
+		switch rnd.IntN(3) {
+		case 0:
+			list = append(list, newCut(rnd, at, span, fmt.Sprintf("other daemons and daemon %d", n), peers))
+		case 1:
+			list = append(list, fault{at, fmt.Sprintf("connections of other daemons to daemon %d are reset", n), func(d *deployment) { peers(d).reset() }})
+		default:
+			share, salt := uint32(1+rnd.IntN(downParts/2)), rnd.Uint32()
+			list = append(list, fault{at, fmt.Sprintf("%d of %d parts of the store are down for %s", share, downParts, span), func(d *deployment) {
+				d.store.SetPartsDown(func(part string) bool { return (crc32.ChecksumIEEE([]byte(part))^salt)%downParts < share })
+				time.Sleep(span)
+				d.store.SetPartsDown(nil)
+			}})
+		}
+	}
+	return list
+}
+
+// downParts divides the parts of the store; half of them at most are down.
+const downParts = 8
+
 // newFaults draws a fault, or a series of one kind on several daemons.
 func newFaults(rnd *rand.Rand, at time.Duration, daemons, runners int) []fault {
 	span := time.Duration(rnd.Int64N(int64(longestFault)))
@@ -48,12 +87,7 @@
 		return list
 	}
 	cut := func(name string, p func(*deployment) *proxy) []fault {
-		kind := passage(1 + rnd.IntN(int(passNothing)))
-		return one(fmt.Sprintf("%s: %s for %s", name, kind, span), func(d *deployment) {
-			p(d).set(kind)
-			time.Sleep(span)
-			p(d).set(passOpen)
-		})
+		return []fault{newCut(rnd, at, span, name, p)}
 	}
 	switch rnd.IntN(11) {
 	case 0:
--- a/soak/process.go
+++ b/soak/process.go
@@ -36,6 +36,10 @@
 	reserved *loopback.Reservation
 	store    *proxy
 	advice   *proxy
+	// peers passes the connections of other daemons on.
+	peers *proxy
+	// shardWorkers is the setting of the daemon.
+	shardWorkers int
 
 	mu      sync.Mutex
 	cmd     *exec.Cmd
@@ -51,8 +55,8 @@
 }
 
 // newProcess writes the settings of a daemon; start runs it.
-func newProcess(name, binary, dir, storeAddr, adviceAddr string) (*process, error) {
-	p := &process{name: name, binary: binary, dir: dir, done: make(chan struct{})}
+func newProcess(cfg config, name, storeAddr, adviceAddr string) (*process, error) {
+	p := &process{name: name, binary: cfg.binary, dir: cfg.dir, shardWorkers: cfg.shardWorkers, done: make(chan struct{})}
 	var err error
 	if p.store, err = newProxy(storeAddr); err != nil {
 		return nil, err
@@ -65,6 +69,9 @@
 	}
 	front, ready, internal, metrics := p.reserved.Addrs[0], p.reserved.Addrs[1], p.reserved.Addrs[2], p.reserved.Addrs[3]
 	p.front, p.metrics = front.String(), metrics.Port()
+	if p.peers, err = newProxy(internal.String()); err != nil {
+		return nil, err
+	}
 	settings := fmt.Sprintf(`node_name: %q
 ip: "127.0.0.1"
 zone: "a"
@@ -96,7 +103,8 @@
 		return false
 	}
 	defer func() { _ = log.Close() }()
-	cmd := exec.Command(p.binary, "node", "--metrics-port", fmt.Sprint(p.metrics))
+	cmd := exec.Command(p.binary, "node", "--metrics-port", fmt.Sprint(p.metrics), "--advertise-addr", p.peers.addr(),
+		"--shard-workers", fmt.Sprint(p.shardWorkers))
 	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+p.settings())
 	cmd.Stdout, cmd.Stderr = log, log
 	p.mu.Lock()
@@ -172,5 +180,5 @@
 	<-p.done
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return errors.Join(p.unclean, p.store.Close(), p.advice.Close(), p.reserved.Close())
+	return errors.Join(p.unclean, p.store.Close(), p.advice.Close(), p.peers.Close(), p.reserved.Close())
 }
--- a/soak/rootcmd.go
+++ b/soak/rootcmd.go
@@ -20,6 +20,7 @@
 	daemonsFlag = "daemons"
 	runnersFlag = "runners"
 	logsFlag    = "logs"
+	shardFlag   = "shard-workers"
 )
 
 func newRootCmd() *cobra.Command {
@@ -40,6 +41,7 @@
 	cmd.Flags().Duration(lengthFlag, 15*time.Second, "time in which faults and jobs come")
 	cmd.Flags().Int(daemonsFlag, 4, "number of daemons")
 	cmd.Flags().Int(runnersFlag, 8, "number of runners")
+	cmd.Flags().Int(shardFlag, 0, "most runners of a shard; 0 takes one shard for even seeds and three for odd ones")
 	cmd.Flags().String(logsFlag, filepath.Join(os.TempDir(), "goldcrest-soak"), "folder for settings and logs")
 	return cmd
 }
@@ -47,7 +49,7 @@
 func runRootCmd(cmd *cobra.Command, _ []string) error {
 	flags := cmd.Flags()
 	cfg := config{out: cmd.OutOrStdout()}
-	var errs [6]error
+	var errs [7]error
 	var seeds int
 	cfg.seed, errs[0] = flags.GetUint64(seedFlag)
 	seeds, errs[1] = flags.GetInt(seedsFlag)
@@ -55,6 +57,7 @@
 	cfg.daemons, errs[3] = flags.GetInt(daemonsFlag)
 	cfg.runners, errs[4] = flags.GetInt(runnersFlag)
 	cfg.dir, errs[5] = flags.GetString(logsFlag)
+	cfg.shardWorkers, errs[6] = flags.GetInt(shardFlag)
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -40,7 +41,7 @@
 func TestScheduleRepeats(t *testing.T) {
 	is := is.New(t)
 	names := func() (list []string) {
-		for _, f := range newSchedule(seeded(5), time.Minute, 4, 8) {
+		for _, f := range slices.Concat(newSchedule(seeded(5, 0), time.Minute, 4, 8), newFurtherFaults(seeded(5, 1), time.Minute, 4)) {
 			list = append(list, fmt.Sprint(f.at, f.name))
 		}
 		return list
