perf: few bytes cross regions when a large cell starts

The log of a trial of that size shows that they lose the store one second after their start and have it back 12 s later, when the link between the regions is free: each of them reads the rows of all 297 members, and as they hear nothing of the division of the cell, dozens read the list of 3,000 workers to divide it.

Ruled out: the number of calls, which is below the rates of the store; the processor, as the same happens when none is charged.

Change: every fourth VM is a candidate. In a cell with more than 16 candidates only they are hubs or own shards and only their rows are read; the other members stand in a table of their own, which is read only if the cell is not large. The cell is divided by daemons near the store, one after the other. Rows of members have short names.

--- a/cluster/cell/advise.go
+++ b/cluster/cell/advise.go
@@ -133,14 +133,21 @@
 	return reply, nil
 }
 
+// forgetPeer is the silence after which a daemon is not expected back under its identifier.
+const forgetPeer = time.Minute
+
 // reachable returns this daemon and those that it hears.
 func (d *Daemon) reachable() []cluster.DaemonID {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	list := []cluster.DaemonID{d.cfg.Self}
-	for _, m := range d.members {
-		if d.available(m) {
-			list = append(list, cluster.DaemonID(m.ID))
+	for id, digest := range d.peers {
+		silence := time.Since(d.transport.LastHeard(id))
+		switch {
+		case silence > forgetPeer:
+			delete(d.peers, id)
+		case silence < ownerSilence && !digest.Draining:
+			list = append(list, id)
 		}
 	}
 	return list
--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -70,7 +70,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	o := d.owners[id]
-	if d.pools[id] != nil || !d.ownerLost(o) {
+	if d.pools[id] != nil || !d.ownerLost(o) || !d.carries() {
 		delete(d.lostSince, id)
 		return o, false
 	}
@@ -82,6 +82,9 @@
 	return o, time.Since(since) >= d.claimDelay()
 }
 
+// carries reports whether this daemon may own shards; d.mu is held.
+func (d *Daemon) carries() bool { return candidate(d.cfg.VM) || !largeCell(d.members) }
+
 // claimDelay returns how long this daemon leaves a pool without an owner to
 // others: to those nearer to the store, with fewer pools or with more of a
 // processor. d.mu is held.
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -31,6 +31,8 @@
 	probeTimeout = 800 * time.Millisecond
 	// cellFeedWait bounds the silence of the feed of members and owners, which shows that the store answers.
 	cellFeedWait = 2 * time.Second
+	// memberFeedWait bounds the silence of the feed of members that are no candidates.
+	memberFeedWait = 10 * time.Second
 	// largeCellPause is the mean pause between two reads of the feed of members and owners in a large cell.
 	largeCellPause = 300 * time.Millisecond
 	// configFeedWait and jobFeedWait bound the silence of the other feeds. A feed
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -35,6 +35,8 @@
 
 	config  atomic.Pointer[configState]
 	leaving atomic.Bool
+	// cellRead is closed when the rows of the cell were read for the first time.
+	cellRead chan struct{}
 	// division is nil until the division of the cell is known.
 	division atomic.Pointer[divisionRow]
 	// lastWorkers is the length of the last list of workers; used by claimLoop only.
@@ -71,7 +73,7 @@
 		cfg.Metrics = tally.NoopScope
 	}
 	d := &Daemon{
-		cfg: cfg, calls: newCalls(), started: time.Now(),
+		cfg: cfg, calls: newCalls(), started: time.Now(), cellRead: make(chan struct{}),
 		members: map[string]memberRow{}, owners: map[shardID]ownership{}, pools: map[shardID]*ownedPool{},
 		peers: map[cluster.DaemonID]peer.Digest{}, lostSince: map[shardID]time.Time{},
 	}
@@ -96,6 +98,7 @@
 	d.wg.Go(d.joinCell)
 	d.wg.Go(d.followConfig)
 	d.wg.Go(d.followCell)
+	d.wg.Go(d.followMembers)
 	d.wg.Go(d.claimLoop)
 	for part := range jobParts {
 		d.wg.Go(func() { d.intake.run(part) })
@@ -229,32 +232,63 @@
 	}
 }
 
-// followCell keeps the members and the owners of the pools. In a large cell it
-// pauses after each change, so that daemons that start together do not each
+// followCell keeps the candidates and the owners of the shards. In a large cell
+// it pauses after each change, so that daemons that start together do not each
 // read every row of the others by itself.
 func (d *Daemon) followCell() {
+	var read sync.Once
 	d.follow(d.ctx, "cell", []string{cellTable}, cellTable, cellFeedWait, func(rows []platform.Row, whole bool) {
-		if d.applyCell(rows, whole) > meshMembers {
+		large := d.applyCell(rows, whole, candidate)
+		read.Do(func() { close(d.cellRead) })
+		if large {
 			d.sleep(largeCellPause/2 + rand.N(largeCellPause))
 		}
 	})
 }
 
-// applyCell takes rows of the cell over and returns the number of members.
-func (d *Daemon) applyCell(rows []platform.Row, whole bool) int {
+// followMembers keeps the members that are no candidates, unless the cell is
+// large: their rows would be most of what its daemons read from the store.
+func (d *Daemon) followMembers() {
+	ctx, stop := context.WithCancel(d.ctx)
+	defer stop()
+	select {
+	case <-d.cellRead:
+	case <-ctx.Done():
+	}
+	d.mu.Lock()
+	large := largeCell(d.members)
+	d.mu.Unlock()
+	if large {
+		return
+	}
+	d.follow(ctx, "members", []string{membersTable}, membersTable, memberFeedWait, func(rows []platform.Row, whole bool) {
+		if d.applyCell(rows, whole, func(vm string) bool { return !candidate(vm) }) {
+			d.cfg.Log.Info().Msg("cell: the cell is large; following its candidates only")
+			stop()
+		}
+	})
+}
+
+// applyCell takes rows of the cell over and returns whether it is large. If the
+// rows are whole, they replace those of the VMs that belongs selects.
+func (d *Daemon) applyCell(rows []platform.Row, whole bool, belongs func(vm string) bool) bool {
 	d.mu.Lock()
 	if whole {
-		d.members = map[string]memberRow{}
+		maps.DeleteFunc(d.members, func(vm string, _ memberRow) bool { return belongs(vm) })
 	}
 	for _, r := range rows {
 		if err := d.applyCellRow(r); err != nil {
 			d.cfg.Log.Error().Err(err).Str("row", r.Key).Msg("cell: row is left out")
 		}
 	}
-	peers, members := d.peerList(), len(d.members)
+	large := largeCell(d.members)
+	if large {
+		maps.DeleteFunc(d.members, func(vm string, _ memberRow) bool { return !candidate(vm) })
+	}
+	peers := d.peerList()
 	d.mu.Unlock()
 	d.transport.SetPeers(peers)
-	return members
+	return large
 }
 
 func (d *Daemon) applyCellRow(r platform.Row) error {
@@ -305,7 +339,7 @@
 	for _, o := range d.owners {
 		owners[o.row.Owner] = true
 	}
-	for _, m := range connectedMembers(string(d.cfg.Self), slices.Collect(maps.Values(d.members)), owners) {
+	for _, m := range connectedMembers(d.members, owners) {
 		addr, err := m.addr()
 		if err != nil {
 			d.cfg.Log.Error().Err(err).Msg("cell: member is left out")
--- a/cluster/cell/mesh.go
+++ b/cluster/cell/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 
@@ -9,30 +10,47 @@
 )
 
 const (
-	// meshMembers is the number of members up to which each is connected to every other one.
-	meshMembers = 48
-	// hubMembers is the number of members that are connected to all in a larger cell.
+	// candidateShare makes every fourth VM a candidate. In a large cell only
+	// candidates are hubs or own shards, and only their rows are read by all.
+	candidateShare = 4
+	// largeCandidates is the number of candidates above which a cell is large, at some 64 members. In a
+	// smaller one each member is connected to every other one.
+	largeCandidates = 16
+	// hubMembers is the number of candidates that are connected to all members of a large cell.
 	hubMembers = 16
 )
 
-// connectedMembers returns the members that a daemon keeps connections to. In a
-// large cell these are the hubs, which have the most processor, and the owners
-// of pools; hubs and owners are connected to all.
-func connectedMembers(self string, members []memberRow, owners map[string]bool) []memberRow {
-	if len(members) <= meshMembers {
-		return members
+// candidate reports whether a VM is one of those that carry a large cell.
+func candidate(vm string) bool { return spread(vm)%candidateShare == 0 }
+
+// largeCell reports whether a cell with these members is large.
+func largeCell(members map[string]memberRow) bool {
+	n := 0
+	for vm := range members {
+		if candidate(vm) {
+			n++
+		}
 	}
-	slices.SortFunc(members, compareMembers)
-	list := slices.Clone(members[:hubMembers])
-	if owners[self] || slices.ContainsFunc(list, func(m memberRow) bool { return m.ID == self }) {
-		return members
+	return n > largeCandidates
+}
+
+// connectedMembers returns the members that a daemon opens connections to. In a
+// large cell these are the hubs, which are the candidates with the most
+// processor, and the owners of shards.
+func connectedMembers(members map[string]memberRow, owners map[string]bool) []memberRow {
+	if !largeCell(members) {
+		return slices.Collect(maps.Values(members))
 	}
-	for _, m := range members[hubMembers:] {
-		if owners[m.ID] {
+	var list []memberRow
+	for vm, m := range members {
+		if candidate(vm) {
 			list = append(list, m)
 		}
 	}
-	return list
+	slices.SortFunc(list, compareMembers)
+	hubs, others := list[:hubMembers], list[hubMembers:]
+	others = slices.DeleteFunc(others, func(m memberRow) bool { return !owners[m.ID] })
+	return slices.Concat(hubs, others)
 }
 
 // compareMembers puts the members with the most processor first.
--- a/cluster/cell/records.go
+++ b/cluster/cell/records.go
@@ -164,19 +164,18 @@
 	if err != nil {
 		return false, err
 	}
-	for _, r := range reply.Rows {
-		row, err := decode[sequenceRow]("read record", r.Value)
-		if err != nil {
+	var row sequenceRow
+	if len(reply.Rows) > 0 {
+		if row, err = decode[sequenceRow]("read record", reply.Rows[0].Value); err != nil {
 			return false, err
 		}
-		if row.Epoch != uint64(p.epoch) {
-			break
-		}
-		p.records.sequences[part] = r.Version
-		return row.Generation == generation, nil
 	}
-	p.lose("the records have another owner")
-	return false, &Error{Op: "record", Kind: KindUnavailable, Err: errNotOwner}
+	if row.Epoch != uint64(p.epoch) {
+		p.lose("the records have another owner")
+		return false, &Error{Op: "record", Kind: KindUnavailable, Err: errNotOwner}
+	}
+	p.records.sequences[part] = reply.Rows[0].Version
+	return row.Generation == generation, nil
 }
 
 func (p *ownedPool) recordTxn(part int, e *pool.Record) (platform.Txn, error) {
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -17,7 +17,8 @@
 // Rows of a cell. A key is table/part/name; the rows of one transaction share a part.
 //
 //	cell//division               the number of shards of every pool
-//	cell/<part>/member.<VM>      a daemon that runs
+//	cell/<part>/member.<VM>      a daemon that runs, of a candidate
+//	members/<part>/member.<VM>   another daemon that runs
 //	cell/<shard>/owner           the owner and the epoch of a shard
 //	progress/<shard>/sequence    the last record of the owner
 //	progress/<shard>/workers     the workers that owners may have given orders to
@@ -32,6 +33,7 @@
 // two parts once.
 const (
 	cellTable      = "cell/"
+	membersTable   = "members/"
 	divisionKey    = "cell//division"
 	jobsPrefix     = "jobs"
 	memberPrefix   = "member."
@@ -46,7 +48,11 @@
 )
 
 func memberKey(vm string) string {
-	return cellTable + "members-" + strconv.Itoa(int(xxhash.Sum64String(vm)%memberParts)) + "/" + memberPrefix + vm
+	table := membersTable
+	if candidate(vm) {
+		table = cellTable
+	}
+	return table + "members-" + strconv.Itoa(int(spread(vm)/candidateShare%memberParts)) + "/" + memberPrefix + vm
 }
 func ownerKey(id shardID) string { return cellTable + id.String() + "/owner" }
 
@@ -101,14 +107,15 @@
 // lastPart returns what stands behind the last slash of a key.
 func lastPart(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
-// memberRow is the row of a daemon.
+// memberRow is the row of a daemon. Its names are short in the store, as every
+// daemon reads the rows of many.
 type memberRow struct {
-	ID     string
-	Addr   string
-	Region string
-	Zone   string
+	ID     string `msgpack:"i"`
+	Addr   string `msgpack:"a"`
+	Region string `msgpack:"r"`
+	Zone   string `msgpack:"z"`
 	// Cores is the processor share of the VM.
-	Cores float64
+	Cores float64 `msgpack:"c"`
 }
 
 // ownerRow is the row of a pool's owner; an empty Owner has released the pool.
--- a/cluster/cell/shard.go
+++ b/cluster/cell/shard.go
@@ -24,8 +24,11 @@
 	maxShards = 64
 	// shardRacks is the number of racks for each shard below which racks are divided, so that no shard has far fewer workers.
 	shardRacks = 8
-	// divideStagger is the delay between two daemons that may divide the cell.
-	divideStagger = 100 * time.Millisecond
+	// divideStagger is the delay between two daemons that may divide the cell, and
+	// divideDistance what their distance from the store counts beside that of a
+	// claim: each of them reads the whole list of workers.
+	divideStagger  = 250 * time.Millisecond
+	divideDistance = 4
 )
 
 // shardID identifies a shard of the pool of a service. Each shard has workers,
@@ -161,14 +164,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	members := slices.SortedFunc(maps.Values(d.members), compareMembers)
-	if len(members) == 0 {
+	if len(members) == 0 || !d.carries() {
 		return false
 	}
 	if d.undivided.IsZero() {
 		d.undivided = time.Now()
 	}
 	rank := slices.IndexFunc(members, func(m memberRow) bool { return m.ID == string(d.cfg.Self) })
-	return time.Since(d.undivided) >= d.claimDelay()+time.Duration(max(rank, 0))*divideStagger
+	return time.Since(d.undivided) >= divideDistance*d.claimDelay()+time.Duration(max(rank, 0))*divideStagger
 }
 
 func (d *Daemon) setDivision(row divisionRow) {
