fix: the oldest step of a team gets what its limit has left in all shards

A gang that fits into the limit of its team, but not into the share of its shard, asks the other shards. Each of these kept what its own waiting gangs need, which is more than its share as well, so that none ever ran.

Ruled out: room and advice; the log has no question about the steps after second 27, and the shards lend parts of other teams' limits all the while.

Change: a shard keeps what its tasks use and what steps wait for that began before the one that asks. Of all steps of a team the oldest gets what is free.

Before: TestOldestStepGetsTheLimit fails (nothing is lent to the older gang). After: it passes.

--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
@@ -43,6 +44,8 @@
 	To     int
 	Team   string
 	Wanted int
+	// SinceMS is when the step that asks began to wait, in Unix milliseconds.
+	SinceMS int64
 }
 
 type lendReply struct {
@@ -181,7 +184,7 @@
 		return lendReply{}, &Error{Op: "lend", Kind: KindMalformed}
 	}
 	given := 0
-	if !p.query(func(s *pool.Scheduler) { given = s.Lend(cluster.TeamName(r.Team), r.Wanted) }) {
+	if !p.query(func(s *pool.Scheduler) { given = s.Lend(cluster.TeamName(r.Team), r.Wanted, time.UnixMilli(r.SinceMS)) }) {
 		return lendReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
 	}
 	if given > 0 {
@@ -224,7 +227,9 @@
 		if from == p.id || missing <= 0 || p.ctx.Err() != nil {
 			continue
 		}
-		reply, err := p.askShare(from, lendRequest{Shard: from.String(), To: p.id.Index, Team: string(e.Team), Wanted: missing})
+		reply, err := p.askShare(from, lendRequest{
+			Shard: from.String(), To: p.id.Index, Team: string(e.Team), Wanted: missing, SinceMS: e.Since.UnixMilli(),
+		})
 		if err != nil {
 			p.d.cfg.Log.Debug().Err(err).Stringer("shard", p.id).Stringer("from", from).Msg("cell: no part of a limit lent")
 			continue
--- a/cluster/pool/event.go
+++ b/cluster/pool/event.go
@@ -148,6 +148,8 @@
 	Team cluster.TeamName
 	// Missing is the number of parts in units of WholeLimit.
 	Missing int
+	// Since is when the step that needs them began to wait.
+	Since time.Time
 }
 
 // Superseded says that a worker has seen the fencing token of a later owner.
--- a/cluster/pool/share.go
+++ b/cluster/pool/share.go
@@ -62,31 +62,34 @@
 		return true
 	}
 	if s.cfg.Shards > 1 && needed <= WholeLimit {
-		s.seekShare(team.Name, shareOf(running.Add(st.spec.Size.Times(int64(max(n, st.waiting)))), team.Limit))
+		s.seekShare(st, shareOf(running.Add(st.spec.Size.Times(int64(max(n, st.waiting)))), team.Limit))
 	}
 	return false
 }
 
-// seekShare asks for what a team's share lacks.
-func (s *Scheduler) seekShare(team cluster.TeamName, needed int) {
+// seekShare asks for what the share of a step's team lacks.
+func (s *Scheduler) seekShare(st *step, needed int) {
+	team := st.job.spec.Team
 	u := s.team(team)
 	if s.now.Before(u.askAfter) {
 		return
 	}
 	u.askAfter = s.now.Add(shareRetry)
-	s.emit(&SeekShare{Team: team, Missing: min(needed, WholeLimit) - s.share(team)})
+	s.emit(&SeekShare{Team: team, Missing: min(needed, WholeLimit) - s.share(team), Since: st.begin})
 }
 
 // Lend takes up to a number of parts of a team's limit out of this shard's share
-// and returns how many. What the team's tasks use and wait for here stays.
-func (s *Scheduler) Lend(name cluster.TeamName, wanted int) int {
+// and returns how many. What the team's tasks use stays, and what steps wait for
+// that have waited since before the step that asks; so the oldest step of a team
+// gets what is free in all shards, however the others wait for one another.
+func (s *Scheduler) Lend(name cluster.TeamName, wanted int, since time.Time) int {
 	team := s.snapshot.Teams[name]
 	if team == nil || s.stopped || !s.settled {
 		return 0
 	}
 	needed := s.team(name).running.Add(s.team(name).unseen)
 	for _, st := range s.open {
-		if st.job.spec.Team == name && st.waiting > 0 && s.startable(st) {
+		if st.job.spec.Team == name && st.waiting > 0 && st.begin.Before(since) && s.startable(st) {
 			needed = needed.Add(st.spec.Size.Times(int64(st.waiting)))
 		}
 	}
--- a/cluster/pool/share_test.go
+++ b/cluster/pool/share_test.go
@@ -52,14 +52,30 @@
 	w := shardWorld()
 	w.submit(wideJob("0000000000000001", 4))
 	w.run(time.Second)
-	is.Equal(w.owner.Lend(worldTeam, 9000), EqualShare(0, 2)-3334) // 8 of 24 cores are in use
-	is.Equal(w.owner.Lend(worldTeam, 9000), 0)
+	is.Equal(w.owner.Lend(worldTeam, 9000, w.now), EqualShare(0, 2)-3334) // 8 of 24 cores are in use
+	is.Equal(w.owner.Lend(worldTeam, 9000, w.now), 0)
 	w.submit(wideJob("0000000000000002", 2))
 	w.run(time.Second)
 	is.Equal(w.runningTasks(), 4) // the second job waits for a larger share
 	w.inbox = append(w.inbox, &SharesChanged{Shares: map[cluster.TeamName]int{worldTeam: 5000}})
 	w.run(worldTick)
-	is.Equal(w.owner.Lend(worldTeam, 9000), 0) // 12 cores are in use
+	is.Equal(w.owner.Lend(worldTeam, 9000, w.now), 0) // 12 cores are in use
+}
+
+// Guards against shards that each keep their part of a limit for a gang which
+// fits into the whole of it only, so that none of them ever runs.
+func TestOldestStepGetsTheLimit(t *testing.T) {
+	is := is.New(t)
+	w := shardWorld()
+	gang := wideJob("0000000000000001", 8)
+	gang.Steps[0].Gang = true
+	began := w.now
+	w.submit(gang)
+	w.run(time.Second)
+	is.Equal(w.runningTasks(), 0) // 16 of 24 cores are needed, 12 are at hand
+	is.Equal(w.shareWanted[worldTeam], 6667-5000)
+	is.Equal(w.owner.Lend(worldTeam, 9000, began.Add(time.Millisecond)), 0) // the other gang is younger
+	is.Equal(w.owner.Lend(worldTeam, 9000, began.Add(-time.Millisecond)), 5000)
 }
 
 // Guards against equal shares that do not add up to the limit.
