--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -51,9 +51,7 @@
 func TestRecordsGoToAnotherPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &rowStore{rows: map[string]platform.Row{}}
-		d := newTestDaemon(t, store)
-		defer d.stop()
+		store, d := newStoreDaemon(t)
 		first, _ := newRecorder(t, d, 1)
 		first.record(recordDone(t, 1, 0, "a"))
 		store.setDown(progressPart(testShard, 0))
@@ -72,9 +70,7 @@
 // Guards against an owner that begins without what one of the parts holds.
 func TestLoadNeedsEveryPart(t *testing.T) {
 	is := is.New(t)
-	store := &rowStore{rows: map[string]platform.Row{}}
-	d := newTestDaemon(t, store)
-	defer d.stop()
+	store, d := newStoreDaemon(t)
 	for part := range recordParts {
 		store.setDown(progressPart(testShard, part))
 		_, err := newOwnedPool(d, testShard, 1, 1, time.Now(), true).loadRecords()
@@ -87,9 +83,7 @@
 func TestLateRecordOfEarlierOwnerFails(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &rowStore{rows: map[string]platform.Row{}}
-		d := newTestDaemon(t, store)
-		defer d.stop()
+		store, d := newStoreDaemon(t)
 		first, _ := newRecorder(t, d, 1)
 		store.late = time.Second
 		_, err := store.Commit(t.Context(), must(first.recordTxn(0, recordDone(t, 1, 0))))
@@ -112,9 +106,7 @@
 func TestRecordWithLostAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &rowStore{rows: map[string]platform.Row{}}
-		d := newTestDaemon(t, store)
-		defer d.stop()
+		store, d := newStoreDaemon(t)
 		p, _ := newRecorder(t, d, 1)
 		store.late = time.Millisecond
 		p.record(recordDone(t, 1, 0))
@@ -143,10 +135,7 @@
 func TestSubmissionGoesToAnotherPart(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &rowStore{rows: map[string]platform.Row{}}
-		d := newTestDaemon(t, store)
-		defer d.wg.Wait()
-		defer d.stop()
+		store, d := newStoreDaemon(t)
 		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // the store counts as visible
 		is.NoErr(err)
 		for part := range jobParts {
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -121,10 +121,24 @@
 	return p
 }
 
-func newSplitDaemon(t *testing.T, store *rowStore) *Daemon {
+// newStoreDaemon returns a daemon of a cell with one shard and its store.
+func newStoreDaemon(t *testing.T) (*rowStore, *Daemon) {
+	t.Helper()
+	store := &rowStore{rows: map[string]platform.Row{}}
 	d := newTestDaemon(t, store)
+	t.Cleanup(func() {
+		d.stop()
+		d.wg.Wait()
+	})
+	return store, d
+}
+
+// newSplitDaemon returns a daemon of a cell with three shards and its store.
+func newSplitDaemon(t *testing.T) (*rowStore, *Daemon) {
+	t.Helper()
+	store, d := newStoreDaemon(t)
 	d.division.Store(&divisionRow{Shards: 3})
-	return d
+	return store, d
 }
 
 // sharesInStore returns the shares of the team as the store has them.
@@ -147,10 +161,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				store := &rowStore{rows: map[string]platform.Row{}}
-				d := newSplitDaemon(t, store)
-				defer d.wg.Wait()
-				defer d.stop()
+				store, d := newSplitDaemon(t)
 				p := newShardOwner(t, d, 0, 1)
 				store.late = c.late
 				reply, err := p.lend(lendRequest{To: 2, Team: splitTeam, Wanted: 1000})
@@ -169,10 +180,7 @@
 func TestReplacedOwnerLendsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &rowStore{rows: map[string]platform.Row{}}
-		d := newSplitDaemon(t, store)
-		defer d.wg.Wait()
-		defer d.stop()
+		store, d := newSplitDaemon(t)
 		before := newShardOwner(t, d, 0, 1)
 		after := newShardOwner(t, d, 0, 2)
 		_, err := before.lend(lendRequest{To: 1, Team: splitTeam, Wanted: 500})
@@ -189,10 +197,7 @@
 func TestOwnersLendAtTheSameTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &rowStore{rows: map[string]platform.Row{}}
-		d := newSplitDaemon(t, store)
-		defer d.wg.Wait()
-		defer d.stop()
+		store, d := newSplitDaemon(t)
 		owners := []*ownedPool{newShardOwner(t, d, 0, 1), newShardOwner(t, d, 1, 1), newShardOwner(t, d, 2, 1)}
 		var lenders conc.WaitGroup
 		for i, p := range owners {
