fix: the list of runners is read whole again

The runners write their entries again at each heartbeat, so that the feed brings 200 rows a second for 300 runners and 2,000 for 3,000, and an answer has 500 at most.

Ruled out: the lag of the platform's list alone, as the feed from a settled version, which allows for it, broke DRAIN more often.

The list is read whole every 0.6 s, and every second if it has more than 1,000 entries.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -61,6 +61,10 @@
 	claimYield = time.Second
 	// listInterval is the time between two reads of the list of workers.
 	listInterval = 600 * time.Millisecond
+	// largeListInterval is that of a list of more than largeList workers, which takes
+	// a fifth of a second to read and decode. A runner that drains must get no task after 3 s.
+	largeListInterval = time.Second
+	largeList         = 1000
 	// gatherTime is how long the control loop collects events before a step. After
 	// a step that took long it collects for gatherShare times as long, at most for
 	// maxGatherTime, so that orders and answers get their part of the processor.
--- a/cluster/cell/pool.go
+++ b/cluster/cell/pool.go
@@ -204,16 +204,20 @@
 // listWorkers reads the platform's list of workers from time to time.
 func (p *ownedPool) listWorkers() {
 	for p.ctx.Err() == nil {
+		interval := listInterval
 		ctx, cancel := context.WithTimeout(p.ctx, storeTimeout)
 		list, err := p.d.cfg.Lister.ListWorkers(ctx)
 		cancel()
 		if err == nil {
 			p.listed.Store(time.Now().UnixMilli())
+			if len(list) > largeList {
+				interval = largeListInterval
+			}
 			p.send(&pool.WorkersListed{Workers: p.d.division.Load().workersOf(list, p.id), Advisors: len(p.d.advisors(p.id))})
 		} else if p.ctx.Err() == nil {
 			p.d.cfg.Log.Debug().Err(err).Msg("cell: workers not listed")
 		}
-		p.sleep(listInterval)
+		p.sleep(interval)
 	}
 }
 
