fix: a record between the pages of a takeover's read is refused

Since an owner is kept from recording after its successor has read the records by the version of the sequence row alone. The successor read that row together with the records, in pages of 500 rows; the row comes last. A record of the earlier owner between two pages is then acknowledged and not read, and its tasks run again.

Ruled out: the same task in two shards, as identifiers are divided by their hash alone; records that are read from one part only, as a load needs both.

Change: an owner first numbers a part anew and then reads it.

Before: TestNoRecordBetweenPages fails, the record is acknowledged and not read. After: it passes.

--- a/cluster/cell/records.go
+++ b/cluster/cell/records.go
@@ -28,8 +28,9 @@
 	workers  workersRow
 }
 
-// loadRecords reads the parts of the shard's records. It numbers each anew, so
-// that a record of an earlier owner that is carried out later fails.
+// loadRecords reads the parts of the shard's records. It numbers each anew before
+// it reads it, so that a record of an earlier owner that is carried out meanwhile
+// or later fails.
 func (p *ownedPool) loadRecords() (records, error) {
 	var rows [recordParts][]platform.Row
 	var errs [recordParts]error
@@ -56,18 +57,18 @@
 	return got, nil
 }
 
-// sealPart reads a part and writes the epoch of this owner into the row that numbers its records.
+// sealPart writes the epoch of this owner into the row that numbers the records
+// of a part, and reads the part. The pages of the read are of several moments,
+// between which an earlier owner must not write.
 func (p *ownedPool) sealPart(part int) ([]platform.Row, error) {
-	reply, err := p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{progressPart(p.id, part)}})
+	key := sequenceKey(p.id, part)
+	reply, err := p.d.store.Read(p.ctx, platform.ReadRequest{Keys: []string{key}})
 	if err != nil {
 		return nil, err
 	}
-	key := sequenceKey(p.id, part)
 	check := platform.Check{Key: key}
 	for _, r := range reply.Rows {
-		if r.Key == key {
-			check.Version = r.Version
-		}
+		check.Version = r.Version
 	}
 	data, err := encode("seal", &sequenceRow{Epoch: uint64(p.epoch)})
 	if err != nil {
@@ -76,6 +77,10 @@
 	p.records.sequences[part], err = p.d.store.Commit(p.ctx, platform.Txn{
 		Checks: []platform.Check{check}, Puts: []platform.Put{{Key: key, Value: data}},
 	})
+	if err != nil {
+		return nil, err
+	}
+	reply, err = p.d.store.Read(p.ctx, platform.ReadRequest{Prefixes: []string{progressPart(p.id, part)}})
 	return reply.Rows, err
 }
 
--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -1,6 +1,9 @@
 package cell
 
 import (
+	"context"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -101,6 +104,47 @@
 	})
 }
 
+// pagedStore reads the rows of a part in two pages and calls between after the
+// first, which has the jobs.
+type pagedStore struct {
+	*rowStore
+	between func()
+}
+
+func (s *pagedStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	first, err := s.rowStore.Read(ctx, req)
+	if err != nil || len(req.Prefixes) == 0 || s.between == nil {
+		return first, err
+	}
+	s.between()
+	second, err := s.rowStore.Read(ctx, req)
+	isJob := func(r platform.Row) bool { return strings.HasPrefix(lastPart(r.Key), progressPrefix) }
+	first.Rows = slices.DeleteFunc(first.Rows, func(r platform.Row) bool { return !isJob(r) })
+	second.Rows = slices.DeleteFunc(second.Rows, isJob)
+	second.Rows = append(first.Rows, second.Rows...)
+	return second, err
+}
+
+// Guards against an end that is recorded by the earlier owner between the pages
+// of its successor's read: it is acknowledged, and the task would run again.
+func TestNoRecordBetweenPages(t *testing.T) {
+	is := is.New(t)
+	rows, d := newStoreDaemon(t)
+	store := &pagedStore{rowStore: rows}
+	d.store = newRelayStore(d, store)
+	first, _ := newRecorder(t, d, 1)
+	store.between = func() {
+		store.between = nil
+		first.record(recordDone(t, 1, 0))
+	}
+	second := newOwnedPool(d, testShard, 2, 1, time.Now(), true)
+	loaded, err := second.sealPart(0)
+	is.NoErr(err)
+	is.Equal(len(first.events), 0) // the end is not acknowledged
+	is.True(first.ctx.Err() != nil)
+	is.True(!slices.ContainsFunc(loaded, func(r platform.Row) bool { return r.Key == progressKey(testShard, 0, recordedJob) }))
+}
+
 // Guards against a record that is counted as lost, or written twice with other
 // contents, when its answer is lost.
 func TestRecordWithLostAnswer(t *testing.T) {
