pool: log steps that wait although the pool has spare capacity

Cause: nothing in the logs or metrics told why a due step was not started, so a gang whose earlier run counts as running, one without enough valid permits and one held back by the limit of its team looked the same.

Change: a due step of which nothing has run for 5 s while the pool has spare capacity is logged with the reason and the figures that it follows from, and waiting_steps counts such steps. No decision changes; startable and fitsLimit are split so that the reason can be computed without effects.

--- a/cluster/pool/metrics.go
+++ b/cluster/pool/metrics.go
@@ -18,6 +18,8 @@
 	preempted tally.Counter
 	wait      tally.Histogram
 	open      tally.Gauge
+	// waiting is the number of steps that wait although the pool has spare capacity.
+	waiting tally.Gauge
 }
 
 // waitBuckets are the histogram buckets of the time from the arrival of a job to the start of a task.
@@ -30,6 +32,7 @@
 	m := &metrics{
 		starts: scope.Counter("task_starts_total"), lost: scope.Counter("lost_runs_total"), preempted: scope.Counter("preempted_runs_total"),
 		wait: scope.Histogram("task_wait_seconds", waitBuckets), open: scope.Gauge("open_steps"),
+		waiting: scope.Gauge("waiting_steps"),
 	}
 	for i := range m.ends {
 		m.ends[i] = scope.Tagged(map[string]string{"outcome": platform.RunOutcome(i).String()}).Counter("run_ends_total")
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -13,6 +13,7 @@
 	s.removeClosedSteps()
 	s.metrics.open.Update(float64(len(s.openSteps)))
 	if len(s.openSteps) == 0 {
+		s.metrics.waiting.Update(0)
 		return
 	}
 	for _, w := range s.sortedWorkers {
@@ -39,6 +40,7 @@
 			s.placeTasks(st)
 		}
 	}
+	s.reportWaiting(runOverdue)
 }
 
 // estimateUnconfirmed estimates what each team may be using on the inherited workers that have not replied: the
@@ -71,12 +73,14 @@
 	if st.job.possiblyRunning && !s.takeoverComplete {
 		return false
 	}
+	return s.terms(st.job).Service == s.cfg.Service && s.isDue(st)
+}
+
+// isDue reports whether the scheduled start of a step has passed and the steps that it depends on are done.
+func (s *Scheduler) isDue(st *step) bool {
 	if s.now.Before(st.scheduledStart) {
 		return false
 	}
-	if s.terms(st.job).Service != s.cfg.Service {
-		return false
-	}
 	firstStep := st.id.Occurrence * len(st.job.spec.Steps)
 	for _, dependency := range st.spec.After {
 		if st.job.steps[firstStep+dependency].unfinishedTasks > 0 {
--- a/cluster/pool/share.go
+++ b/cluster/pool/share.go
@@ -52,21 +52,31 @@
 // fitsLimit reports whether a team may run n more tasks of a step. If they fit the team's whole limit but not
 // this shard's share, a larger share is requested.
 func (s *Scheduler) fitsLimit(st *step, n int) bool {
-	team := s.snapshot.Teams[st.job.spec.Team]
-	if team == nil {
-		return true
-	}
-	used := s.team(team.Name).running.Add(s.team(team.Name).unconfirmed)
-	needed := limitShare(used.Add(st.spec.Size.Times(int64(n))), team.Limit)
-	if needed <= s.share(team.Name) {
+	if s.withinLimit(st, n) {
 		return true
 	}
-	if s.cfg.Shards > 1 && needed <= WholeLimit {
-		s.requestShare(st, limitShare(used.Add(st.spec.Size.Times(int64(max(n, st.pendingTasks)))), team.Limit))
+	if s.cfg.Shards > 1 && s.neededShare(st, n) <= WholeLimit {
+		s.requestShare(st, s.neededShare(st, max(n, st.pendingTasks)))
 	}
 	return false
 }
 
+// withinLimit reports whether n more tasks of a step fit this shard's share of its team's limit.
+func (s *Scheduler) withinLimit(st *step, n int) bool {
+	return s.neededShare(st, n) <= s.share(st.job.spec.Team)
+}
+
+// neededShare returns the share of a team's limit that the team uses with n more tasks of a step; zero if the team has
+// no limit.
+func (s *Scheduler) neededShare(st *step, n int) int {
+	team := s.snapshot.Teams[st.job.spec.Team]
+	if team == nil {
+		return 0
+	}
+	u := s.team(team.Name)
+	return limitShare(u.running.Add(u.unconfirmed).Add(st.spec.Size.Times(int64(n))), team.Limit)
+}
+
 // requestShare requests the share that a step's team lacks.
 func (s *Scheduler) requestShare(st *step, needed int) {
 	team := st.job.spec.Team
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -67,6 +67,10 @@
 	// the workers on which they ran.
 	preemptedAt      time.Time
 	preemptedWorkers []*worker
+	// idleSince is since when nothing of the due step has run while the pool had spare capacity; zero if that is not
+	// so. waitReportedAt is when it was logged last; see reportWaiting.
+	idleSince      time.Time
+	waitReportedAt time.Time
 }
 
 // permit allows a step to run on a worker; the ticket proves it to the worker.
