pool: place no task on a worker that has left the list

Callers saw: accepted jobs, gangs above all, of which nothing ran any more although the pool had room. A gang member or a single task was placed on a worker that was gone, and waited until the next takeover.

Cause: listWorkers removes an idle worker in the same step in which it leaves the platform's list, but steps keep permits that point to it, and usable keeps the value of the placement pass before. While the ticket is valid the step counts the worker as a candidate. findRun looks a run up through the scheduler's workers, and checkRuns visits only these, so no reply, stop or lease end resolves the run.

Change: a removed worker is no longer usable and leaves the permits, the advised and the preempted workers of all open steps, so that nothing that placement reads refers to a worker that the scheduler does not track.

--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -55,11 +55,22 @@
 			continue
 		}
 		delete(s.workers, id)
+		s.removePermits(w)
 		s.workersDirty = true
 		s.cfg.Log.Info().Str("worker", string(id)).Msg("pool: worker removed")
 	}
 }
 
+// removePermits removes a worker that was dropped from the permits of all steps, so that no task is placed on it.
+func (s *Scheduler) removePermits(w *worker) {
+	w.usable = false
+	for _, st := range s.openSteps {
+		st.permits = slices.DeleteFunc(st.permits, func(p permit) bool { return p.worker == w })
+		st.preemptedWorkers = slices.DeleteFunc(st.preemptedWorkers, func(other *worker) bool { return other == w })
+		delete(st.advisedWorkers, w)
+	}
+}
+
 // workerRestarted handles the restart of a worker: runs of earlier incarnations have ended. A run that no hold
 // reply included may belong to the new incarnation, as the start request may have reached it before the restart
 // was noticed, or may still reach it.
