pool: keep the limit of a team for the step that waits for it

Cause: starvation by a shared limit. place goes through the steps in order, but a step that does not fit the limit of its team is only skipped, and every later step of the team may take what becomes free. The wider a gang, the longer it waits.

Evidence: TestWideGangGetsLimitOfItsTeam failed before (queued at its deadline).

Change: the first step of each team that its limit holds back keeps what it needs from the later steps of the pass; a gang keeps it until it starts, also while it waits for capacity. A step that is wider than the whole limit keeps nothing.

--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -29,6 +29,9 @@
 	}
 	slices.SortFunc(ready, compareSteps)
 	s.reservations = 0
+	for _, u := range s.teams {
+		u.reservedFor, u.reserved = nil, cluster.Resources{}
+	}
 	runOverdue := s.hasSpareCapacity()
 	for _, st := range ready {
 		if st.urgency == overdue && !runOverdue {
@@ -245,6 +248,7 @@
 			continue
 		}
 		if !s.fitsLimit(st, 1) {
+			s.reserveLimit(st, 1)
 			return
 		}
 		best := s.bestFit(st, found)
@@ -310,6 +314,8 @@
 		}
 	}
 	if !s.fitsLimit(st, need) {
+		st.waitsForLimit = true
+		s.reserveLimit(st, need)
 		return
 	}
 	fitting := 0
@@ -317,6 +323,9 @@
 		fitting += c.taskCapacity
 	}
 	if fitting < need {
+		if st.waitsForLimit {
+			s.reserveLimit(st, need)
+		}
 		s.requestMissingAdvice(st, need)
 		s.preempt(st, need)
 		if s.reserve(st) {
@@ -326,7 +335,7 @@
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(s.score(st, a.worker), s.score(st, b.worker)) })
 	number := s.nextRunNumber()
-	st.gangRun = number
+	st.gangRun, st.waitsForLimit = number, false
 	index := 0
 	for _, c := range found {
 		for ; c.taskCapacity > 0 && index < len(st.tasks); index++ {
--- a/cluster/pool/share.go
+++ b/cluster/pool/share.go
@@ -66,6 +66,21 @@
 	return s.neededShare(st, n) <= s.share(st.job.spec.Team)
 }
 
+// reserveLimit keeps the part of the team's limit that n more tasks of a step need from the steps that come later in
+// this pass. Otherwise these would take what becomes free, and a step that needs more at once would never start. Only
+// the first step of each team that waits for the limit keeps a part of it.
+func (s *Scheduler) reserveLimit(st *step, n int) {
+	team := s.snapshot.Teams[st.job.spec.Team]
+	if team == nil {
+		return
+	}
+	u, size := s.team(team.Name), st.spec.Size.Times(int64(n))
+	if u.reservedFor != nil || limitShare(size, team.Limit) > WholeLimit {
+		return
+	}
+	u.reservedFor, u.reserved = st, size
+}
+
 // neededShare returns the share of a team's limit that the team uses with n more tasks of a step; zero if the team has
 // no limit.
 func (s *Scheduler) neededShare(st *step, n int) int {
@@ -74,7 +89,11 @@
 		return 0
 	}
 	u := s.team(team.Name)
-	return limitShare(u.running.Add(u.unconfirmed).Add(st.spec.Size.Times(int64(n))), team.Limit)
+	used := u.running.Add(u.unconfirmed)
+	if u.reservedFor != st {
+		used = used.Add(u.reserved)
+	}
+	return limitShare(used.Add(st.spec.Size.Times(int64(n))), team.Limit)
 }
 
 // requestShare requests the share that a step's team lacks.
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -67,6 +67,8 @@
 	// the workers on which they ran.
 	preemptedAt      time.Time
 	preemptedWorkers []*worker
+	// waitsForLimit means that the team's limit has held the step back since its last start.
+	waitsForLimit bool
 	// idleSince is since when nothing of the due step has run while the pool had spare capacity; zero if that is not
 	// so. waitReportedAt is when it was logged last; see reportWaiting.
 	idleSince      time.Time
@@ -216,4 +218,8 @@
 	tokensUpdatedAt time.Time
 	// nextShareRequestAt is the earliest time of the next request for a larger share of the limit.
 	nextShareRequestAt time.Time
+	// reservedFor is the first step of the current placement pass that the limit holds back, nil if there is none, and
+	// reserved is the part of the limit that is kept for it.
+	reservedFor *step
+	reserved    cluster.Resources
 }
