--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -124,11 +124,14 @@
 	if req.Until < sim.clock(f) {
 		return platform.StartReply{Refusal: platform.RefusedLeaseExpired}
 	}
+	if sim.advice != nil && !sim.advice.accepts(sim, f, v.Task, req.Ticket) {
+		return platform.StartReply{Clock: sim.clock(f), Refusal: platform.RefusedTicket}
+	}
 	f.extendLease(sim, req.Until)
 	sim.checkStart(f, v.Task)
 	job := sim.jobs[v.Task.Job]
 	step := &job.Steps[v.Task.Step]
-	r := &fakeRun{run: req.Run, remaining: step.Estimate, duration: step.Estimate, startedAt: sim.now, size: step.Size, willFail: sim.rnd.Float64() < 0.05}
+	r := &fakeRun{run: req.Run, remaining: step.Estimate, duration: step.Estimate, startedAt: sim.now, size: step.Size, willFail: sim.rnd.Float64() < sim.failureRate}
 	if step.Gang {
 		r.gangSize = step.Tasks
 	}
@@ -247,7 +250,7 @@
 		}
 		team = team.Add(used)
 	}
-	if team.CPU > testTeamLimit {
-		sim.reportViolation("tasks of the team use %d of a limit of %d", team.CPU, testTeamLimit)
+	if team.CPU > sim.teamLimit {
+		sim.reportViolation("tasks of the team use %d of a limit of %d", team.CPU, sim.teamLimit)
 	}
 }
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -50,15 +50,23 @@
 	failures      map[string]int
 	violations    []string
 	maxAttempts   int
+	// advisors is the number of daemons that can send advice requests.
+	advisors int
 	// isPermitted reports which workers may run the steps of queues with an advice policy. adviceRequests counts
 	// the advice requests, largestAdviceRequest is the highest number of workers in one of them.
 	isPermitted                          func(cluster.WorkerID) bool
 	adviceRequests, largestAdviceRequest int
+	// advice replaces isPermitted by permissions for each step, with tickets that the workers check; nil if none.
+	advice *fakeAdvice
 	// requestedShares holds the last requested share of each team.
 	requestedShares map[cluster.TeamName]int
 	// replyLossRate is the fraction of requests whose reply is lost, delayRate that of requests carried out
 	// only seconds later.
 	replyLossRate, delayRate float64
+	// failureRate is the fraction of runs that fail.
+	failureRate float64
+	// teamLimit is the limit of the team.
+	teamLimit cluster.CPU
 }
 
 type scheduledCall struct {
@@ -71,6 +79,8 @@
 	vm          platform.WorkerVM
 	startedAt   time.Time
 	unreachable bool
+	// gone is true while the worker's process does not run, unlisted while the platform does not list it.
+	gone, unlisted bool
 	// tasksStalled is true while the tasks on the worker make no progress.
 	tasksStalled       bool
 	fence              cluster.Epoch
@@ -96,7 +106,7 @@
 	sim := &simulation{
 		rnd: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_800_000_000, 0), jobs: map[cluster.JobName]*workload.Job{},
 		cancellations: map[cluster.JobName]time.Time{}, progress: map[cluster.JobName]*workload.Progress{}, doneTasks: map[string]bool{}, everDoneTasks: map[string]bool{}, failures: map[string]int{},
-		maxAttempts: 3, requestedShares: map[cluster.TeamName]int{},
+		maxAttempts: 3, requestedShares: map[cluster.TeamName]int{}, advisors: 1, failureRate: 0.05, teamLimit: testTeamLimit,
 	}
 	sim.snapshot = cluster.Assemble(1, []cluster.Entity{
 		&cluster.Queue{Name: testQueue, Service: testService, MaxAttempts: sim.maxAttempts, Stretch: 2, Target: time.Second},
@@ -104,18 +114,22 @@
 		&cluster.Team{Name: testTeam, Limit: cluster.Resources{CPU: testTeamLimit}},
 	})
 	for i := range workers {
-		sim.workers = append(sim.workers, &fakeWorker{
-			vm: platform.WorkerVM{
-				ID: cluster.WorkerID(fmt.Sprintf("w%d", i)), Service: testService, Incarnation: platform.Incarnation(sim.now.UnixMilli()),
-				Capacity: cluster.Resources{CPU: 8 * cluster.Core, Memory: 32 * cluster.GiB}, Labels: []string{"a", fmt.Sprintf("r%d", i/4)},
-			},
-			startedAt: sim.now, running: map[string]*fakeRun{}, highestRun: map[string]platform.RunNumber{},
-		})
+		sim.addWorker(cluster.WorkerID(fmt.Sprintf("w%d", i)), fmt.Sprintf("r%d", i/4))
 	}
 	sim.takeOver()
 	return sim
 }
 
+func (sim *simulation) addWorker(id cluster.WorkerID, rack string) {
+	sim.workers = append(sim.workers, &fakeWorker{
+		vm: platform.WorkerVM{
+			ID: id, Service: testService, Incarnation: platform.Incarnation(sim.now.UnixMilli()),
+			Capacity: cluster.Resources{CPU: 8 * cluster.Core, Memory: 32 * cluster.GiB}, Labels: []string{"a", rack},
+		},
+		startedAt: sim.now, running: map[string]*fakeRun{}, highestRun: map[string]platform.RunNumber{},
+	})
+}
+
 // takeOver replaces the owner by a new one that loads its state from the store.
 func (sim *simulation) takeOver() {
 	sim.epoch++
@@ -205,9 +219,11 @@
 	}
 	if sim.now.Sub(sim.lastListAt) >= 500*time.Millisecond {
 		sim.lastListAt = sim.now
-		list := &WorkersListed{Advisors: 1}
+		list := &WorkersListed{Advisors: sim.advisors}
 		for _, f := range sim.workers {
-			list.Workers = append(list.Workers, f.vm)
+			if !f.unlisted {
+				list.Workers = append(list.Workers, f.vm)
+			}
 		}
 		sim.events = append(sim.events, list)
 	}
@@ -238,7 +254,7 @@
 	const timeout = 900 * time.Millisecond
 	executeRequest := func() bool {
 		// A restarted worker keeps its identifier, so requests reach the new incarnation.
-		if f.unreachable {
+		if f.unreachable || f.gone {
 			return false
 		}
 		request()
@@ -307,6 +323,10 @@
 	case *RequestAdvice:
 		sim.adviceRequests++
 		sim.largestAdviceRequest = max(sim.largestAdviceRequest, len(v.Workers))
+		if sim.advice != nil {
+			sim.answerAdvice(owner, v)
+			return
+		}
 		advice := platform.Advice{ValidFor: time.Second}
 		for _, id := range v.Workers {
 			if sim.isPermitted(id) {
