--- /dev/null
+++ b/cluster/pool/permit_test.go
@@ -0,0 +1,47 @@
+package pool
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+// adviceJob returns a job with one step whose tasks take a whole worker each.
+func adviceJob(id cluster.JobName, tasks int, gang bool) *workload.Job {
+	return &workload.Job{ID: id, Queue: adviceQueue, Steps: []workload.Step{{
+		Tasks: tasks, Size: cluster.Resources{CPU: 8 * cluster.Core}, Estimate: 2 * time.Second, Gang: gang,
+	}}}
+}
+
+// newRestartSimulation returns a simulation of one worker that loses its permits when it restarts. All workers that
+// are added later are permitted.
+func newRestartSimulation(t *testing.T) (sim *simulation, restart func()) {
+	t.Helper()
+	restarted := false
+	sim = newAdviceSimulation(t, 1, func(id cluster.WorkerID) bool { return id != "w0" || !restarted })
+	sim.teamLimit, sim.failureRate = 1000*cluster.Core, 0
+	return sim, func() {
+		restarted = true
+		sim.restart(sim.workers[0])
+	}
+}
+
+// Guards against a gang that never starts: it counts on a worker that is not permitted any more since its restart,
+// and asks about no other worker.
+func TestGangReplacesPermitOfRestartedWorker(t *testing.T) {
+	is := is.New(t)
+	sim, restart := newRestartSimulation(t)
+	sim.submit(adviceJob("0000000000000001", 2, true))
+	sim.runFor(time.Second)
+	restart()
+	for i := range 2 {
+		sim.addWorker(cluster.WorkerID(fmt.Sprintf("new%d", i)), "r0")
+		sim.runFor(2 * time.Second)
+	}
+	is.True(sim.startedWithin("0000000000000001", 30*time.Second)) // fits on the two new workers
+}
