--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -45,3 +45,18 @@
 	}
 	is.True(sim.startedWithin("0000000000000001", 30*time.Second)) // fits on the two new workers
 }
+
+// Guards against a task that never starts: its step asks again and again about a worker that is not permitted any
+// more since its restart, and about no other worker.
+func TestTaskReplacesPermitOfRestartedWorker(t *testing.T) {
+	is := is.New(t)
+	sim, restart := newRestartSimulation(t)
+	sim.submit(adviceJob("0000000000000001", 2, false))
+	sim.runFor(time.Second)
+	is.Equal(sim.runningTasks(), 1)
+	restart()
+	sim.addWorker("new0", "r0")
+	sim.runFor(30 * time.Second)
+	is.Equal(sim.violations, nil)
+	is.Equal(sim.owner.jobs["0000000000000001"].unfinishedTasks, 0)
+}
