--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -60,3 +60,23 @@
 	is.Equal(sim.violations, nil)
 	is.Equal(sim.owner.jobs["0000000000000001"].unfinishedTasks, 0)
 }
+
+// Guards against steps that never start because one step sends a long advice request whenever none is in flight.
+func TestLongAdviceRequestsTakeTurns(t *testing.T) {
+	is := is.New(t)
+	sim, restart := newRestartSimulation(t)
+	queue := *sim.snapshot.Queues[adviceQueue]
+	queue.Advice = &cluster.AdvicePolicy{CallDuration: 2 * longAdviceTime, PerWorker: time.Millisecond, TicketTTL: time.Second}
+	sim.snapshot = cluster.Assemble(3, []cluster.Entity{&queue, sim.snapshot.Teams[testTeam]})
+	sim.events = append(sim.events, &ConfigChanged{Snapshot: sim.snapshot})
+	sim.submit(adviceJob("0000000000000001", 3, true))
+	sim.runFor(time.Second)
+	restart()
+	for i := range 2 {
+		sim.addWorker(cluster.WorkerID(fmt.Sprintf("new%d", i)), "r0")
+		sim.runFor(2 * time.Second)
+	}
+	// The gang asks about its three workers again and again; only two of them are permitted.
+	sim.submit(adviceJob("0000000000000002", 1, false))
+	is.True(sim.startedWithin("0000000000000002", 30*time.Second))
+}
