--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -80,3 +80,18 @@
 	sim.submit(adviceJob("0000000000000002", 1, false))
 	is.True(sim.startedWithin("0000000000000002", 30*time.Second))
 }
+
+// Guards against a gang that never starts after its tickets have expired, because each request renews those of the
+// same workers and one request names too few for the gang.
+func TestGangRenewsTicketsOfMoreWorkers(t *testing.T) {
+	is := is.New(t)
+	const workers = maxAdviceWorkers + 50
+	sim := newAdviceSimulation(t, workers, func(cluster.WorkerID) bool { return true })
+	sim.teamLimit, sim.failureRate = 2*workers*8*cluster.Core, 0
+	sim.submit(adviceJob("0000000000000001", workers, false))
+	sim.runFor(500 * time.Millisecond)
+	gang := adviceJob("0000000000000002", maxAdviceWorkers+20, true)
+	sim.submit(gang)
+	is.True(sim.startedWithin(gang.ID, 30*time.Second)) // the tickets expire while the first job runs
+	is.Equal(sim.violations, nil)
+}
