--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -95,3 +95,21 @@
 	is.True(sim.startedWithin(gang.ID, 30*time.Second)) // the tickets expire while the first job runs
 	is.Equal(sim.violations, nil)
 }
+
+// Guards against a worker that is never asked about in its new incarnation, because the advice that was requested for
+// the earlier one arrived after the restart.
+func TestAdviceOfEarlierIncarnationIsNotReused(t *testing.T) {
+	is := is.New(t)
+	permitted := false
+	sim := newAdviceSimulation(t, 1, func(cluster.WorkerID) bool { return permitted })
+	queue := *sim.snapshot.Queues[adviceQueue]
+	queue.Advice = &cluster.AdvicePolicy{CallDuration: 3 * time.Second, TicketTTL: time.Second}
+	sim.snapshot = cluster.Assemble(3, []cluster.Entity{&queue, sim.snapshot.Teams[testTeam]})
+	sim.events = append(sim.events, &ConfigChanged{Snapshot: sim.snapshot})
+	sim.submit(adviceJob("0000000000000001", 1, false))
+	sim.runFor(500 * time.Millisecond)
+	is.Equal(sim.adviceRequests, 1)
+	permitted = true
+	sim.restart(sim.workers[0])
+	is.True(sim.startedWithin("0000000000000001", 30*time.Second))
+}
