--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -113,3 +113,25 @@
 	sim.restart(sim.workers[0])
 	is.True(sim.startedWithin("0000000000000001", 30*time.Second))
 }
+
+// Guards against an overdue job that never starts because tasks that last use most of a resource that it does not need.
+func TestOverdueJobStartsWhileAcceleratorsAreUsed(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4)
+	sim.teamLimit, sim.failureRate = 1000*cluster.Core, 0
+	for _, f := range sim.workers {
+		f.vm.Capacity.Accelerators = 2
+	}
+	sim.runFor(500 * time.Millisecond)
+	sim.submit(&workload.Job{ID: "0000000000000001", Steps: []workload.Step{{
+		Tasks: 8, Size: cluster.Resources{CPU: cluster.Core / 10, Accelerators: 1}, Estimate: time.Hour, LongRunning: true,
+	}}})
+	sim.runFor(time.Second)
+	is.Equal(sim.runningTasks(), 8)
+	job := &workload.Job{ID: "0000000000000002", Steps: []workload.Step{{
+		Tasks: 4, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second, Gang: true,
+	}}}
+	sim.submit(job)
+	job.AcceptedAt = sim.now.Add(-time.Minute)
+	is.True(sim.startedWithin(job.ID, 30*time.Second)) // nearly all cores are free
+}
