--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -135,3 +135,52 @@
 	job.AcceptedAt = sim.now.Add(-time.Minute)
 	is.True(sim.startedWithin(job.ID, 30*time.Second)) // nearly all cores are free
 }
+
+// newMissingWorkerSimulation returns a simulation of two workers, of which one runs a job and the other has just been
+// dropped because its entry was missing from one list. A gang holds permits for both.
+func newMissingWorkerSimulation(t *testing.T, gang *workload.Job, age time.Duration) (sim *simulation, finishJob func()) {
+	t.Helper()
+	sim = newAdviceSimulation(t, 2, func(cluster.WorkerID) bool { return true })
+	sim.teamLimit, sim.failureRate = 1000*cluster.Core, 0
+	sim.submit(adviceJob("0000000000000001", 1, false))
+	sim.runFor(500 * time.Millisecond)
+	sim.submit(gang)
+	gang.AcceptedAt = sim.now.Add(-age)
+	sim.runFor(500 * time.Millisecond)
+	idle, busy := sim.workers[0], sim.workers[1]
+	if len(idle.running) > 0 {
+		idle, busy = busy, idle
+	}
+	idle.unlisted = true
+	for sim.owner.workers[idle.vm.ID] != nil {
+		sim.tick()
+	}
+	idle.unlisted = false
+	return sim, func() {
+		for _, r := range busy.running {
+			r.remaining = 0
+		}
+	}
+}
+
+// Guards against a gang that never runs again: a member starts on a worker that was dropped and is listed again, and
+// its run is never released.
+func TestGangRestartsAfterMissingListEntry(t *testing.T) {
+	is := is.New(t)
+	gang := adviceJob("0000000000000002", 2, true)
+	sim, finishJob := newMissingWorkerSimulation(t, gang, 10*time.Minute)
+	finishJob()
+	sim.submit(adviceJob("0000000000000003", 1, false))
+	sim.runFor(20 * time.Second)
+	is.Equal(sim.violations, nil)
+	is.Equal(sim.owner.jobs[gang.ID].unfinishedTasks, 0)
+}
+
+// Guards against a gang that renews its tickets without end because a permit for a dropped worker stays expired.
+func TestGangDoesNotRenewTicketOfDroppedWorker(t *testing.T) {
+	is := is.New(t)
+	sim, _ := newMissingWorkerSimulation(t, adviceJob("0000000000000002", 2, true), 0)
+	before := sim.adviceRequests
+	sim.runFor(time.Second)
+	is.True(sim.adviceRequests-before <= 4) // a ticket is valid for a second
+}
