--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -184,3 +184,34 @@
 	sim.runFor(time.Second)
 	is.True(sim.adviceRequests-before <= 4) // a ticket is valid for a second
 }
+
+// Guards against a gang that never starts because its permitted workers seem to suffice: its limit of tasks on a
+// worker is not counted, and it does not ask about the last worker that it needs.
+func TestGangWithMaxPerWorkerAsksAboutLastWorker(t *testing.T) {
+	is := is.New(t)
+	sim := newAdviceSimulation(t, 2, func(cluster.WorkerID) bool { return true })
+	sim.failureRate = 0
+	sim.submit(&workload.Job{ID: "0000000000000001", Queue: adviceQueue, Steps: []workload.Step{{
+		Tasks: 3, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second, Gang: true, MaxPerWorker: 1,
+	}}})
+	sim.runFor(time.Second)
+	sim.addWorker("new0", "r0")
+	is.True(sim.startedWithin("0000000000000001", 30*time.Second))
+}
+
+// Guards against a gang that never starts because tasks that last hold most of its permitted workers, and it does not
+// ask about the last free worker that it needs.
+func TestGangAsksAboutLastWorkerWhilePermittedOnesAreUsed(t *testing.T) {
+	is := is.New(t)
+	sim := newAdviceSimulation(t, 4, func(cluster.WorkerID) bool { return true })
+	sim.teamLimit, sim.failureRate = 1000*cluster.Core, 0
+	lasting := adviceJob("0000000000000001", 3, false)
+	lasting.Steps[0].Estimate, lasting.Steps[0].LongRunning = time.Hour, true
+	sim.submit(lasting)
+	sim.runFor(500 * time.Millisecond)
+	is.Equal(sim.runningTasks(), 3)
+	sim.submit(adviceJob("0000000000000002", 2, true))
+	sim.runFor(time.Second)
+	sim.addWorker("new0", "r0")
+	is.True(sim.startedWithin("0000000000000002", 30*time.Second))
+}
