test: the ticket of a removed worker must not be renewed

Fails: refreshAdvice renews the tickets of workers that are no longer in the list, which storePermits ignores, so that the gang requests advice in every step.

--- a/cluster/pool/dropped_test.go
+++ b/cluster/pool/dropped_test.go
@@ -25,6 +25,7 @@
 	size    int
 	// startedOnUnlisted counts the start requests to workers that were not in the list.
 	startedOnUnlisted int
+	adviceRequests    int
 }
 
 type gangMember struct {
@@ -72,6 +73,7 @@
 	case *WriteRecord:
 		p.events = append(p.events, &RecordWritten{Generation: v.Generation})
 	case *RequestAdvice:
+		p.adviceRequests++
 		advice := platform.Advice{ValidFor: 2400 * time.Millisecond}
 		for _, id := range v.Workers {
 			advice.Permits = append(advice.Permits, platform.Permit{Worker: id, Ticket: "ticket"})
@@ -154,3 +156,15 @@
 		})
 	}
 }
+
+// Guards against a gang that requests advice without a pause because its ticket for a worker that has left the list
+// can't be renewed. One of the few long advice requests at a time would always be that of this gang.
+func TestTicketOfRemovedWorkerIsNotRenewed(t *testing.T) {
+	is := is.New(t)
+	p := newGangPool(0) // the gang reserves capacity and renews its tickets
+	p.list("w1")
+	p.runFor(3 * time.Second) // the ticket for w0 expires
+	p.adviceRequests = 0
+	p.runFor(5 * time.Second)
+	is.True(p.adviceRequests <= 5) // one ticket, which is valid for 2.4 s
+}
