--- /dev/null
+++ b/cluster/cell/advise_test.go
@@ -0,0 +1,60 @@
+package cell
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
+)
+
+// unreachableAdvice is an advice service that this daemon can't reach.
+type unreachableAdvice struct{}
+
+func (unreachableAdvice) Advise(context.Context, string, []cluster.WorkerID) (platform.Advice, error) {
+	return platform.Advice{}, &platform.Error{Op: "test", Kind: platform.KindUnavailable}
+}
+
+// Guards against an owner that can't reach the advice service and sends each request from itself again, although
+// another daemon can reach the service. The steps of queues with an advice policy would never start.
+func TestAdviceIsRequestedThroughAnotherDaemon(t *testing.T) {
+	is := is.New(t)
+	const other = cluster.DaemonID("vn@1") // ordered after this daemon
+	const retryInterval = 200 * time.Millisecond
+	d := newTestDaemon(t, &slowStore{})
+	defer d.wg.Wait()
+	defer d.stop()
+	d.cfg.Advice = unreachableAdvice{}
+	var remote *peer.Transport
+	connected := make(chan struct{})
+	remote = connectPeer(t, d, other, func(m peer.Message) {
+		if c, ok := m.(*peer.Call); ok && c.Method == methodAdvise {
+			<-connected
+			remote.Send(d.cfg.Self, &peer.Reply{ID: c.ID, Body: must(encode("test", &adviseReply{Workers: []string{"w"}, Tickets: []string{"ticket"}}))})
+		}
+	})
+	close(connected)
+	for d.digestCount() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var err error
+	for range 5 {
+		_, err = d.advisor.requestAdvice(t.Context(), testShard, pool.StepID{Job: recordedJob}, []cluster.WorkerID{"w"}, 20*time.Millisecond)
+		if err == nil {
+			break
+		}
+		time.Sleep(retryInterval)
+	}
+	is.NoErr(err)
+}
+
+func (d *Daemon) digestCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.digests)
+}
