--- a/cluster/cell/ownedshard_test.go
+++ b/cluster/cell/ownedshard_test.go
@@ -1,7 +1,9 @@
 package cell
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -63,3 +65,53 @@
 		})
 	}
 }
+
+// deletingStore also applies the deletes of transactions.
+type deletingStore struct{ *rowStore }
+
+func (s deletingStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	s.mu.Lock()
+	err := s.partError(txn.Deletes...)
+	if err == nil {
+		for _, key := range txn.Deletes {
+			delete(s.rows, key)
+		}
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return s.rowStore.Commit(ctx, txn)
+}
+
+// Guards against a completed job that runs again because its progress was deleted while the part of its row was down.
+func TestExpiredJobDoesNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, d := newStoreDaemon(t)
+		d.store = newRelayStore(d, deletingStore{rows})
+		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+		is.NoErr(err)
+		job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: "s"}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+		_, err = d.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: jobKey(1, job.ID), Value: must(workload.EncodeJob(job))}}})
+		is.NoErr(err)
+		load := func(epoch cluster.Epoch) (*ownedShard, int) {
+			o, loaded := newRecordOwner(t, d, epoch)
+			jobs, err := o.readJobs()
+			is.NoErr(err)
+			return o, countStarts("s", o.jobEvents(jobs.Rows, loaded.progress))
+		}
+		first, starts := load(1)
+		is.True(starts > 0)
+		completed := &workload.Progress{State: workload.StateCompleted, EndedAt: time.Now(), Done: []byte{1}}
+		first.writeRecord(&pool.WriteRecord{Generation: 1, Progress: []pool.JobProgress{{ID: job.ID, Data: must(workload.EncodeProgress(completed))}}})
+		second, starts := load(2)
+		is.Equal(starts, 0)
+		rows.setPartsUnreachable(jobPartPrefix(0, jobPart(job.ID)))
+		second.deleteExpiredJobs([]cluster.JobName{job.ID})
+		second.goroutines.Wait()
+		rows.setPartsUnreachable()
+		_, starts = load(3)
+		is.Equal(starts, 0)
+	})
+}
