--- a/cluster/cell/claim_test.go
+++ b/cluster/cell/claim_test.go
@@ -1,9 +1,11 @@
 package cell
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -11,6 +13,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
 // connectPeer connects a daemon to a new peer and waits for the peer's first message. handle gets the messages
@@ -61,3 +64,39 @@
 		})
 	}
 }
+
+// hookStore calls beforeCommit before each transaction.
+type hookStore struct {
+	*rowStore
+	beforeCommit func()
+}
+
+func (s *hookStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	s.beforeCommit()
+	return s.rowStore.Commit(ctx, txn)
+}
+
+// Guards against a claim that counts requests of the previous owner as sent before the claim, although the previous
+// owner stopped only while the claim was being written. The new owner would treat leases as expired too early.
+func TestOwnerThatStopsDuringClaimCountsAsActive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, d := newStoreDaemon(t)
+		d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+		const previous = "other@1"
+		d.members["other"] = memberRow{ID: previous}
+		d.store = newRelayStore(d, &hookStore{rowStore: rows, beforeCommit: func() {
+			time.Sleep(2 * time.Second) // a slow store
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.members["other"] = memberRow{ID: "other@2"}
+		}})
+		key := ownerKey(testShard)
+		version, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key, Value: must(encode("test", &ownerRow{Owner: previous, Epoch: 1}))}}})
+		is.NoErr(err)
+		d.claim(testShard, ownership{row: ownerRow{Owner: previous, Epoch: 1}, version: version})
+		owned := d.lookupShard(testShard)
+		is.True(owned != nil)
+		is.True(!owned.previousOwnerStopped)
+	})
+}
