--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -165,6 +165,48 @@
 	})
 }
 
+// rowLimitStore refuses transactions with a row that is larger than the platform allows.
+type rowLimitStore struct{ *rowStore }
+
+func (s rowLimitStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	const maxRowBytes = 64 << 10
+	for _, p := range txn.Puts {
+		if len(p.Value) > maxRowBytes {
+			return 0, &platform.Error{Op: "test", Kind: platform.KindInvalid, Key: p.Key}
+		}
+	}
+	return s.rowStore.Commit(ctx, txn)
+}
+
+// Guards against a job with so many failed runs that the store refuses its progress, which blocks the records of all
+// other jobs and of new workers, so that no job completes and new workers get no tasks.
+func TestOversizedProgressDoesNotBlockRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, d := newStoreDaemon(t)
+		d.store = newRelayStore(d, rowLimitStore{store})
+		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+		is.NoErr(err)
+		o, _ := newRecordOwner(t, d, 1)
+		e := recordOfDoneTasks(t, 1, 0, "a")
+		large := &workload.Progress{State: workload.StateRunning}
+		const epoch = 20
+		for index := range workload.MaxTasks {
+			for run := range uint64(3) {
+				large.AddFailure(index, epoch<<28|run)
+			}
+		}
+		e.Progress = append(e.Progress, pool.JobProgress{ID: "0000000000000002", Data: must(workload.EncodeProgress(large))})
+		d.wg.Go(func() { o.writeRecord(e) })
+		time.Sleep(time.Minute)
+		store.mu.Lock()
+		_, recorded := store.rows[progressKey(testShard, 0, recordedJob)]
+		store.mu.Unlock()
+		is.True(recorded)
+		is.Equal(len(o.events), 1)
+	})
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
