--- a/cluster/workload/workload_test.go
+++ b/cluster/workload/workload_test.go
@@ -27,6 +27,16 @@
 	is.Equal(loaded.AddFailure(3, 30), 3)
 }
 
+// Guards against a task that is started again and again because fewer failed runs are counted than its queue allows.
+func TestFailuresReachLargeAttemptLimit(t *testing.T) {
+	is := is.New(t)
+	const maxAttempts = 20
+	var p Progress
+	for run := range uint64(maxAttempts) {
+		is.Equal(p.AddFailure(0, run+1), int(run+1))
+	}
+}
+
 // Guards against a field of a job that is missing from its encoded row.
 func TestJobRoundTrip(t *testing.T) {
 	is := is.New(t)
