--- a/cluster/cell/calls_test.go
+++ b/cluster/cell/calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
@@ -69,3 +71,32 @@
 	is.Equal(a.Shard, "pool")
 	is.Equal(a.Keys, []string{jobKey(1, job.ID)})
 }
+
+// Guards against a relayed read whose reply is larger than a message may be: the reply is dropped, and a daemon that
+// can't reach the store waits for the timeout of each read.
+func TestLargeReadIsRelayed(t *testing.T) {
+	is := is.New(t)
+	const other = cluster.DaemonID("other@1")
+	store, d := newStoreDaemon(t)
+	_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+	is.NoErr(err)
+	var puts []platform.Put
+	for i := range 100 {
+		puts = append(puts, platform.Put{Key: fmt.Sprintf("%s%d", recordPartPrefix(testShard, 0), i), Value: make([]byte, 16<<10)})
+	}
+	_, err = store.Commit(t.Context(), platform.Txn{Puts: puts})
+	is.NoErr(err)
+	replies := make(chan *peer.Reply, 1)
+	remote := connectPeer(t, d, other, func(m peer.Message) {
+		if r, ok := m.(*peer.Reply); ok {
+			replies <- r
+		}
+	})
+	request := must(encode("test", &readRequest{Prefixes: []string{recordPartPrefix(testShard, 0)}}))
+	is.True(remote.Send(d.cfg.Self, &peer.Call{ID: 1, Method: methodRead, Body: request}))
+	select {
+	case <-replies:
+	case <-time.After(2 * time.Second):
+		t.Fatal("no reply")
+	}
+}
