--- a/cluster/cell/calls_test.go
+++ b/cluster/cell/calls_test.go
@@ -100,3 +100,35 @@
 		t.Fatal("no reply")
 	}
 }
+
+// panickingStore panics after it has applied a transaction.
+type panickingStore struct{ *rowStore }
+
+func (s panickingStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	if _, err := s.rowStore.Commit(ctx, txn); err != nil {
+		return 0, err
+	}
+	panic("test")
+}
+
+// Guards against a transaction that is reported as not executed although the relaying daemon failed only after it
+// had applied it. The client of a submission would be told that its job does not run.
+func TestRelayFailureAfterCommitIsUnknown(t *testing.T) {
+	is := is.New(t)
+	const other = cluster.DaemonID("other@1")
+	store, relay := newStoreDaemon(t)
+	relay.store = newRelayStore(relay, panickingStore{store})
+	_, err := relay.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+	is.NoErr(err)
+	_, d := newStoreDaemon(t)
+	remote := make(chan *peer.Transport, 1)
+	remote <- connectPeer(t, d, other, func(m peer.Message) {
+		if c, ok := m.(*peer.Call); ok {
+			relay.transport = <-remote
+			relay.serveCall(d.cfg.Self, c)
+		}
+	})
+	_, err = d.store.relayCommit(t.Context(), other, platform.Txn{Puts: []platform.Put{{Key: "t/p/a"}}})
+	is.Equal(len(store.rows), 1)
+	is.True(platform.IsKind(err, platform.KindUnknown))
+}
