--- a/cluster/cell/advise_test.go
+++ b/cluster/cell/advise_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
@@ -58,3 +60,26 @@
 	defer d.mu.Unlock()
 	return len(d.digests)
 }
+
+// panickingAdvice panics in each request.
+type panickingAdvice struct{}
+
+func (panickingAdvice) Advise(context.Context, string, []cluster.WorkerID) (platform.Advice, error) {
+	panic("test")
+}
+
+// Guards against a step that requests no advice any more because a request ended in a panic, which leaves the request
+// in flight for the scheduler while the owner goes on.
+func TestPanicInAdviceRequestIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, d := newStoreDaemon(t)
+		d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.handleMessage, Digest: d.digest})
+		defer d.transport.Close()
+		d.cfg.Advice = panickingAdvice{}
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o.executeEffects([]pool.Effect{&pool.RequestAdvice{Step: pool.StepID{Job: recordedJob}, Workers: []cluster.WorkerID{"w"}, ResponseTime: time.Second}})
+		_ = o.goroutines.WaitAndRecover()
+		is.True(o.ctx.Err() != nil || len(o.events) == 1) // the request failed, or another owner takes over
+	})
+}
