--- a/cluster/cell/advise_test.go
+++ b/cluster/cell/advise_test.go
@@ -83,3 +83,19 @@
 		is.True(o.ctx.Err() != nil || len(o.events) == 1) // the request failed, or another owner takes over
 	})
 }
+
+// Guards against advice requests that are assigned to a daemon as if its queue were empty, because one request to it
+// has failed, and that time out in their turn.
+func TestFailedAdviceRequestKeepsQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const other = cluster.DaemonID("other@1")
+		d := newTestDaemon(t, &slowStore{})
+		defer d.stop()
+		const queued = 4 * time.Second
+		busyUntil := time.Now().Add(queued)
+		d.advisor.busyUntil[other] = busyUntil
+		d.advisor.avoid(other)
+		is.True(!d.advisor.busyUntil[other].Before(busyUntil))
+	})
+}
