test: an earlier owner must not fence the records of a later one

Fails: fencePart does not compare the epoch of the sequence row with its own, so that the later owner finds a foreign epoch and gives up the shard.

--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -104,6 +104,23 @@
 	})
 }
 
+// Guards against an owner that loads its records only after a later owner has loaded them, because it could not reach
+// the store in the meantime. It would fence the records of the later owner, which would give up the shard.
+func TestEarlierOwnerDoesNotFenceRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, d := newStoreDaemon(t)
+		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+		is.NoErr(err)
+		later, _ := newRecordOwner(t, d, 3)
+		_, err = newOwnedShard(d, testShard, 2, 1, time.Now(), true).loadRecords()
+		is.True(err != nil)
+		later.writeRecord(recordOfDoneTasks(t, 1, 0))
+		is.NoErr(later.ctx.Err()) // the later owner keeps the shard
+		is.Equal(len(later.events), 1)
+	})
+}
+
 // pagedStore reads the rows of a part in two pages, first the jobs, and calls betweenPages between them.
 type pagedStore struct {
 	*rowStore
