--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -192,6 +192,20 @@
 	})
 }
 
+// Guards against an owner that claims its shares only after a later owner of the shard has claimed them. The later owner
+// could no longer tell whose shares the row holds.
+func TestEarlierOwnerDoesNotClaimShares(t *testing.T) {
+	is := is.New(t)
+	store, d := newThreeShardDaemon(t)
+	_, err := newOwnedShard(d, shardID{Service: "s"}, 3, 1, time.Now(), true).claimShares()
+	is.NoErr(err)
+	_, err = newOwnedShard(d, shardID{Service: "s"}, 2, 1, time.Now(), true).claimShares()
+	is.True(err != nil)
+	row, err := decode[sharesRow]("test", store.rows[sharesKey("s")].Value)
+	is.NoErr(err)
+	is.Equal(row.Epochs[0], uint64(3))
+}
+
 // Guards against owners that transfer shares at the same time and undo each other's changes.
 func TestConcurrentShareTransfers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
