--- /dev/null
+++ b/cluster/cell/ownedshard_test.go
@@ -0,0 +1,117 @@
+package cell
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+// countStarts runs the scheduler of a shard with one worker, which answers every request, and returns the number of
+// start requests.
+func countStarts(service cluster.ServiceName, events []pool.Event) int {
+	now := time.Now()
+	s := pool.New(pool.Config{Service: service, Epoch: 1, Now: now, PreviousOwnerStopped: true})
+	events = append(events, &pool.WorkersListed{Advisors: 1, Workers: []platform.WorkerVM{
+		{ID: "w", Service: service, Incarnation: 1, Capacity: cluster.Resources{CPU: cluster.Core}},
+	}})
+	starts := 0
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		effects := s.Step(now, events)
+		events = nil
+		for _, e := range effects {
+			switch v := e.(type) {
+			case *pool.SendHold:
+				events = append(events, &pool.HoldAnswered{
+					Worker: v.Worker.ID, Fence: v.Request.Fence, SentAt: now, ReceivedAt: now, Extra: v.Extra, Reply: platform.HoldReply{Incarnation: 1, Clock: time.Hour},
+				})
+			case *pool.WriteRecord:
+				events = append(events, &pool.RecordWritten{Generation: v.Generation})
+			case *pool.SendStart:
+				starts++
+			}
+		}
+	}
+	return starts
+}
+
+// Guards against an accepted job that no owner starts because a later configuration moved its queue to the pool of
+// another service.
+func TestJobOfMovedQueueStarts(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		service cluster.ServiceName
+	}{{name: "not moved", service: "s"}, {name: "moved", service: "moved"}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, d := newStoreDaemon(t)
+			job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: "s"}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+			rows := []platform.Row{{Key: jobKey(1, job.ID), Value: must(workload.EncodeJob(job))}}
+			snapshot := cluster.Assemble(1, []cluster.Entity{&cluster.Queue{Name: "q", Service: c.service}, &cluster.Team{Name: "team"}})
+			starts := 0
+			for _, service := range []cluster.ServiceName{"s", "moved"} {
+				o := newOwnedShard(d, shardID{Service: service}, 1, 1, time.Now(), true)
+				starts += countStarts(service, append([]pool.Event{&pool.ConfigChanged{Snapshot: snapshot}}, o.jobEvents(rows, nil)...))
+			}
+			is.True(starts > 0)
+		})
+	}
+}
+
+// deletingStore also applies the deletes of transactions.
+type deletingStore struct{ *rowStore }
+
+func (s deletingStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	s.mu.Lock()
+	err := s.partError(txn.Deletes...)
+	if err == nil {
+		for _, key := range txn.Deletes {
+			delete(s.rows, key)
+		}
+	}
+	s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	return s.rowStore.Commit(ctx, txn)
+}
+
+// Guards against a completed job that runs again because its progress was deleted while the part of its row was down.
+func TestExpiredJobDoesNotRunAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, d := newStoreDaemon(t)
+		d.store = newRelayStore(d, deletingStore{rows})
+		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+		is.NoErr(err)
+		job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: "s"}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+		_, err = d.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: jobKey(1, job.ID), Value: must(workload.EncodeJob(job))}}})
+		is.NoErr(err)
+		load := func(epoch cluster.Epoch) (*ownedShard, int) {
+			o, loaded := newRecordOwner(t, d, epoch)
+			jobs, err := o.readJobs()
+			is.NoErr(err)
+			return o, countStarts("s", o.jobEvents(jobs.Rows, loaded.progress))
+		}
+		first, starts := load(1)
+		is.True(starts > 0)
+		completed := &workload.Progress{State: workload.StateCompleted, EndedAt: time.Now(), Done: []byte{1}}
+		first.writeRecord(&pool.WriteRecord{Generation: 1, Progress: []pool.JobProgress{{ID: job.ID, Data: must(workload.EncodeProgress(completed))}}})
+		second, starts := load(2)
+		is.Equal(starts, 0)
+		rows.setPartsUnreachable(jobPartPrefix(0, jobPart(job.ID)))
+		second.deleteExpiredJobs([]cluster.JobName{job.ID})
+		second.goroutines.Wait()
+		rows.setPartsUnreachable()
+		_, starts = load(3)
+		is.Equal(starts, 0)
+	})
+}
