pool: drop the permit for a worker that may no longer run a step

Callers saw: accepted jobs of queues with an advice policy that never start again, while workers that may run them are free.

Cause: a step keeps a permit for a worker although a later reply no longer contains the worker, as after its restart. The free capacity of that worker goes on counting as permitted, so that the step seems to need only new tickets: it asks about the same workers forever and never about another one.

Change: a worker that a request named and the reply does not contain loses its permit.

--- a/cluster/pool/advice.go
+++ b/cluster/pool/advice.go
@@ -244,6 +244,9 @@
 	}
 	for _, w := range requested {
 		st.advisedWorkers[w] = w.vm.Incarnation
+		if !slices.ContainsFunc(e.Advice.Permits, func(p platform.Permit) bool { return p.Worker == w.vm.ID }) {
+			st.removePermit(w)
+		}
 	}
 	if newlyAdvised > 0 {
 		share := s.permitShare(st)
@@ -266,6 +269,11 @@
 	st.permits = append(st.permits, p)
 }
 
+// removePermit removes the permit for a worker that may no longer run the step.
+func (st *step) removePermit(w *worker) {
+	st.permits = slices.DeleteFunc(st.permits, func(p permit) bool { return p.worker == w })
+}
+
 // expirePermit marks the ticket for a worker as expired.
 func (st *step) expirePermit(w *worker) {
 	for i := range st.permits {
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -65,7 +65,7 @@
 func (s *Scheduler) removePermits(w *worker) {
 	w.usable = false
 	for _, st := range s.openSteps {
-		st.permits = slices.DeleteFunc(st.permits, func(p permit) bool { return p.worker == w })
+		st.removePermit(w)
 		st.preemptedWorkers = slices.DeleteFunc(st.preemptedWorkers, func(other *worker) bool { return other == w })
 		delete(st.advisedWorkers, w)
 	}
