pool: let a gang ask about every worker that may complete it

Callers saw: gangs that do not start although enough workers that may run them are free.

Cause: a gang asked about further workers only if the expected number of permits, the free workers times the usual share of permitted ones, sufficed for what it lacked. A gang that lacks one worker never asks about the one or two workers that it has not asked about.

Evidence: TestGangAsksAboutLastWorkerWhilePermittedOnesAreUsed and TestGangWithMaxPerWorkerAsksAboutLastWorker failed before.

Change: a gang asks unless it could not start even if all these workers were permitted.

--- a/cluster/pool/advice.go
+++ b/cluster/pool/advice.go
@@ -106,8 +106,8 @@
 		c.worker = w
 		list = append(list, c)
 	}
-	if st.spec.Gang && !tooFewPermits && float64(fitting)*share < float64(need) {
-		return // the expected permits would not suffice to start the gang
+	if st.spec.Gang && !tooFewPermits && fitting < need {
+		return // the gang could not start even if all of them were permitted
 	}
 	s.sortForAdvice(st, list)
 	remaining := float64(adviceFactor*need) / share
