pool: renew the tickets that expire first

Callers saw: gangs on more than 100 workers that never start after their tickets have expired.

Cause: a request names at most 100 workers, and each renewal chose the same ones by their free capacity. The tickets of the others stayed expired.

Evidence: TestGangRenewsTicketsOfMoreWorkers failed before; at its end 150 permits, 100 of them valid, after 1,425 requests.

Change: a gang renews no ticket that outlasts the request, so that the next request names the other workers; tickets of a gang with reserved capacity are renewed in the order in which they expire.

--- a/cluster/pool/advice.go
+++ b/cluster/pool/advice.go
@@ -40,6 +40,7 @@
 	}
 	fitting, fittingWhenIdle, fittingExpired := 0, 0, 0
 	var permitted []candidate
+	renewBefore := s.renewBefore(policy, maxAdviceWorkers)
 	for _, p := range st.permits {
 		if !p.worker.inPlatformList || p.worker.vm.Draining {
 			continue
@@ -50,10 +51,12 @@
 			continue
 		}
 		fitting += c.taskCapacity
-		permitted = append(permitted, c)
 		if !s.permitValid(p) {
 			fittingExpired += c.taskCapacity
+		} else if st.spec.Gang && p.expiresAt.After(renewBefore) {
+			continue // its ticket is still valid when those of the others are renewed
 		}
+		permitted = append(permitted, c)
 	}
 	switch {
 	// The tickets of a gang are renewed here only if all its members fit; refreshAdvice renews those of a gang that
@@ -155,18 +158,23 @@
 	if policy == nil || st.adviceInFlight || len(st.permits) == 0 {
 		return
 	}
-	var workers []*worker
-	renewBefore := s.now.Add(policy.CallDuration + time.Duration(len(st.permits))*policy.PerWorker + ticketMargin)
-	expiring := false
-	for _, p := range st.permits {
-		if p.worker.usable && len(workers) < maxAdviceWorkers {
-			workers = append(workers, p.worker)
-			expiring = expiring || p.expiresAt.Before(renewBefore)
-		}
+	renewBefore := s.renewBefore(policy, min(len(st.permits), maxAdviceWorkers))
+	permits := slices.DeleteFunc(slices.Clone(st.permits), func(p permit) bool { return !p.worker.usable })
+	// One request can't renew the tickets of more workers; those that expire first come first.
+	slices.SortStableFunc(permits, func(a, b permit) int { return a.expiresAt.Compare(b.expiresAt) })
+	if len(permits) == 0 || !permits[0].expiresAt.Before(renewBefore) {
+		return
 	}
-	if expiring {
-		s.requestAdvice(st, policy, workers)
+	var workers []*worker
+	for _, p := range permits[:min(len(permits), maxAdviceWorkers)] {
+		workers = append(workers, p.worker)
 	}
+	s.requestAdvice(st, policy, workers)
+}
+
+// renewBefore returns until when a ticket must be valid to outlast an advice request about a number of workers.
+func (s *Scheduler) renewBefore(policy *cluster.AdvicePolicy, workers int) time.Time {
+	return s.now.Add(policy.CallDuration + time.Duration(workers)*policy.PerWorker + ticketMargin)
 }
 
 // requestAdvice sends an advice request, unless one is in flight for the step or too many long ones are in flight.
