pool: keep advice with the incarnation that it was requested for

Callers saw: tasks that never start on a worker that restarted while advice about it was requested.

Cause: permits and advised workers were stamped with the incarnation at the time of the reply. Advice about the earlier incarnation counted for the new one, which was then never asked about, and a ticket of the earlier one was sent to it.

Evidence: TestAdviceOfEarlierIncarnationIsNotReused failed before.

Change: a request remembers the incarnation of each worker that it names, and the reply is stored under it. Workers that have left the list meanwhile are left out.

--- a/cluster/pool/advice.go
+++ b/cluster/pool/advice.go
@@ -191,9 +191,10 @@
 		st.longRequestInFlight = true
 	}
 	st.adviceInFlight = true
-	st.requestedWorkers = workers
+	st.requestedWorkers = make([]requestedWorker, 0, len(workers))
 	ids := make([]cluster.WorkerID, 0, len(workers))
 	for _, w := range workers {
+		st.requestedWorkers = append(st.requestedWorkers, requestedWorker{worker: w, incarnation: w.vm.Incarnation})
 		w.adviceRequests++
 		ids = append(ids, w.vm.ID)
 	}
@@ -213,8 +214,8 @@
 		st.longRequestInFlight = false
 		s.longAdviceRequests--
 	}
-	for _, w := range requested {
-		w.adviceRequests--
+	for _, r := range requested {
+		r.worker.adviceRequests--
 	}
 	if st.closed() {
 		return
@@ -229,32 +230,36 @@
 }
 
 // storePermits stores the permits of a reply and the workers that the request named.
-func (s *Scheduler) storePermits(st *step, requested []*worker, e *AdviceAnswered) {
+func (s *Scheduler) storePermits(st *step, requested []requestedWorker, e *AdviceAnswered) {
 	if st.advisedWorkers == nil {
 		st.advisedWorkers = map[*worker]platform.Incarnation{}
 	}
+	tickets := make(map[cluster.WorkerID]string, len(e.Advice.Permits))
+	for _, p := range e.Advice.Permits {
+		tickets[p.Worker] = p.Ticket
+	}
+	expiresAt := e.ReceivedAt.Add(e.Advice.ValidFor - ticketMargin)
 	newlyAdvised, newlyPermitted := 0, 0
-	for _, w := range requested {
-		if incarnation, ok := st.advisedWorkers[w]; !ok || incarnation != w.vm.Incarnation {
+	for _, r := range requested {
+		w := r.worker
+		if s.workers[w.vm.ID] != w {
+			continue // it has left the list
+		}
+		known, ok := st.advisedWorkers[w]
+		isNew := !ok || known != r.incarnation
+		st.advisedWorkers[w] = r.incarnation
+		if isNew {
 			newlyAdvised++
 		}
-	}
-	expiresAt := e.ReceivedAt.Add(e.Advice.ValidFor - ticketMargin)
-	for _, p := range e.Advice.Permits {
-		w := s.workers[p.Worker]
-		if w == nil {
+		ticket, permitted := tickets[w.vm.ID]
+		if !permitted {
+			st.removePermit(w)
 			continue
 		}
-		if incarnation, ok := st.advisedWorkers[w]; !ok || incarnation != w.vm.Incarnation {
+		if isNew {
 			newlyPermitted++
 		}
-		st.setPermit(permit{worker: w, incarnation: w.vm.Incarnation, ticket: p.Ticket, expiresAt: expiresAt})
-	}
-	for _, w := range requested {
-		st.advisedWorkers[w] = w.vm.Incarnation
-		if !slices.ContainsFunc(e.Advice.Permits, func(p platform.Permit) bool { return p.Worker == w.vm.ID }) {
-			st.removePermit(w)
-		}
+		st.setPermit(permit{worker: w, incarnation: r.incarnation, ticket: ticket, expiresAt: expiresAt})
 	}
 	if newlyAdvised > 0 {
 		share := s.permitShare(st)
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -51,10 +51,10 @@
 	urgency urgency
 	rank    int
 	permits []permit
-	// advisedWorkers holds the workers for which advice was received, with their incarnation at that time;
+	// advisedWorkers holds the workers for which advice was received, with the incarnation that it was requested for;
 	// requestedWorkers holds those of the advice request in flight.
 	advisedWorkers   map[*worker]platform.Incarnation
-	requestedWorkers []*worker
+	requestedWorkers []requestedWorker
 	adviceInFlight   bool
 	// longRequestInFlight means that the advice request in flight counts as a long one.
 	longRequestInFlight bool
@@ -75,6 +75,12 @@
 	waitReportedAt time.Time
 }
 
+// requestedWorker is a worker that an advice request names, with its incarnation at that time.
+type requestedWorker struct {
+	worker      *worker
+	incarnation platform.Incarnation
+}
+
 // permit allows a step to run on a worker; the ticket proves it to the worker.
 type permit struct {
 	worker      *worker
