--- a/goldcrestd/node/node_test.go
+++ b/goldcrestd/node/node_test.go
@@ -68,7 +68,7 @@
 func newTestCluster(t *testing.T, workers int) *testCluster {
 	t.Helper()
 	c := &testCluster{t: t, store: &platformtest.Store{}, dir: t.TempDir()}
-	c.adviceAddr = serve(t, platformtest.AdviceService{})
+	c.adviceAddr = serve(t, &platformtest.AdviceService{})
 	for i := range workers {
 		worker := platformtest.NewWorker(fmt.Sprintf("i-%d", i), 50*time.Millisecond)
 		c.workers = append(c.workers, worker)
