test: the soak plays wide gangs, advice and a changing list of runners

The soak had at most four tasks a gang, permits for every worker, a fixed list of workers and one configuration. Its workers were so busy and so young that an owner never dropped an idle one from its list.

Change: bursts of wide jobs with several steps; workers that drain, crash, run on unlisted, return under their identifier, join and leave; idle workers that leave while a step holds tickets for them; changes of the configuration; all with random numbers of their own. Jobs must end within a bound from the stated times, at most the 90 s of before.

--- a/soak/check.go
+++ b/soak/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/platform/platformtest"
 )
@@ -143,6 +144,27 @@
 	}
 }
 
+// reportUnfinished queues the violation of a job that has not ended within the bound.
+func (c *checker) reportUnfinished(j *job, bound time.Duration) {
+	c.queue <- func() {
+		var steps []string
+		for i, s := range j.steps {
+			done, live := 0, 0
+			for k := range s.tasks {
+				task := fmt.Sprintf("%s.0.%d.%d", j.id, i, k)
+				if c.doneTasks[task] {
+					done++
+				}
+				if len(c.liveRuns[task]) > 0 {
+					live++
+				}
+			}
+			steps = append(steps, fmt.Sprintf("step %d (gang: %t, after: %v, %d thousandths of a core): %d of %d tasks done, %d with a run", i, s.gang, s.after, s.milliCPU, done, s.tasks, live))
+		}
+		c.addViolation("job %s of %s has not ended %s after the faults (state %d): %s", j.id, j.prefix, bound, j.state(), strings.Join(steps, "; "))
+	}
+}
+
 // finish checks the conditions that must hold after the last fault and returns
 // every violation of the run.
 func (c *checker) finish(jobs []*job) []string {
--- a/soak/client.go
+++ b/soak/client.go
@@ -15,8 +15,10 @@
 const (
 	queueHost   = "jobs.example"
 	queuePrefix = "/q/"
-	apiKey      = "secret"
-	serviceName = "pool"
+	// wideQueuePrefix is the prefix of the queue of wide jobs.
+	wideQueuePrefix = "/wide/"
+	apiKey          = "secret"
+	serviceName     = "pool"
 	// callTimeout is how long a client waits for a response.
 	callTimeout = 3 * time.Second
 	// callInterval is the time that a client waits between two calls for one job.
@@ -42,11 +44,15 @@
 	tasks int
 	gang  bool
 	after []int
+	// milliCPU is the size of a task in thousandths of a core.
+	milliCPU int
 }
 
 // job is a job and its state as seen by the client that submits it.
 type job struct {
 	id string
+	// prefix is the path prefix of the job's queue.
+	prefix string
 	// submitAfter is the time from the start of the run to the first submission.
 	submitAfter    time.Duration
 	cancelOnAccept bool
@@ -68,11 +74,25 @@
 	j.current = s
 }
 
+// taskDuration returns how long a task of the job runs.
+func (j *job) taskDuration() time.Duration {
+	if j.prefix == wideQueuePrefix {
+		return wideTaskDuration
+	}
+	return taskDuration
+}
+
+// open reports whether the job may have been accepted and its client has not seen its end.
+func (j *job) open() bool {
+	s := j.state()
+	return s == jobUnconfirmed || s == jobAccepted
+}
+
 // newJob returns a random job.
 func newJob(rnd *rand.Rand, submitAfter time.Duration) *job {
-	j := &job{id: fmt.Sprintf("%016x", rnd.Uint64()), submitAfter: submitAfter, cancelOnAccept: rnd.IntN(8) == 0}
+	j := &job{id: fmt.Sprintf("%016x", rnd.Uint64()), prefix: queuePrefix, submitAfter: submitAfter, cancelOnAccept: rnd.IntN(8) == 0}
 	for i := range 1 + rnd.IntN(2) {
-		s := step{tasks: 1 + rnd.IntN(4), gang: rnd.IntN(3) == 0}
+		s := step{tasks: 1 + rnd.IntN(4), gang: rnd.IntN(3) == 0, milliCPU: plainTaskMilliCPU}
 		if i > 0 {
 			s.after = []int{i - 1}
 		}
@@ -93,7 +113,7 @@
 	}
 	var steps []wireStep
 	for _, s := range j.steps {
-		steps = append(steps, wireStep{Count: s.tasks, CPU: 500, MemoryMB: 64, Estimate: taskDuration.Milliseconds(), After: s.after, Gang: s.gang})
+		steps = append(steps, wireStep{Count: s.tasks, CPU: s.milliCPU, MemoryMB: 64, Estimate: j.taskDuration().Milliseconds(), After: s.after, Gang: s.gang})
 	}
 	data, err := json.Marshal(map[string]any{"spec": j.id, "steps": steps})
 	if err != nil {
@@ -117,7 +137,7 @@
 // response, or status 0 if there was none.
 func (c *client) call(ctx context.Context, method string, j *job, body string) (int, string) {
 	addr := c.clientAddrs[rand.IntN(len(c.clientAddrs))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+queuePrefix+j.id, strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+j.prefix+j.id, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -6,11 +6,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -19,14 +21,26 @@
 )
 
 const (
-	// taskDuration is how long a task runs.
-	taskDuration = 300 * time.Millisecond
+	// taskDuration is how long a task of a plain job runs, wideTaskDuration one of a wide job.
+	taskDuration     = 300 * time.Millisecond
+	wideTaskDuration = 2 * time.Second
 	// readyTimeout limits the wait for the daemons to become ready, completionTimeout
 	// the wait for the jobs to end after the last fault.
 	readyTimeout      = 30 * time.Second
 	completionTimeout = 90 * time.Second
 	// meanJobGap is the mean time between two submissions.
 	meanJobGap = 60 * time.Millisecond
+	// quietJobGapFactor multiplies it in runs without other faults than those of
+	// workers, so that the leases of idle workers expire.
+	quietJobGapFactor = 8
+	// workerMilliCPU is the capacity of a worker and plainTaskMilliCPU the size of a task
+	// of a job that is not wide, in thousandths of a core.
+	workerMilliCPU    = 4000
+	plainTaskMilliCPU = 500
+	// initialWorkerAge is how long the workers of the pool have run at the start.
+	initialWorkerAge = time.Minute
+	// spareWorkers is the number of workers that join during a run.
+	spareWorkers = 3
 )
 
 // config configures a run.
@@ -39,7 +53,9 @@
 	// shardWorkers is the maximum number of workers per shard; 0 means one shard for
 	// even seeds and three for odd ones.
 	shardWorkers int
-	binary       string
+	// workerFaultsOnly leaves out the faults of single daemons, connections and the store.
+	workerFaultsOnly bool
+	binary           string
 	// dir is the directory for the settings and the logs of the daemons.
 	dir string
 	out io.Writer
@@ -47,36 +63,45 @@
 
 // deployment is a fake platform and the daemons that use it, each in its own process.
 type deployment struct {
-	cfg           config
-	checker       *checker
-	store         *platformtest.Store
-	workers       []*platformtest.Worker
-	workerProxies []*proxy
-	httpServers   []*httptest.Server
-	processes     []*process
-	daemonGroup   conc.WaitGroup
+	cfg     config
+	checker *checker
+	store   *platformtest.Store
+	// workers holds the workers of the pool, followed by the spare ones.
+	workers     []*workerHost
+	httpServers []*httptest.Server
+	processes   []*process
+	daemonGroup conc.WaitGroup
+	// jobsByID holds the jobs by identifier; it does not change during the run.
+	jobsByID map[string]*job
+	// configVersion is the version of the configuration in the store.
+	configVersion atomic.Uint64
 }
 
 // newDeployment starts the fake platform and prepares the daemons, which run starts.
 // Close the deployment also after an error.
 func newDeployment(cfg config) (*deployment, error) {
-	d := &deployment{cfg: cfg, checker: newChecker(), store: &platformtest.Store{}}
-	store, advice := d.startServer(d.store), d.startServer(platformtest.AdviceService{})
-	for i := range cfg.workers {
-		worker := platformtest.NewWorker(fmt.Sprintf("i-%d", i), taskDuration)
+	d := &deployment{cfg: cfg, checker: newChecker(), store: &platformtest.Store{}, jobsByID: map[string]*job{}}
+	store := d.startServer(d.store)
+	gangs := &platformtest.Gangs{Size: d.gangSize, Timeout: gangTimeout}
+	for i := range cfg.workers + spareWorkers {
+		worker := platformtest.NewWorker(workerID(i), taskDuration)
+		worker.MaxLease, worker.CheckTickets, worker.Gangs, worker.DurationOf = maxLease, true, gangs, d.durationOf
 		worker.OnRunEvent = func(event platformtest.RunEvent) { d.checker.observeRun(worker.ID, event) }
 		d.checker.workers[worker.ID] = worker
 		p, err := newProxy(d.startServer(worker))
 		if err != nil {
 			return d, err
 		}
-		d.workers, d.workerProxies = append(d.workers, worker), append(d.workerProxies, p)
-		d.registerWorker(i)
-	}
-	if err := d.writeConfiguration(); err != nil {
-		return d, err
+		d.workers = append(d.workers, &workerHost{worker: worker, proxy: p, store: d.store})
+		if i < cfg.workers {
+			d.workers[i].startEarlier(initialWorkerAge)
+		} else {
+			worker.Exit()
+		}
 	}
+	d.writeConfiguration(initialQueueConfig)
 	for i := range cfg.daemons {
+		advice := d.startServer(&platformtest.AdviceService{Policy: d.advicePolicy, Worker: func(id string) *platformtest.Worker { return d.checker.workers[id] }})
 		p, err := newProcess(cfg, fmt.Sprintf("entry-%d", i), store, advice)
 		if err != nil {
 			return d, err
@@ -93,34 +118,67 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
-// registerWorker writes the row of a worker to the platform's list.
-func (d *deployment) registerWorker(i int) {
-	worker := d.workers[i]
-	d.store.Put("servers", "", worker.ID, worker.StoreEntry(serviceName, d.workerProxies[i].addr()))
+// queueConfig is the part of the configuration that changes during a run.
+type queueConfig struct {
+	stretch        float64
+	targetDuration time.Duration
+	maxAttempts    int
+	// extraRoutes is the number of queues that no job uses.
+	extraRoutes int
+	// limitShare is the limit of the team in multiples of the capacity of the pool; 0 means no limit.
+	limitShare int
 }
 
-// restartWorker restarts a worker and updates its row in the platform's list.
-func (d *deployment) restartWorker(i int) {
-	d.workers[i].Restart()
-	d.registerWorker(i)
+var initialQueueConfig = queueConfig{stretch: 2, targetDuration: time.Second, maxAttempts: 3}
+
+// route returns the configuration of a queue with advice.
+func (c *queueConfig) route(name, prefix string, advice platformtest.AdvicePolicy) map[string]any {
+	milliseconds := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	return map[string]any{
+		"name": name, "host": queueHost, "path_prefix": prefix, "service": serviceName, "timeout_ms": 3000,
+		"target_duration_ms": c.targetDuration.Milliseconds(), "max_attempts": c.maxAttempts, "stretch": c.stretch,
+		"advice": map[string]any{
+			"decide_ms": milliseconds(advice.CallDuration), "period_ms": milliseconds(advice.PerWorker), "valid_ms": milliseconds(advice.Validity),
+		},
+	}
 }
 
-// writeConfiguration writes the operator's configuration to the store.
-func (d *deployment) writeConfiguration() error {
+// writeConfiguration writes a version of the operator's configuration to the store.
+func (d *deployment) writeConfiguration(c queueConfig) {
+	wide := c
+	wide.targetDuration += wideTargetDuration
+	routes := []map[string]any{c.route("q", queuePrefix, plainAdvice), wide.route("wide", wideQueuePrefix, wideAdvice)}
+	for i := range c.extraRoutes {
+		routes = append(routes, c.route(fmt.Sprintf("extra-%d", i), fmt.Sprintf("/extra-%d/", i), plainAdvice))
+	}
 	data, err := json.Marshal(map[string]any{
-		"version": 1,
-		"routes": []map[string]any{{
-			"name": "q", "host": queueHost, "path_prefix": queuePrefix, "service": serviceName, "timeout_ms": 3000, "target_duration_ms": 1000,
-			"max_attempts": 3, "stretch": 2.0, "advice": map[string]any{"decide_ms": 1, "period_ms": 0.1, "valid_ms": 2000},
+		"version": d.configVersion.Add(1), "routes": routes, "services": []map[string]any{{"name": serviceName}},
+		"tenants": []map[string]any{{
+			"name": "team", "api_keys": []string{apiKey}, "weight": 1000, "cap": map[string]int{"cpu": c.limitShare * d.cfg.workers * workerMilliCPU},
 		}},
-		"services": []map[string]any{{"name": serviceName}},
-		"tenants":  []map[string]any{{"name": "team", "api_keys": []string{apiKey}, "weight": 1000, "cap": map[string]int{"cpu": 0}}},
 	})
 	if err != nil {
-		return fmt.Errorf("encode configuration: %w", err)
+		panic(err)
 	}
 	d.store.Put("op", "", "config", data)
-	return nil
+}
+
+// newJobs returns the jobs of the run, with rnd for those that are not wide, and
+// the times at which wide ones are submitted.
+func (d *deployment) newJobs(rnd *rand.Rand) (jobs []*job, burstTimes []time.Duration) {
+	jobGap := meanJobGap
+	if d.cfg.workerFaultsOnly {
+		jobGap *= quietJobGapFactor
+	}
+	for submitAfter := time.Duration(0); submitAfter < d.cfg.length; submitAfter += time.Duration(rnd.Int64N(int64(2 * jobGap))) {
+		jobs = append(jobs, newJob(rnd, submitAfter))
+	}
+	wideJobs, burstTimes := newWideJobs(newRand(d.cfg.seed, 4), d.cfg.length, d.cfg.minPermitted())
+	jobs = append(jobs, wideJobs...)
+	for _, j := range jobs {
+		d.jobsByID[j.id] = j
+	}
+	return jobs, burstTimes
 }
 
 // run injects the faults and submits the jobs of the seed, and returns the violations.
@@ -128,10 +186,12 @@
 	rnd := newRand(d.cfg.seed, 0)
 	schedule := newSchedule(rnd, d.cfg.length, d.cfg.daemons, d.cfg.workers)
 	schedule = append(schedule, newPeerAndPartFaults(newRand(d.cfg.seed, 1), d.cfg.length, d.cfg.daemons)...)
-	var jobs []*job
-	for submitAfter := time.Duration(0); submitAfter < d.cfg.length; submitAfter += time.Duration(rnd.Int64N(int64(2 * meanJobGap))) {
-		jobs = append(jobs, newJob(rnd, submitAfter))
+	if d.cfg.workerFaultsOnly {
+		schedule = nil
 	}
+	jobs, burstTimes := d.newJobs(rnd)
+	schedule = append(schedule, newWorkerListFaults(newRand(d.cfg.seed, 2), d.cfg.length, d.cfg.workers, spareWorkers, burstTimes)...)
+	schedule = append(schedule, newConfigChanges(newRand(d.cfg.seed, 3), d.cfg.length)...)
 	var clientAddrs []string
 	for _, p := range d.processes {
 		clientAddrs = append(clientAddrs, p.clientAddr)
@@ -141,23 +201,24 @@
 	if err := d.waitReady(ctx, c); err != nil {
 		return nil, err
 	}
-	runCtx, cancel := context.WithTimeout(ctx, d.cfg.length+completionTimeout)
-	defer cancel()
-	d.runSchedule(runCtx, c, schedule, jobs)
+	bound := d.runSchedule(ctx, c, schedule, jobs)
 	if ctx.Err() != nil {
 		return nil, fmt.Errorf("interrupted: %w", ctx.Err())
 	}
 	for _, j := range jobs {
-		if s := j.state(); s == jobUnconfirmed || s == jobAccepted {
-			d.checker.reportViolation("job %s has not ended %s after the faults (state %d)", j.id, completionTimeout, s)
+		if j.open() {
+			d.checker.reportUnfinished(j, bound)
 		}
 	}
 	err := d.stopDaemons()
 	return d.checker.finish(jobs), err
 }
 
-// runSchedule injects the faults and runs the clients until every job has ended.
-func (d *deployment) runSchedule(ctx context.Context, c *client, schedule []fault, jobs []*job) {
+// runSchedule injects the faults and runs the clients until every job has ended or
+// the returned bound after the end of the last fault is over.
+func (d *deployment) runSchedule(ctx context.Context, c *client, schedule []fault, jobs []*job) time.Duration {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	startTime := time.Now()
 	waitUntil := func(elapsed time.Duration) bool {
 		select {
@@ -167,9 +228,9 @@
 			return true
 		}
 	}
-	var wg conc.WaitGroup
+	var faults, clients conc.WaitGroup
 	for _, f := range schedule {
-		wg.Go(func() {
+		faults.Go(func() {
 			if waitUntil(f.start) {
 				_, _ = fmt.Fprintf(d.cfg.out, "%8s %s\n", f.start.Round(time.Millisecond), f.name)
 				f.inject(d)
@@ -177,13 +238,30 @@
 		})
 	}
 	for _, j := range jobs {
-		wg.Go(func() {
+		clients.Go(func() {
 			if waitUntil(j.submitAfter) {
 				c.runJob(ctx, j)
 			}
 		})
 	}
-	wg.Wait()
+	faults.Wait()
+	plainSteps, wideSteps := 0, 0
+	for _, j := range jobs {
+		switch {
+		case !j.open():
+		case j.prefix == wideQueuePrefix:
+			wideSteps += len(j.steps)
+		default:
+			plainSteps += len(j.steps)
+		}
+	}
+	bound := completionBound(&d.cfg, plainSteps, wideSteps)
+	_, _ = fmt.Fprintf(d.cfg.out, "%8s faults over, %d plain and %d wide steps open, bound %s\n", time.Since(startTime).Round(time.Millisecond), plainSteps, wideSteps, bound)
+	timer := time.AfterFunc(bound, cancel)
+	defer timer.Stop()
+	clients.Wait()
+	_, _ = fmt.Fprintf(d.cfg.out, "%8s clients are done\n", time.Since(startTime).Round(time.Millisecond))
+	return bound
 }
 
 // waitReady waits until as many calls as there are daemons have succeeded.
@@ -192,7 +270,7 @@
 	defer cancel()
 	for range d.processes {
 		for {
-			status, _ := c.call(ctx, http.MethodGet, &job{}, "")
+			status, _ := c.call(ctx, http.MethodGet, &job{prefix: queuePrefix}, "")
 			if status == http.StatusOK {
 				break
 			}
@@ -220,8 +298,8 @@
 // close stops everything that the run has started.
 func (d *deployment) close() error {
 	err := d.stopDaemons()
-	for _, p := range d.workerProxies {
-		err = errors.Join(err, p.Close())
+	for _, h := range d.workers {
+		err = errors.Join(err, h.proxy.Close())
 	}
 	for _, s := range d.httpServers {
 		s.CloseClientConnections()
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -118,14 +118,14 @@
 	case 6:
 		return single("store forgets its history", func(d *deployment) { d.store.DropHistory() })
 	case 7:
-		return single(fmt.Sprintf("runner %d starts anew", worker), func(d *deployment) { d.restartWorker(worker) })
+		return single(fmt.Sprintf("runner %d starts anew", worker), func(d *deployment) { d.workers[worker].restart() })
 	case 8:
 		return single(fmt.Sprintf("connections of daemon %d to the store and of runner %d are reset", daemon, worker), func(d *deployment) {
 			d.processes[daemon].storeProxy.resetConns()
-			d.workerProxies[worker].resetConns()
+			d.workers[worker].proxy.resetConns()
 		})
 	case 9:
 		return connFault(fmt.Sprintf("daemon %d and store", daemon), func(d *deployment) *proxy { return d.processes[daemon].storeProxy })
 	}
-	return connFault(fmt.Sprintf("runner %d", worker), func(d *deployment) *proxy { return d.workerProxies[worker] })
+	return connFault(fmt.Sprintf("runner %d", worker), func(d *deployment) *proxy { return d.workers[worker].proxy })
 }
--- a/soak/rootcmd.go
+++ b/soak/rootcmd.go
@@ -21,6 +21,7 @@
 	runnersFlag      = "runners"
 	logsFlag         = "logs"
 	shardWorkersFlag = "shard-workers"
+	runnerFaultsFlag = "runner-faults-only"
 )
 
 func newRootCmd() *cobra.Command {
@@ -43,6 +44,7 @@
 	cmd.Flags().Int(daemonsFlag, 4, "number of daemons")
 	cmd.Flags().Int(runnersFlag, 8, "number of runners (workers of the platform)")
 	cmd.Flags().Int(shardWorkersFlag, 0, "maximum number of runners per shard; 0 means one shard for even seeds and three for odd ones")
+	cmd.Flags().Bool(runnerFaultsFlag, false, "leave out the faults of single daemons, connections and the store, and most jobs that are not wide")
 	cmd.Flags().String(logsFlag, filepath.Join(os.TempDir(), "goldcrest-soak"), "directory for settings and logs")
 	return cmd
 }
@@ -50,7 +52,7 @@
 func runRootCmd(cmd *cobra.Command, _ []string) error {
 	flags := cmd.Flags()
 	cfg := config{out: cmd.OutOrStdout()}
-	var errs [7]error
+	var errs [8]error
 	var seeds int
 	cfg.seed, errs[0] = flags.GetUint64(seedFlag)
 	seeds, errs[1] = flags.GetInt(seedsFlag)
@@ -59,6 +61,7 @@
 	cfg.workers, errs[4] = flags.GetInt(runnersFlag)
 	cfg.dir, errs[5] = flags.GetString(logsFlag)
 	cfg.shardWorkers, errs[6] = flags.GetInt(shardWorkersFlag)
+	cfg.workerFaultsOnly, errs[7] = flags.GetBool(runnerFaultsFlag)
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,15 +37,47 @@
 	}
 }
 
-// Guards against a schedule that differs between two runs of the same seed.
+// Guards against a schedule or jobs that differ between two runs of the same seed.
 func TestScheduleIsDeterministic(t *testing.T) {
 	is := is.New(t)
 	names := func() (list []string) {
-		for _, f := range slices.Concat(newSchedule(newRand(5, 0), time.Minute, 4, 8), newPeerAndPartFaults(newRand(5, 1), time.Minute, 4)) {
+		jobs, burstTimes := newWideJobs(newRand(5, 4), time.Minute, 5)
+		for _, f := range slices.Concat(
+			newSchedule(newRand(5, 0), time.Minute, 4, 8), newPeerAndPartFaults(newRand(5, 1), time.Minute, 4),
+			newWorkerListFaults(newRand(5, 2), time.Minute, 8, spareWorkers, burstTimes), newConfigChanges(newRand(5, 3), time.Minute),
+		) {
 			list = append(list, fmt.Sprint(f.start, f.name))
 		}
+		for _, j := range jobs {
+			list = append(list, fmt.Sprint(j.submitAfter, j.id, j.steps))
+		}
 		return list
 	}
-	is.True(len(names()) > 20)
+	is.True(len(names()) > 60)
 	is.Equal(names(), names())
 }
+
+// Guards against wide jobs that no shard can ever run: each step must fit the workers
+// that may run it, in every shard and for every layout.
+func TestWideStepsFitPermittedWorkers(t *testing.T) {
+	is := is.New(t)
+	for workers := 1; workers <= 20; workers++ {
+		for _, shardWorkers := range []int{workers, (workers + 2) / 3} {
+			cfg := config{workers: workers, shardWorkers: shardWorkers}
+			jobs, _ := newWideJobs(newRand(uint64(workers), 4), time.Minute, cfg.minPermitted())
+			for _, j := range jobs {
+				for i, s := range j.steps {
+					for shard := range cfg.shards() {
+						fitting := 0
+						for index := shard; index < workers; index += cfg.shards() {
+							if cfg.permits(fmt.Sprintf("%s.0.%d", j.id, i), index) {
+								fitting += workerMilliCPU / s.milliCPU
+							}
+						}
+						is.True(fitting >= s.tasks)
+					}
+				}
+			}
+		}
+	}
+}
