cell: check before a claim whether the previous owner has stopped

Callers saw: nothing yet. A takeover may count the leases of the previous owner as expired too early, so that a task runs twice.

Cause: whether the previous owner had stopped was read after the claim was written, but taken as true for the time before it. An owner that stops while a slow store writes the claim may have sent requests meanwhile.

Evidence: TestOwnerThatStopsDuringClaimCountsAsActive failed before.

Change: it is read before the claim is sent.

--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -145,6 +145,10 @@
 		return
 	}
 	key := ownerKey(id)
+	// The previous owner must have stopped before claimedAt; it may still send requests while the claim is written.
+	d.mu.Lock()
+	previousOwnerStopped := d.ownerStopped(o)
+	d.mu.Unlock()
 	claimedAt := time.Now()
 	version, err := d.store.Commit(d.ctx, platform.Txn{
 		Checks: []platform.Check{{Key: key, Version: o.version}},
@@ -160,7 +164,7 @@
 	d.cfg.Log.Info().Stringer("shard", id).Uint64("epoch", row.Epoch).Str("before", o.row.Owner).
 		Dur("sinceSeen", time.Since(o.seenAt)).Msg("cell: shard claimed")
 	d.mu.Lock()
-	owned := newOwnedShard(d, id, cluster.Epoch(row.Epoch), version, claimedAt, d.ownerStopped(o))
+	owned := newOwnedShard(d, id, cluster.Epoch(row.Epoch), version, claimedAt, previousOwnerStopped)
 	if d.owners[id].version < version {
 		d.owners[id] = ownership{row: row, version: version, seenAt: time.Now()}
 	}
