cell: request advice through another daemon after a local failure

Callers saw: no start of steps on queues with an advice policy while the owner can't reach the advice service, although other daemons can.

Cause: only a failed request to another daemon marked that daemon as busy. The owner went on choosing itself whenever it was the first of the free daemons.

Evidence: TestAdviceIsRequestedThroughAnotherDaemon failed before in 5 of 5 attempts.

Change: a failed local request marks this daemon as busy as well.

--- a/cluster/cell/advise.go
+++ b/cluster/cell/advise.go
@@ -53,7 +53,11 @@
 	defer cancel()
 	name := adviceStepName(step)
 	if daemon == a.d.cfg.Self {
-		return a.requestLocalAdvice(ctx, name, workers)
+		advice, err := a.requestLocalAdvice(ctx, name, workers)
+		if err != nil {
+			a.avoid(daemon)
+		}
+		return advice, err
 	}
 	request := adviseRequest{Step: name}
 	for _, w := range workers {
