cell: keep the queue of a daemon whose advice request failed

Callers saw: slow starts of steps on queues with an advice policy while a daemon takes long for its advice requests.

Cause: a failed request replaced the time at which its daemon is expected to be free by a time 1.5 s away, also if it was expected to be busy for longer. Requests sent there then waited behind the queue and failed as well.

Evidence: TestFailedAdviceRequestKeepsQueue failed before.

Change: the later of the two times counts.

--- a/cluster/cell/advise.go
+++ b/cluster/cell/advise.go
@@ -101,7 +101,9 @@
 func (a *advisor) avoid(id cluster.DaemonID) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.busyUntil[id] = time.Now().Add(adviceTimeoutMargin)
+	if until := time.Now().Add(adviceTimeoutMargin); until.After(a.busyUntil[id]) {
+		a.busyUntil[id] = until
+	}
 }
 
 // requestLocalAdvice sends a request from this daemon.
