pool: bound what a waiting step keeps of its team's limit

Cause: the kept part had no bound. A gang that can't start, because tasks that last use most of the limit or because it gets no capacity, kept it until its start. A step that was released earlier, whose share ReduceShare keeps from the other shards, had to wait for a later one. A step that uses nothing of the limited resource waited too.

Change: nothing is kept for a step that does not fit beside the tasks that last; a step keeps its part for 10 s at a time and nothing for the next 10 s; steps that were released earlier and resources that a step does not use are not held back.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -208,6 +208,9 @@
 	w.used = w.used.Sub(r.size)
 	u := s.team(r.step.job.spec.Team)
 	u.running = u.running.Sub(r.size)
+	if r.step.spec.LongRunning {
+		u.lasting = u.lasting.Sub(r.size)
+	}
 	t := &r.step.tasks[r.id.Index]
 	if t.run != r {
 		return
@@ -336,5 +339,8 @@
 	w.used = w.used.Add(r.size)
 	u := s.team(st.job.spec.Team)
 	u.running = u.running.Add(r.size)
+	if st.spec.LongRunning {
+		u.lasting = u.lasting.Add(r.size)
+	}
 	return r
 }
--- a/cluster/pool/limit_test.go
+++ b/cluster/pool/limit_test.go
@@ -41,3 +41,74 @@
 	state, _, _, _ := sim.owner.State(wide)
 	is.Equal(state, workload.StateCompleted)
 }
+
+// Guards against a team whose work waits behind a gang that its limit holds back for good, because tasks that last use
+// most of the limit.
+func TestGangBehindLastingTasksReservesNoLimit(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 8)
+	sim.failureRate = 0
+	sim.runFor(200 * time.Millisecond)
+	submitBatch(sim, "0000000000000001", workload.Step{Tasks: 4, Size: limitTestSize, Estimate: time.Hour, LongRunning: true})
+	is.Equal(sim.runningTasks(), 4) // 16 of the 24 cores of the limit
+	submitBatch(sim, "0000000000000002", workload.Step{Tasks: 3, Size: limitTestSize, Estimate: time.Second, Gang: true})
+	submitBatch(sim, "0000000000000003", workload.Step{Tasks: 2, Size: limitTestSize, Estimate: time.Second})
+	sim.runFor(2 * time.Second)
+	state, _, _, _ := sim.owner.State("0000000000000003")
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against a team whose work waits for good behind a gang that can't get capacity.
+func TestGangWithoutCapacityReservesLimitForBoundedTime(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 8)
+	sim.failureRate = 0
+	sim.runFor(200 * time.Millisecond)
+	submitBatch(sim, "0000000000000001", workload.Step{Tasks: 5, Size: limitTestSize, Estimate: time.Second})
+	// Only four workers have the label, and each runs at most one member.
+	submitBatch(sim, "0000000000000002", workload.Step{Tasks: 5, Size: limitTestSize, Estimate: time.Second, Gang: true, Label: "r0", MaxPerWorker: 1})
+	submitBatch(sim, "0000000000000003", workload.Step{Tasks: 2, Size: limitTestSize, Estimate: time.Second, Gang: true})
+	sim.runFor(limitReservationTime + 2*time.Second)
+	state, _, _, _ := sim.owner.State("0000000000000003")
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against a job that waits for the limit although it uses nothing of the limited resource.
+func TestReservedLimitHoldsBackOnlyWhatUsesIt(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 8)
+	sim.failureRate = 0
+	sim.runFor(200 * time.Millisecond)
+	submitBatch(sim, "0000000000000001", workload.Step{Tasks: 4, Size: limitTestSize, Estimate: 5 * time.Second})
+	submitBatch(sim, "0000000000000002", workload.Step{Tasks: 3, Size: limitTestSize, Estimate: time.Second, Gang: true})
+	submitBatch(sim, "0000000000000003", workload.Step{Tasks: 1, Size: cluster.Resources{Memory: cluster.GiB}, Estimate: time.Second})
+	sim.runFor(time.Second)
+	state, _, _, _ := sim.owner.State("0000000000000003")
+	is.Equal(state, workload.StateCompleted)
+}
+
+// Guards against shards that block one another: a step that was released first keeps its share from the other shards,
+// so a later one must not keep the limit from it.
+func TestReservedLimitDoesNotHoldBackEarlierStep(t *testing.T) {
+	is := is.New(t)
+	sim := newShardSimulation()
+	sim.failureRate = 0
+	sim.runFor(200 * time.Millisecond)
+	submitBatch(sim, "0000000000000001", workload.Step{Tasks: 3, Size: limitTestSize, Estimate: time.Second}) // uses the share of 12 cores
+	submitBatch(sim, "0000000000000002", workload.Step{Tasks: 2, Size: limitTestSize, Estimate: time.Second, Gang: true})
+	sim.submit(&workload.Job{ID: "0000000000000003", Steps: []workload.Step{{Tasks: 4, Size: limitTestSize, Estimate: 5 * time.Second, Gang: true}}})
+	sim.runFor(3 * time.Second)
+	state, _, _, _ := sim.owner.State("0000000000000002")
+	is.Equal(state, workload.StateCompleted)
+}
+
+// limitTestSize is a sixth of the team's limit.
+var limitTestSize = cluster.Resources{CPU: 4 * cluster.Core, Memory: cluster.GiB}
+
+// submitBatch submits a job of one step to the queue whose jobs stay on time for the whole test.
+func submitBatch(sim *simulation, id cluster.JobName, step workload.Step) {
+	sim.submit(&workload.Job{ID: id, Queue: testBatchQueue, Steps: []workload.Step{step}})
+	sim.runFor(300 * time.Millisecond)
+}
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -314,7 +314,6 @@
 		}
 	}
 	if !s.fitsLimit(st, need) {
-		st.waitsForLimit = true
 		s.reserveLimit(st, need)
 		return
 	}
@@ -323,7 +322,7 @@
 		fitting += c.taskCapacity
 	}
 	if fitting < need {
-		if st.waitsForLimit {
+		if !st.limitWaitSince.IsZero() {
 			s.reserveLimit(st, need)
 		}
 		s.requestMissingAdvice(st, need)
@@ -335,7 +334,7 @@
 	}
 	slices.SortStableFunc(found, func(a, b candidate) int { return cmp.Compare(s.score(st, a.worker), s.score(st, b.worker)) })
 	number := s.nextRunNumber()
-	st.gangRun, st.waitsForLimit = number, false
+	st.gangRun = number
 	index := 0
 	for _, c := range found {
 		for ; c.taskCapacity > 0 && index < len(st.tasks); index++ {
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -20,6 +20,7 @@
 // startTask adds a run of a task and asks the worker to start it.
 func (s *Scheduler) startTask(w *worker, st *step, index int, number platform.RunNumber, ticket string) {
 	r := s.addRun(w, st, index, number)
+	st.limitWaitSince = time.Time{}
 	s.metrics.starts.Inc(1)
 	s.metrics.wait.RecordDuration(s.now.Sub(st.job.arrivedAt))
 	s.emit(&SendStart{Worker: w.vm, Task: r.id, Request: platform.StartRequest{
--- a/cluster/pool/share.go
+++ b/cluster/pool/share.go
@@ -66,6 +66,10 @@
 	return s.neededShare(st, n) <= s.share(st.job.spec.Team)
 }
 
+// limitReservationTime is for how long a step that waits may keep a part of its team's limit at a time. For as long
+// after that it keeps nothing, so that a step that can't start does not hold its team back for good.
+const limitReservationTime = 10 * time.Second
+
 // reserveLimit keeps the part of the team's limit that n more tasks of a step need from the steps that come later in
 // this pass. Otherwise these would take what becomes free, and a step that needs more at once would never start. Only
 // the first step of each team that waits for the limit keeps a part of it.
@@ -74,13 +78,39 @@
 	if team == nil {
 		return
 	}
+	if st.limitWaitSince.IsZero() {
+		st.limitWaitSince = s.now
+	}
 	u, size := s.team(team.Name), st.spec.Size.Times(int64(n))
-	if u.reservedFor != nil || limitShare(size, team.Limit) > WholeLimit {
+	if u.reservedFor != nil || limitShare(size.Add(u.lasting), team.Limit) > WholeLimit {
+		return
+	}
+	if s.now.Sub(st.limitWaitSince)%(2*limitReservationTime) >= limitReservationTime {
 		return
 	}
 	u.reservedFor, u.reserved = st, size
 }
 
+// reservedFrom returns the part of its team's limit that a step may not use, as it is kept for another one. Steps that
+// were released earlier may use it: ReduceShare keeps their shares, and otherwise steps in different shards could
+// block one another.
+func (u *usage) reservedFrom(st *step) cluster.Resources {
+	if u.reservedFor == nil || u.reservedFor == st || st.releaseTime.Before(u.reservedFor.releaseTime) {
+		return cluster.Resources{}
+	}
+	reserved := u.reserved
+	if st.spec.Size.CPU == 0 {
+		reserved.CPU = 0
+	}
+	if st.spec.Size.Memory == 0 {
+		reserved.Memory = 0
+	}
+	if st.spec.Size.Accelerators == 0 {
+		reserved.Accelerators = 0
+	}
+	return reserved
+}
+
 // neededShare returns the share of a team's limit that the team uses with n more tasks of a step; zero if the team has
 // no limit.
 func (s *Scheduler) neededShare(st *step, n int) int {
@@ -89,10 +119,7 @@
 		return 0
 	}
 	u := s.team(team.Name)
-	used := u.running.Add(u.unconfirmed)
-	if u.reservedFor != st {
-		used = used.Add(u.reserved)
-	}
+	used := u.running.Add(u.unconfirmed).Add(u.reservedFrom(st))
 	return limitShare(used.Add(st.spec.Size.Times(int64(n))), team.Limit)
 }
 
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -67,8 +67,8 @@
 	// the workers on which they ran.
 	preemptedAt      time.Time
 	preemptedWorkers []*worker
-	// waitsForLimit means that the team's limit has held the step back since its last start.
-	waitsForLimit bool
+	// limitWaitSince is when the team's limit first held the step back since its last start; zero if it has not.
+	limitWaitSince time.Time
 	// idleSince is since when nothing of the due step has run while the pool had spare capacity; zero if that is not
 	// so. waitReportedAt is when it was logged last; see reportWaiting.
 	idleSince      time.Time
@@ -217,6 +217,8 @@
 type usage struct {
 	// running is the total size of the team's tracked runs.
 	running cluster.Resources
+	// lasting is the part of running that belongs to long-running tasks.
+	lasting cluster.Resources
 	// unconfirmed is what the team may be using on inherited workers that have not replied since the takeover.
 	unconfirmed cluster.Resources
 	// tokens is the number of jobs that the team may submit now without exceeding its job rate.
