--- a/cluster/pool/permit_test.go
+++ b/cluster/pool/permit_test.go
@@ -61,7 +61,8 @@
 	is.Equal(sim.owner.jobs["0000000000000001"].unfinishedTasks, 0)
 }
 
-// Guards against steps that never start because one step sends a long advice request whenever none is in flight.
+// Guards against steps that never start because a gang that can't start sends a long advice request whenever none is in
+// flight, or keeps the capacity of its few permitted workers reserved.
 func TestLongAdviceRequestsTakeTurns(t *testing.T) {
 	is := is.New(t)
 	sim, restart := newRestartSimulation(t)
