cell: count and log the configurations that daemons send one another

A daemon requests the whole configuration from each peer that announces a newer one, and a failed request was logged at the debug level only, which the daemon on the users' platform does not write.

Each request is now logged with its duration and counted, and so are the bytes sent.

--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -71,13 +71,24 @@
 	d.wg.Go(func() {
 		ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
 		defer cancel()
+		requestedAt := time.Now()
+		d.cfg.Metrics.Counter("config_requests").Inc(1)
 		reply, err := call[configReply](ctx, d, from, methodConfig, &configRequest{})
 		if err != nil {
-			d.cfg.Log.Debug().Err(err).Str("peer", string(from)).Uint64("version", uint64(version)).Msg("cell: configuration could not be fetched")
+			d.cfg.Metrics.Counter("config_request_failures").Inc(1)
+			d.cfg.Log.Info().Err(err).Str("peer", string(from)).Uint64("version", uint64(version)).Dur("took", time.Since(requestedAt)).
+				Msg("cell: configuration could not be fetched")
 			return
 		}
+		d.cfg.Log.Info().Str("peer", string(from)).Uint64("version", uint64(version)).Int("bytes", len(reply.Data)).Dur("took", time.Since(requestedAt)).
+			Msg("cell: configuration fetched")
 		d.applyConfig(reply.Data, string(from))
 	})
 }
 
-func (d *Daemon) serveConfig() configReply { return configReply{Data: d.config.Load().data} }
+// serveConfig returns the configuration in force for another daemon.
+func (d *Daemon) serveConfig() configReply {
+	data := d.config.Load().data
+	d.cfg.Metrics.Counter("config_bytes_sent").Inc(int64(len(data)))
+	return configReply{Data: data}
+}
