cell: request a newer configuration from one daemon at a time

Cause: a daemon that was behind requested the whole configuration at each ping of each peer that had a newer one, without regard to requests in flight, although it reads it from the store as well. The requests timed out after 0.6 s, before the copies had passed the link, and were repeated at the next ping. The copies kept the links between zones and regions full, so that replies of workers to hold calls were lost until their leases expired; their tasks were started again elsewhere.

A daemon now requests a configuration from one daemon at a time, of its own region if possible, at once if it can't reach the store and else when its feed is late by 2 s. A daemon sends at most 512 KiB of configurations a second and refuses further requests, so that those that have fetched it take over. The number of copies in transit no longer grows with the number of pings, and the first copy arrives.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -140,7 +140,7 @@
 	case methodRead:
 		return serve(c, func(r readRequest) (readReply, error) { return d.store.serveRead(ctx, r) })
 	case methodConfig:
-		return serve(c, func(configRequest) (configReply, error) { return d.serveConfig(), nil })
+		return serve(c, func(configRequest) (configReply, error) { return d.serveConfig() })
 	case methodTransferShare:
 		return serve(c, func(r shareRequest) (shareReply, error) { return d.transferOwnedShare(r) })
 	case methodAnnounce:
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -42,6 +42,16 @@
 	// within 3 s.
 	configFeedWait = 1500 * time.Millisecond
 	jobFeedWait    = time.Second
+	// configCheckInterval is the time between two checks whether another daemon has a newer configuration.
+	configCheckInterval = 100 * time.Millisecond
+	// configFetchDelay is how long a daemon that can reach the store waits for its feed before it requests a newer
+	// configuration from another daemon.
+	configFetchDelay = configFeedWait + 500*time.Millisecond
+	// configFetchTimeout limits such a request.
+	configFetchTimeout = 2 * time.Second
+	// configSendRate bounds the bytes per second of the configurations that a daemon sends to others, as a VM with a
+	// slow link has to serve requests meanwhile.
+	configSendRate = 512 << 10
 	// jobFeedDelay is the delay between two reads of the feed of jobs; new jobs are also announced.
 	jobFeedDelay = 150 * time.Millisecond
 	// feedRetryDelay is the delay after a failed read of a feed.
--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -66,29 +68,81 @@
 	}
 }
 
-// fetchConfig requests the configuration of a daemon that has a newer one.
-func (d *Daemon) fetchConfig(from cluster.DaemonID, version cluster.Version) {
-	d.wg.Go(func() {
-		ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
-		defer cancel()
-		requestedAt := time.Now()
-		d.cfg.Metrics.Counter("config_requests").Inc(1)
-		reply, err := call[configReply](ctx, d, from, methodConfig, &configRequest{})
-		if err != nil {
-			d.cfg.Metrics.Counter("config_request_failures").Inc(1)
-			d.cfg.Log.Info().Err(err).Str("peer", string(from)).Uint64("version", uint64(version)).Dur("took", time.Since(requestedAt)).
-				Msg("cell: configuration could not be fetched")
-			return
+// fetchNewerConfig requests a newer configuration from another daemon while this one can't reach the store or its feed
+// is late. A configuration may be as large as all other messages of seconds, so it is requested from one daemon at a
+// time.
+func (d *Daemon) fetchNewerConfig() {
+	var version cluster.Version
+	var behindSince time.Time
+	for d.sleep(configCheckInterval) {
+		if current := d.Snapshot().Version; current != version {
+			version, behindSince = current, time.Time{}
 		}
-		d.cfg.Log.Info().Str("peer", string(from)).Uint64("version", uint64(version)).Int("bytes", len(reply.Data)).Dur("took", time.Since(requestedAt)).
-			Msg("cell: configuration fetched")
-		d.applyConfig(reply.Data, string(from))
-	})
+		sources := d.configSources()
+		if len(sources) == 0 {
+			behindSince = time.Time{}
+			continue
+		}
+		if behindSince.IsZero() {
+			behindSince = time.Now()
+		}
+		feedMayDeliver := d.store.reachable() || !d.store.reachabilityKnown()
+		if feedMayDeliver && time.Since(behindSince) < configFetchDelay {
+			continue
+		}
+		d.fetchConfig(sources[rand.IntN(len(sources))])
+	}
 }
 
-// serveConfig returns the configuration in force for another daemon.
-func (d *Daemon) serveConfig() configReply {
+// configSources returns the daemons that announce a newer configuration, only those of this region if there are any.
+func (d *Daemon) configSources() []cluster.DaemonID {
+	version := d.Snapshot().Version
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var sources, sameRegion []cluster.DaemonID
+	for id, digest := range d.digests {
+		if digest.ConfigVersion <= version || time.Since(d.transport.LastSeen(id)) > peerTimeout {
+			continue
+		}
+		sources = append(sources, id)
+		vm, _, _ := strings.Cut(string(id), daemonSeparator)
+		if m, ok := d.members[vm]; ok && cluster.Region(m.Region) == d.cfg.Place.Region {
+			sameRegion = append(sameRegion, id)
+		}
+	}
+	if len(sameRegion) > 0 {
+		return sameRegion
+	}
+	return sources
+}
+
+// fetchConfig requests the configuration of another daemon and applies it.
+func (d *Daemon) fetchConfig(from cluster.DaemonID) {
+	ctx, cancel := context.WithTimeout(d.ctx, configFetchTimeout)
+	defer cancel()
+	requestedAt := time.Now()
+	d.cfg.Metrics.Counter("config_requests").Inc(1)
+	reply, err := call[configReply](ctx, d, from, methodConfig, &configRequest{})
+	if err != nil {
+		d.cfg.Metrics.Counter("config_request_failures").Inc(1)
+		d.cfg.Log.Info().Err(err).Str("peer", string(from)).Dur("took", time.Since(requestedAt)).Msg("cell: configuration could not be fetched")
+		return
+	}
+	d.cfg.Log.Info().Str("peer", string(from)).Int("bytes", len(reply.Data)).Dur("took", time.Since(requestedAt)).Msg("cell: configuration fetched")
+	d.applyConfig(reply.Data, string(from))
+}
+
+// serveConfig returns the configuration in force for another daemon. A request above configSendRate is refused; the
+// other daemon then asks one that has fetched the configuration meanwhile.
+func (d *Daemon) serveConfig() (configReply, error) {
 	data := d.config.Load().data
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if now.Before(d.nextConfigSendAt) {
+		return configReply{}, &Error{Op: "serve configuration", Kind: KindOverloaded}
+	}
+	d.nextConfigSendAt = now.Add(time.Duration(len(data)) * time.Second / configSendRate)
 	d.cfg.Metrics.Counter("config_bytes_sent").Inc(int64(len(data)))
-	return configReply{Data: data}
+	return configReply{Data: data}, nil
 }
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -52,6 +52,8 @@
 	digests map[cluster.DaemonID]peer.Digest
 	// unownedSince is when each shard was first seen to need a new owner.
 	unownedSince map[shardID]time.Time
+	// nextConfigSendAt is the earliest time at which the configuration is sent to another daemon again.
+	nextConfigSendAt time.Time
 	// layoutMissingSince is when this daemon first saw that the cell has no shard layout.
 	layoutMissingSince time.Time
 }
@@ -100,6 +102,7 @@
 	d.wg.Go(d.store.probeWhileUnreachable)
 	d.wg.Go(d.joinCell)
 	d.wg.Go(d.followConfig)
+	d.wg.Go(d.fetchNewerConfig)
 	d.wg.Go(d.followCell)
 	d.wg.Go(d.followMembers)
 	d.wg.Go(d.claimLoop)
@@ -138,9 +141,6 @@
 		d.mu.Lock()
 		d.digests[from] = v.Digest
 		d.mu.Unlock()
-		if v.Digest.ConfigVersion > d.Snapshot().Version {
-			d.fetchConfig(from, v.Digest.ConfigVersion)
-		}
 	case *peer.Call:
 		d.wg.Go(func() { d.serveCall(from, v) })
 	case *peer.Reply:
