cell: probe the store without reading the configuration

Cause: a daemon probes the store when a call is late by 0.6 s, and again every 0.25 s while the probe fails, and the probe read the row of the configuration. Once the daemons of the other region were late they read it up to three times a second each, more than the link between the regions carries, so that the probes themselves kept it full: all of them took the store for unreachable for 5 s, and no worker there answered a hold call in time.

The probe now reads a key that has no row, in the part that holds the configuration, so that its reply stays small.

TestProbeReadsLittle read 256 KiB before and passes now.

--- a/cluster/cell/configwatch_test.go
+++ b/cluster/cell/configwatch_test.go
@@ -155,3 +155,34 @@
 	}
 	is.Equal(sent, 1)
 }
+
+// countingStore counts the bytes of the rows that are read.
+type countingStore struct {
+	*rowStore
+	bytesRead int
+}
+
+func (s *countingStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	reply, err := s.rowStore.Read(ctx, req)
+	for _, r := range reply.Rows {
+		s.bytesRead += len(r.Value)
+	}
+	return reply, err
+}
+
+// Guards against probes that read a large configuration: they are sent while calls are late, and would keep a loaded
+// link full.
+func TestProbeReadsLittle(t *testing.T) {
+	is := is.New(t)
+	store := &countingStore{rowStore: &rowStore{rows: map[string]platform.Row{}}}
+	d := newTestDaemon(t, store)
+	defer d.stop()
+	_, err := store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{
+		{Key: d.cfg.Reader.ConfigKey(), Value: make([]byte, 256<<10)},
+		{Key: layoutKey, Value: must(encode("test", &layoutRow{Shards: 1}))},
+	}})
+	is.NoErr(err)
+	d.store.probe()
+	is.True(d.store.reachable())
+	is.True(store.bytesRead < 1<<10)
+}
--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -65,12 +65,16 @@
 	}
 }
 
+// probeSuffix makes the key that a probe reads from that of the configuration. There is no such row, so that the reply
+// is small even if the configuration is large.
+const probeSuffix = ".probe"
+
 // probe makes a small call. The store is unreachable if it fails and reachable otherwise.
 func (s *relayStore) probe() {
 	ctx, cancel := context.WithTimeout(s.d.ctx, probeTimeout)
 	defer cancel()
 	startedAt := time.Now()
-	_, err := s.local.Read(ctx, platform.ReadRequest{Keys: []string{s.d.cfg.Reader.ConfigKey()}})
+	_, err := s.local.Read(ctx, platform.ReadRequest{Keys: []string{s.d.cfg.Reader.ConfigKey() + probeSuffix}})
 	if s.d.ctx.Err() != nil {
 		return
 	}
