cell: try the store while its first reply arrives

Callers saw: "unavailable: the store does not answer" for a read or a transaction at the start of a daemon, although the store is reachable.

Cause: Read and Commit asked reachable() and then reachabilityKnown(), each under its own lock. If the first reply arrived in between, the first saw no reply yet and the second saw one, and the call was not sent. Other daemons are not known at that time, so it was not relayed either. fetchNewerConfig asked in the same way and could request a configuration that the feed is about to deliver.

Change: both conditions together hold exactly if no probe has failed since the last reply. mayBeReachable asks that under one lock.

--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -86,7 +86,7 @@
 		if behindSince.IsZero() {
 			behindSince = time.Now()
 		}
-		feedMayDeliver := d.store.reachable() || !d.store.reachabilityKnown()
+		feedMayDeliver := d.store.mayBeReachable()
 		if feedMayDeliver && time.Since(behindSince) < configFetchDelay {
 			continue
 		}
--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -220,7 +220,7 @@
 func (s *relayStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
 	var reply platform.ReadReply
 	err := error(&platform.Error{Op: "read", Kind: platform.KindUnavailable, Err: errors.New("the store does not answer")})
-	if s.reachable() || !s.reachabilityKnown() {
+	if s.mayBeReachable() {
 		var unreachable bool
 		if reply, unreachable, err = s.localRead(ctx, req); !unreachable {
 			return reply, err
@@ -235,11 +235,12 @@
 	return reply, err
 }
 
-// reachabilityKnown reports whether the store has replied or a probe has failed.
-func (s *relayStore) reachabilityKnown() bool {
+// mayBeReachable reports whether a call to the store should be tried; unlike reachable, it is true before the first
+// reply.
+func (s *relayStore) mayBeReachable() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.unreachable || !s.repliedAt.IsZero()
+	return !s.unreachable
 }
 
 // mayBeUnreachable reports whether an error may have been caused by the connection to the store and not by the
@@ -271,7 +272,7 @@
 // KindUnknown means that a reply was lost and the transaction may have been applied.
 func (s *relayStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
 	err := error(&platform.Error{Op: "commit", Kind: platform.KindUnavailable, Err: errors.New("the store does not answer")})
-	if s.reachable() || !s.reachabilityKnown() {
+	if s.mayBeReachable() {
 		v, unreachable, localErr := s.localCommit(ctx, txn)
 		if !unreachable || !notExecuted(localErr) {
 			return v, localErr
