cell: tell callers whether a failed call may have been executed

Callers saw: a submission reported as not accepted although its job runs, and a transaction sent to a second daemon after the first had applied it, when the relaying daemon panics or can't encode its reply after the commit.

Cause: call turned each failure that the other daemon reports into KindUnavailable, which means that nothing was done. A panic and a reply that can't be encoded were reported in the same way as a refused call.

Evidence: TestRelayFailureAfterCommitIsUnknown failed before: the row was in the store and the error was KindUnavailable. TestTransferByStoppedOwnerIsUnknown shows the same cause in transferShare, which reported KindUnavailable after the shares row might have been written; it fails without the change in shares.go.

Change: the body of a reply with a failure says whether the call had no effect, which follows from the kind of the error; a panic or a reply that can't be encoded counts as executed. Without that body the call may have been executed. Daemons of earlier versions ignore the body of such a reply; their own failures have none and now count as KindUnknown, so that a transaction refused by such a daemon is not relayed by another one but reported to the caller, which tries it again.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -62,9 +62,15 @@
 	}
 }
 
+// callFailure is the body of a reply with a failure. Daemons of earlier versions ignore it and send none.
+type callFailure struct {
+	// NotExecuted means that the call had no effect.
+	NotExecuted bool `msgpack:"NotExecuted"`
+}
+
 // call sends a request to another daemon and decodes the reply. An Error of kind KindUnavailable means that
-// nothing was sent or that the other daemon reported a failure; KindUnknown means that the request may have been
-// carried out.
+// nothing was sent or that the other daemon did not execute the call; KindUnknown means that the request may have
+// been carried out.
 func call[T any](ctx context.Context, d *Daemon, to cluster.DaemonID, method string, request any) (T, error) {
 	var zero T
 	body, err := encode("call "+method, request)
@@ -82,7 +88,7 @@
 		select {
 		case reply := <-replies:
 			if reply.Failure != "" {
-				return zero, &Error{Op: "call " + method, Kind: KindUnavailable, Err: errors.New(string(to) + ": " + reply.Failure)}
+				return zero, &Error{Op: "call " + method, Kind: failureKind(reply), Err: errors.New(string(to) + ": " + reply.Failure)}
 			}
 			return decode[T]("read answer of "+method, reply.Body)
 		case <-ctx.Done():
@@ -95,28 +101,35 @@
 	}
 }
 
+// failureKind returns the kind of error of a call that the other daemon reports as failed.
+func failureKind(reply *peer.Reply) Kind {
+	failure, err := decode[callFailure]("read failure", reply.Body)
+	if err == nil && failure.NotExecuted {
+		return KindUnavailable
+	}
+	return KindUnknown
+}
+
 // serveCall executes a call of another daemon and sends the reply.
 func (d *Daemon) serveCall(from cluster.DaemonID, c *peer.Call) {
-	reply := &peer.Reply{ID: c.ID}
+	var reply *peer.Reply
 	var catcher panics.Catcher
 	catcher.Try(func() {
 		body, err := d.executeCall(c)
 		if err != nil {
-			reply.Failure = err.Error()
+			reply = failureReply(c.ID, err)
 			return
 		}
-		reply.Body = body
+		reply = &peer.Reply{ID: c.ID, Body: body}
 	})
 	if recovered := catcher.Recovered(); recovered != nil {
-		reply.Failure = "internal error"
+		// The call may have had its effect before the panic.
+		reply = failureReply(c.ID, &Error{Op: "serve call", Kind: KindUnknown, Err: errors.New("internal error")})
 		d.cfg.Log.Error().Err(recovered.AsError()).Str("method", c.Method).Msg("cell: panic while serving a call")
 	}
 	if c.ID == noReplyID {
 		return
 	}
-	if len(reply.Failure) > maxFailureText {
-		reply.Failure = reply.Failure[:maxFailureText]
-	}
 	if !d.transport.Send(from, reply) {
 		d.cfg.Log.Debug().Str("peer", string(from)).Str("method", c.Method).Msg("cell: reply not sent")
 	}
@@ -125,6 +138,31 @@
 // maxFailureText bounds the error text in a reply; it is below the longest string of a frame.
 const maxFailureText = 500
 
+func failureReply(id uint64, err error) *peer.Reply {
+	reply := &peer.Reply{ID: id, Failure: err.Error()}
+	if len(reply.Failure) > maxFailureText {
+		reply.Failure = reply.Failure[:maxFailureText]
+	}
+	// Without a body the caller assumes that the call may have been executed.
+	if body, encodeErr := encode("report failure", &callFailure{NotExecuted: hadNoEffect(err)}); encodeErr == nil {
+		reply.Body = body
+	}
+	return reply
+}
+
+// hadNoEffect reports whether an error of executeCall means that the call had no effect.
+func hadNoEffect(err error) bool {
+	var e *Error
+	if !errors.As(err, &e) {
+		return notExecuted(err)
+	}
+	switch e.Kind {
+	case KindUnavailable, KindOverloaded, KindNotFound, KindMalformed:
+		return true
+	}
+	return false
+}
+
 func (d *Daemon) executeCall(c *peer.Call) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, serveTimeout)
 	defer cancel()
@@ -158,5 +196,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return encode("serve "+c.Method, &reply)
+	body, err := encode("serve "+c.Method, &reply)
+	if err != nil {
+		// The call has been executed, which KindMalformed would not tell.
+		return nil, &Error{Op: "serve " + c.Method, Kind: KindUnknown, Err: err}
+	}
+	return body, nil
 }
--- a/cluster/cell/calls_test.go
+++ b/cluster/cell/calls_test.go
@@ -132,3 +132,38 @@
 	is.Equal(len(store.rows), 1)
 	is.True(platform.IsKind(err, platform.KindUnknown))
 }
+
+// Guards against a caller that can't tell whether a call that failed at the other daemon was executed: it must not send
+// the call to a third daemon unless it was not, and should do so then.
+func TestReportedFailureTellsWhetherCallWasExecuted(t *testing.T) {
+	const other = cluster.DaemonID("other@1")
+	_, encodeErr := serve(&peer.Call{Body: must(encode("test", struct{}{}))}, func(struct{}) (chan int, error) { return nil, nil })
+	_, decodeErr := serve(&peer.Call{Body: []byte{0xc1}}, func(struct{}) (struct{}, error) { return struct{}{}, nil })
+	for _, c := range []struct {
+		name  string
+		reply *peer.Reply
+		kind  Kind
+	}{
+		{name: "unavailable", reply: failureReply(0, &Error{Op: "test", Kind: KindUnavailable}), kind: KindUnavailable},
+		{name: "overloaded", reply: failureReply(0, &Error{Op: "test", Kind: KindOverloaded}), kind: KindUnavailable},
+		{name: "request not decoded", reply: failureReply(0, decodeErr), kind: KindUnavailable},
+		{name: "throttled by the platform", reply: failureReply(0, &platform.Error{Op: "test", Kind: platform.KindThrottled}), kind: KindUnavailable},
+		{name: "no reply of the platform", reply: failureReply(0, &platform.Error{Op: "test", Kind: platform.KindUnknown}), kind: KindUnknown},
+		{name: "unknown", reply: failureReply(0, &Error{Op: "test", Kind: KindUnknown}), kind: KindUnknown},
+		{name: "reply not encoded", reply: failureReply(0, encodeErr), kind: KindUnknown},
+		{name: "daemon of an earlier version", reply: &peer.Reply{Failure: "relay: unavailable"}, kind: KindUnknown},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, d := newStoreDaemon(t)
+			remote := make(chan *peer.Transport, 1)
+			remote <- connectPeer(t, d, other, func(m peer.Message) {
+				if call, ok := m.(*peer.Call); ok {
+					(<-remote).Send(d.cfg.Self, &peer.Reply{ID: call.ID, Failure: c.reply.Failure, Body: c.reply.Body})
+				}
+			})
+			_, err := call[commitReply](t.Context(), d, other, methodCommit, &commitRequest{})
+			is.True(IsKind(err, c.kind))
+		})
+	}
+}
--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -197,7 +197,7 @@
 			shares[r.To] += granted
 			row.Teams[r.Team] = shares
 		}) {
-			return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
+			return shareReply{}, &Error{Op: "lend", Kind: KindUnknown, Err: errNotOwner}
 		}
 		o.sendEvent(&pool.SharesChanged{Shares: o.shares.row.shardShares(o.id.Index)})
 		o.d.cfg.Log.Info().Stringer("shard", o.id).Int("to", r.To).Str("team", r.Team).Int("wanted", r.Wanted).Int("given", granted).Msg("cell: share of a limit transferred")
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -206,6 +206,38 @@
 	is.Equal(row.Epochs[0], uint64(3))
 }
 
+// lostReplyStore applies a transaction, calls afterCommit and loses the reply.
+type lostReplyStore struct {
+	*rowStore
+	afterCommit func()
+}
+
+func (s *lostReplyStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	if _, err := s.rowStore.Commit(ctx, txn); err != nil {
+		return 0, err
+	}
+	s.afterCommit()
+	return 0, &platform.Error{Op: "test", Kind: platform.KindUnknown}
+}
+
+func (s *lostReplyStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	if ctx.Err() != nil {
+		return platform.ReadReply{}, &platform.Error{Op: "test", Kind: platform.KindUnknown, Err: ctx.Err()}
+	}
+	return s.rowStore.Read(ctx, req)
+}
+
+// Guards against a transfer that is reported as not done although the owner stopped only after the store had applied it.
+func TestTransferByStoppedOwnerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	store, d := newThreeShardDaemon(t)
+	o := newShardOwner(t, d, 0, 1)
+	d.store = newRelayStore(d, &lostReplyStore{rowStore: store, afterCommit: o.stop})
+	_, err := o.transferShare(shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
+	is.Equal(storedShares(t, store), []int{2834, 3833, 3333})
+	is.True(IsKind(err, KindUnknown))
+}
+
 // Guards against owners that transfer shares at the same time and undo each other's changes.
 func TestConcurrentShareTransfers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
