cell: send large replies to relayed reads in parts

Callers saw: the owner of a shard with more than 1 MiB of rows in a part can't load them while it can't reach the store; each relayed read takes its whole timeout.

Cause: a message is limited to a frame of 1 MiB. The transport drops a larger one and only logs it, so the caller gets neither rows nor a failure.

Change: a request says how many parts of a reply the caller accepts, and the reply is divided by rows. The parts are numbered, and the caller fails at once if one is missing. A reply that is too large all the same is reported as a failure, also to daemons of earlier versions, which request no parts. A request that is too large, for which the caller waited in the same way, fails before it is sent.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -29,6 +29,10 @@
 // noReplyID is the identifier of a call that gets no reply.
 const noReplyID = 0
 
+// maxBodyBytes bounds the body of a call or of a reply. A message may not be larger than a frame of the transport,
+// which drops it otherwise.
+const maxBodyBytes = peer.MaxFrame - 1<<10
+
 // callTable matches the replies of other daemons to the calls of this one.
 type callTable struct {
 	mu      sync.Mutex
@@ -38,13 +42,14 @@
 
 func newCallTable() *callTable { return &callTable{pending: map[uint64]chan *peer.Reply{}} }
 
-func (c *callTable) register() (uint64, chan *peer.Reply) {
+// register returns the identifier of a new call and the channel of its replies, of which there are at most maxReplies.
+func (c *callTable) register(maxReplies int) (uint64, chan *peer.Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastID++
-	reply := make(chan *peer.Reply, 1)
-	c.pending[c.lastID] = reply
-	return c.lastID, reply
+	replies := make(chan *peer.Reply, maxReplies)
+	c.pending[c.lastID] = replies
+	return c.lastID, replies
 }
 
 func (c *callTable) unregister(id uint64) {
@@ -56,9 +61,9 @@
 func (c *callTable) deliver(reply *peer.Reply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if waiting := c.pending[reply.ID]; waiting != nil {
-		waiting <- reply
-		delete(c.pending, reply.ID)
+	select {
+	case c.pending[reply.ID] <- reply:
+	default: // nobody waits for the reply
 	}
 }
 
@@ -72,15 +77,28 @@
 // nothing was sent or that the other daemon did not execute the call; KindUnknown means that the request may have
 // been carried out.
 func call[T any](ctx context.Context, d *Daemon, to cluster.DaemonID, method string, request any) (T, error) {
-	var zero T
+	var reply T
+	err := callForParts(ctx, d, to, method, request, 1, func(part T) (bool, error) {
+		reply = part
+		return true, nil
+	})
+	return reply, err
+}
+
+// callForParts is call for a reply of up to maxParts messages, each of which it passes to receive until that returns
+// true or an error.
+func callForParts[T any](ctx context.Context, d *Daemon, to cluster.DaemonID, method string, request any, maxParts int, receive func(T) (bool, error)) error {
 	body, err := encode("call "+method, request)
 	if err != nil {
-		return zero, err
+		return err
+	}
+	if len(body) > maxBodyBytes {
+		return &Error{Op: "call " + method, Kind: KindUnavailable, Err: fmt.Errorf("the request of %d bytes is too large", len(body))}
 	}
-	id, replies := d.calls.register()
+	id, replies := d.calls.register(maxParts)
 	defer d.calls.unregister(id)
 	if !d.transport.Send(to, &peer.Call{ID: id, Method: method, Body: body}) {
-		return zero, &Error{Op: "call " + method, Kind: KindUnavailable, Err: errors.New("no connection to " + string(to))}
+		return &Error{Op: "call " + method, Kind: KindUnavailable, Err: errors.New("no connection to " + string(to))}
 	}
 	ticker := time.NewTicker(peerCheckInterval)
 	defer ticker.Stop()
@@ -88,14 +106,20 @@
 		select {
 		case reply := <-replies:
 			if reply.Failure != "" {
-				return zero, &Error{Op: "call " + method, Kind: failureKind(reply), Err: errors.New(string(to) + ": " + reply.Failure)}
+				return &Error{Op: "call " + method, Kind: failureKind(reply), Err: errors.New(string(to) + ": " + reply.Failure)}
+			}
+			part, err := decode[T]("read answer of "+method, reply.Body)
+			if err != nil {
+				return err
+			}
+			if complete, err := receive(part); complete || err != nil {
+				return err
 			}
-			return decode[T]("read answer of "+method, reply.Body)
 		case <-ctx.Done():
-			return zero, &Error{Op: "call " + method, Kind: KindUnknown, Err: ctx.Err()}
+			return &Error{Op: "call " + method, Kind: KindUnknown, Err: ctx.Err()}
 		case <-ticker.C:
 			if sinceSeen := time.Since(d.transport.LastSeen(to)); sinceSeen > peerTimeout {
-				return zero, &Error{Op: "call " + method, Kind: KindUnknown, Err: fmt.Errorf("%s is silent for %s", to, sinceSeen)}
+				return &Error{Op: "call " + method, Kind: KindUnknown, Err: fmt.Errorf("%s is silent for %s", to, sinceSeen)}
 			}
 		}
 	}
@@ -110,28 +134,33 @@
 	return KindUnknown
 }
 
-// serveCall executes a call of another daemon and sends the reply.
+// serveCall executes a call of another daemon and sends the reply, which may have several parts.
 func (d *Daemon) serveCall(from cluster.DaemonID, c *peer.Call) {
-	var reply *peer.Reply
+	var replies []*peer.Reply
 	var catcher panics.Catcher
 	catcher.Try(func() {
-		body, err := d.executeCall(c)
+		bodies, err := d.executeCall(c)
 		if err != nil {
-			reply = failureReply(c.ID, err)
+			replies = []*peer.Reply{failureReply(c.ID, err)}
 			return
 		}
-		reply = &peer.Reply{ID: c.ID, Body: body}
+		for _, body := range bodies {
+			replies = append(replies, &peer.Reply{ID: c.ID, Body: body})
+		}
 	})
 	if recovered := catcher.Recovered(); recovered != nil {
 		// The call may have had its effect before the panic.
-		reply = failureReply(c.ID, &Error{Op: "serve call", Kind: KindUnknown, Err: errors.New("internal error")})
+		replies = []*peer.Reply{failureReply(c.ID, &Error{Op: "serve call", Kind: KindUnknown, Err: errors.New("internal error")})}
 		d.cfg.Log.Error().Err(recovered.AsError()).Str("method", c.Method).Msg("cell: panic while serving a call")
 	}
 	if c.ID == noReplyID {
 		return
 	}
-	if !d.transport.Send(from, reply) {
-		d.cfg.Log.Debug().Str("peer", string(from)).Str("method", c.Method).Msg("cell: reply not sent")
+	for _, reply := range replies {
+		if !d.transport.Send(from, reply) {
+			d.cfg.Log.Debug().Str("peer", string(from)).Str("method", c.Method).Msg("cell: reply not sent")
+			return
+		}
 	}
 }
 
@@ -163,7 +192,8 @@
 	return false
 }
 
-func (d *Daemon) executeCall(c *peer.Call) ([]byte, error) {
+// executeCall returns the bodies of the parts of the reply.
+func (d *Daemon) executeCall(c *peer.Call) ([][]byte, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, serveTimeout)
 	defer cancel()
 	switch c.Method {
@@ -176,7 +206,7 @@
 	case methodCommit:
 		return serve(c, func(r commitRequest) (commitReply, error) { return d.store.serveCommit(ctx, r) })
 	case methodRead:
-		return serve(c, func(r readRequest) (readReply, error) { return d.store.serveRead(ctx, r) })
+		return serveParts(c, func(r readRequest) ([]readReply, error) { return d.store.serveRead(ctx, r) })
 	case methodConfig:
 		return serve(c, func(configRequest) (configReply, error) { return d.serveConfig() })
 	case methodTransferShare:
@@ -187,19 +217,34 @@
 	return nil, &Error{Op: "serve call", Kind: KindMalformed, Err: errors.New("unknown method " + c.Method)}
 }
 
-func serve[Q, R any](c *peer.Call, handle func(Q) (R, error)) ([]byte, error) {
+func serve[Q, R any](c *peer.Call, handle func(Q) (R, error)) ([][]byte, error) {
+	return serveParts(c, func(request Q) ([]R, error) {
+		reply, err := handle(request)
+		return []R{reply}, err
+	})
+}
+
+// serveParts is serve for a reply of several parts.
+func serveParts[Q, R any](c *peer.Call, handle func(Q) ([]R, error)) ([][]byte, error) {
 	request, err := decode[Q]("serve "+c.Method, c.Body)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := handle(request)
+	parts, err := handle(request)
 	if err != nil {
 		return nil, err
 	}
-	body, err := encode("serve "+c.Method, &reply)
-	if err != nil {
-		// The call has been executed, which KindMalformed would not tell.
-		return nil, &Error{Op: "serve " + c.Method, Kind: KindUnknown, Err: err}
+	var bodies [][]byte
+	for i := range parts {
+		body, err := encode("serve "+c.Method, &parts[i])
+		if err == nil && len(body) > maxBodyBytes {
+			err = fmt.Errorf("the reply of %d bytes is too large", len(body))
+		}
+		if err != nil {
+			// The call has been executed, which KindMalformed would not tell.
+			return nil, &Error{Op: "serve " + c.Method, Kind: KindUnknown, Err: err}
+		}
+		bodies = append(bodies, body)
 	}
-	return body, nil
+	return bodies, nil
 }
--- a/cluster/cell/calls_test.go
+++ b/cluster/cell/calls_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"testing"
@@ -101,6 +102,96 @@
 	}
 }
 
+// serveThrough connects a daemon to a peer that lets relay serve the calls.
+func serveThrough(t *testing.T, d *Daemon, other cluster.DaemonID, relay *Daemon) {
+	t.Helper()
+	connected := make(chan struct{})
+	relay.transport = connectPeer(t, d, other, func(m peer.Message) {
+		if c, ok := m.(*peer.Call); ok {
+			<-connected
+			relay.serveCall(d.cfg.Self, c)
+		}
+	})
+	close(connected)
+}
+
+// Guards against an owner that can't load the rows of its shard while it can't reach the store, because there are more
+// rows than a message can carry.
+func TestLargeRelayedReadReturnsAllRows(t *testing.T) {
+	is := is.New(t)
+	const other = cluster.DaemonID("other@1")
+	store, relay := newStoreDaemon(t)
+	_, err := relay.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+	is.NoErr(err)
+	var puts []platform.Put
+	for i := range 100 {
+		puts = append(puts, platform.Put{Key: fmt.Sprintf("%s%d", recordPartPrefix(testShard, 0), i), Value: bytes.Repeat([]byte{byte(i)}, 64<<10)})
+	}
+	_, err = store.Commit(t.Context(), platform.Txn{Puts: puts})
+	is.NoErr(err)
+	_, d := newStoreDaemon(t)
+	serveThrough(t, d, other, relay)
+	req := platform.ReadRequest{Prefixes: []string{recordPartPrefix(testShard, 0)}}
+	stored, err := store.Read(t.Context(), req)
+	is.NoErr(err)
+	relayed, err := d.store.relayRead(t.Context(), other, req)
+	is.NoErr(err)
+	is.Equal(relayed, stored)
+}
+
+// Guards against a relayed read that returns only some of the rows, and against one that waits for its timeout, if a
+// part of the reply is lost.
+func TestRelayedReadWithLostPartFails(t *testing.T) {
+	is := is.New(t)
+	const other = cluster.DaemonID("other@1")
+	_, d := newStoreDaemon(t)
+	remote := make(chan *peer.Transport, 1)
+	remote <- connectPeer(t, d, other, func(m peer.Message) {
+		if c, ok := m.(*peer.Call); ok {
+			transport := <-remote
+			for _, part := range []int{0, 2} {
+				transport.Send(d.cfg.Self, &peer.Reply{ID: c.ID, Body: must(encode("test", &readReply{Part: part, Parts: 3}))})
+			}
+		}
+	})
+	_, err := d.store.relayRead(t.Context(), other, platform.ReadRequest{})
+	is.True(platform.IsKind(err, platform.KindUnavailable))
+	is.True(IsKind(err, KindMalformed))
+}
+
+// Guards against replies that can't be sent: a part above the limit, more parts than the caller accepts, or several
+// parts to a daemon of an earlier version, which takes the first one for the whole reply.
+func TestReadReplyIsSplit(t *testing.T) {
+	is := is.New(t)
+	reply := readReply{AsOf: 5}
+	for i := range 40 {
+		reply.Rows = append(reply.Rows, platform.Row{Key: fmt.Sprintf("t/p/%d", i), Value: make([]byte, 64<<10)})
+	}
+	parts := reply.split(maxReplyParts)
+	is.True(len(parts) > 1)
+	for _, part := range parts {
+		is.True(len(must(encode("test", &part))) <= maxBodyBytes)
+		is.Equal(part.AsOf, reply.AsOf)
+		is.Equal(part.Parts, len(parts))
+	}
+	is.Equal(len(reply.split(len(parts))), len(parts))
+	is.Equal(reply.split(len(parts)-1), []readReply{reply})
+	is.Equal(reply.split(0), []readReply{reply})
+	failed := readReply{Failed: true, Kind: int(platform.KindExpired)}
+	is.Equal(failed.split(maxReplyParts), []readReply{failed})
+}
+
+// Guards against a request that is dropped because it is larger than a message may be, for whose reply the caller waits
+// in vain.
+func TestOversizedRequestFailsAtOnce(t *testing.T) {
+	is := is.New(t)
+	const other = cluster.DaemonID("other@1")
+	_, d := newStoreDaemon(t)
+	connectPeer(t, d, other, func(peer.Message) {})
+	_, err := d.store.relayCommit(t.Context(), other, platform.Txn{Puts: []platform.Put{{Key: "t/p/a", Value: make([]byte, peer.MaxFrame)}}})
+	is.True(platform.IsKind(err, platform.KindUnavailable))
+}
+
 // panickingStore panics after it has applied a transaction.
 type panickingStore struct{ *rowStore }
 
--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -152,13 +152,68 @@
 	Prefixes     []string      `msgpack:"Prefixes"`
 	SinceVersion uint64        `msgpack:"Since"`
 	Wait         time.Duration `msgpack:"Wait"`
+	// MaxParts is the largest number of parts of the reply. It is zero in the requests of daemons of earlier versions,
+	// which expect one.
+	MaxParts int `msgpack:"MaxParts"`
 }
 
+// readReply is the reply to a read, or a part of it that has some of the rows.
 type readReply struct {
 	Rows   []platform.Row `msgpack:"Rows"`
 	AsOf   uint64         `msgpack:"AsOf"`
 	Failed bool           `msgpack:"Failed"`
 	Kind   int            `msgpack:"Kind"`
+	// Part is the index of the part, and Parts their number; both are zero in an undivided reply.
+	Part  int `msgpack:"Part"`
+	Parts int `msgpack:"Parts"`
+}
+
+const (
+	// maxReplyParts bounds the parts of the reply to a relayed read, and maxPartBytes the rows of a part, unless it is
+	// a single larger row.
+	maxReplyParts = 64
+	maxPartBytes  = 512 << 10
+	// rowOverheadBytes is the largest encoded size of a row in addition to its key and its value.
+	rowOverheadBytes = 64
+)
+
+// split divides a large reply into parts. It returns the undivided reply if there would be more than maxParts.
+func (r *readReply) split(maxParts int) []readReply {
+	var parts []readReply
+	first, size := 0, 0
+	for i, row := range r.Rows {
+		rowSize := len(row.Key) + len(row.Value) + rowOverheadBytes
+		if i > first && size+rowSize > maxPartBytes {
+			parts = append(parts, readReply{Rows: r.Rows[first:i], AsOf: r.AsOf})
+			first, size = i, 0
+		}
+		size += rowSize
+	}
+	parts = append(parts, readReply{Rows: r.Rows[first:], AsOf: r.AsOf})
+	if len(parts) == 1 || len(parts) > maxParts {
+		return []readReply{*r}
+	}
+	for i := range parts {
+		parts[i].Part, parts[i].Parts = i, len(parts)
+	}
+	return parts
+}
+
+// readCollector joins the parts of the reply to a relayed read.
+type readCollector struct {
+	reply    readReply
+	received int
+}
+
+// add appends the next part and returns whether it is the last one. It fails if a part is missing.
+func (c *readCollector) add(part readReply) (complete bool, err error) {
+	if part.Part != c.received {
+		return false, &Error{Op: "read answer of " + methodRead, Kind: KindMalformed, Err: fmt.Errorf("received part %d instead of part %d", part.Part, c.received)}
+	}
+	c.received++
+	part.Rows = append(c.reply.Rows, part.Rows...)
+	c.reply = part
+	return c.received >= part.Parts, nil
 }
 
 // reachable reports whether this daemon can reach the store; it is false before the first reply.
@@ -258,10 +313,12 @@
 func (s *relayStore) relayRead(ctx context.Context, to cluster.DaemonID, req platform.ReadRequest) (platform.ReadReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait+callTimeout+storeTimeout)
 	defer cancel()
-	reply, err := call[readReply](ctx, s.d, to, methodRead, &readRequest{Keys: req.Keys, Prefixes: req.Prefixes, SinceVersion: uint64(req.SinceVersion), Wait: req.Wait})
-	if err != nil {
+	request := readRequest{Keys: req.Keys, Prefixes: req.Prefixes, SinceVersion: uint64(req.SinceVersion), Wait: req.Wait, MaxParts: maxReplyParts}
+	var parts readCollector
+	if err := callForParts(ctx, s.d, to, methodRead, &request, maxReplyParts, parts.add); err != nil {
 		return platform.ReadReply{}, &platform.Error{Op: "read", Kind: platform.KindUnavailable, Err: err}
 	}
+	reply := parts.reply
 	if reply.Failed {
 		return platform.ReadReply{}, &platform.Error{Op: "read", Kind: platform.Kind(reply.Kind), Err: fmt.Errorf("through %s", to)}
 	}
@@ -326,13 +383,14 @@
 	return commitReply{Version: uint64(v), Failed: err != nil, Kind: int(errorKind(err)), Key: errorKey(err)}, nil
 }
 
-// serveRead reads for another daemon.
-func (s *relayStore) serveRead(ctx context.Context, r readRequest) (readReply, error) {
+// serveRead reads for another daemon and returns the parts of the reply.
+func (s *relayStore) serveRead(ctx context.Context, r readRequest) ([]readReply, error) {
 	if !s.reachable() {
-		return readReply{}, &Error{Op: "relay", Kind: KindUnavailable, Err: errors.New("the store does not answer here")}
+		return nil, &Error{Op: "relay", Kind: KindUnavailable, Err: errors.New("the store does not answer here")}
 	}
-	reply, _, err := s.localRead(ctx, platform.ReadRequest{Keys: r.Keys, Prefixes: r.Prefixes, SinceVersion: cluster.Version(r.SinceVersion), Wait: r.Wait})
-	return readReply{Rows: reply.Rows, AsOf: uint64(reply.AsOf), Failed: err != nil, Kind: int(errorKind(err))}, nil
+	stored, _, err := s.localRead(ctx, platform.ReadRequest{Keys: r.Keys, Prefixes: r.Prefixes, SinceVersion: cluster.Version(r.SinceVersion), Wait: r.Wait})
+	reply := readReply{Rows: stored.Rows, AsOf: uint64(stored.AsOf), Failed: err != nil, Kind: int(errorKind(err))}
+	return reply.split(r.MaxParts), nil
 }
 
 // errorKind returns the kind of a platform error, and KindUnknown for any other error.
