cell: end the ownership of an owner that loads after a later one

Callers saw: a shard without an owner after a takeover. An owner that could not reach the store loads its rows only after a later owner has loaded them, and the later owner gives up the shard.

Cause: fencePart wrote the epoch of its owner into the sequence row whatever epoch it found there. claimShares did the same with the shares row, as commitShares compared the epochs only after a conflict. The later owner finds a foreign epoch at its next record and ends its ownership. An owner that receives a share gets the whole shares row with it and could overwrite a later epoch in the same way.

Evidence: TestEarlierOwnerDoesNotFenceRecords, TestEarlierOwnerDoesNotClaimShares and, for the received row, TestEarlierOwnerDoesNotOverwriteReceivedShares failed before.

Change: fencePart ends the ownership if the row holds a higher epoch, and commitShares compares the epochs before each attempt. The transactions check the version of the row that was compared, so no later epoch can be written in between. A sequence row that can't be decoded now fails the load, as a shares row does.

Measured: the three tests pass 20 times with -race.

--- a/cluster/cell/records.go
+++ b/cluster/cell/records.go
@@ -57,7 +57,8 @@
 }
 
 // fencePart writes the epoch of this owner into the sequence row of a part and then reads the part. The pages
-// of that read have different versions, and a previous owner must not write between them.
+// of that read have different versions, and a previous owner must not write between them. It ends the ownership if a
+// later owner has fenced the part.
 func (o *ownedShard) fencePart(part int) ([]platform.Row, error) {
 	key := sequenceKey(o.id, part)
 	reply, err := o.d.store.Read(o.ctx, platform.ReadRequest{Keys: []string{key}})
@@ -66,6 +67,14 @@
 	}
 	check := platform.Check{Key: key}
 	for _, r := range reply.Rows {
+		row, err := decode[sequenceRow]("seal", r.Value)
+		if err != nil {
+			return nil, err
+		}
+		if row.Epoch > uint64(o.epoch) {
+			o.endOwnership("a later owner has fenced the records")
+			return nil, &Error{Op: "seal", Kind: KindUnavailable, Err: errNotOwner}
+		}
 		check.Version = r.Version
 	}
 	data, err := encode("seal", &sequenceRow{Epoch: uint64(o.epoch)})
--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -123,6 +123,10 @@
 	s := &o.shares
 	s.changeNumber++
 	for o.ctx.Err() == nil {
+		if s.row.Epochs[o.id.Index] > uint64(o.epoch) {
+			o.endOwnership("the shares row names a later owner")
+			return false
+		}
 		next := s.row.clone()
 		next.Epochs[o.id.Index], next.ChangeNumbers[o.id.Index] = uint64(o.epoch), s.changeNumber
 		change(&next)
@@ -145,10 +149,6 @@
 			o.sleep(retryDelay)
 			continue
 		}
-		if row.Epochs[o.id.Index] > uint64(o.epoch) {
-			o.endOwnership("the shares row names a later owner")
-			return false
-		}
 		s.row, s.version = row, version
 		if row.Epochs[o.id.Index] == uint64(o.epoch) && row.ChangeNumbers[o.id.Index] == s.changeNumber {
 			return true
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -206,6 +206,28 @@
 	is.Equal(row.Epochs[0], uint64(3))
 }
 
+// Guards against an owner that learns the row of a later owner from a share that it receives, and then writes its own
+// epoch into it.
+func TestEarlierOwnerDoesNotOverwriteReceivedShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, d := newThreeShardDaemon(t)
+		earlier := newShardOwner(t, d, 0, 1)
+		newShardOwner(t, d, 0, 2)
+		other := newShardOwner(t, d, 1, 1)
+		reply, err := other.transferShare(shareRequest{To: 0, Team: limitedTeam, Wanted: 500})
+		is.NoErr(err)
+		earlier.applyShares(reply.Shares, cluster.Version(reply.Version))
+		_, err = earlier.transferShare(shareRequest{To: 2, Team: limitedTeam, Wanted: 500})
+		is.True(err != nil)
+		is.True(earlier.ctx.Err() != nil) // the ownership has ended
+		row, err := decode[sharesRow]("test", store.rows[sharesKey("s")].Value)
+		is.NoErr(err)
+		is.Equal(row.Epochs[0], uint64(2))
+		is.Equal(storedShares(t, store), []int{3834, 2833, 3333})
+	})
+}
+
 // lostReplyStore applies a transaction, calls afterCommit and loses the reply.
 type lostReplyStore struct {
 	*rowStore
