cell: bound the wait of a relayed read

Callers saw: nothing yet; found while looking at relayed reads. A daemon that can't reach the store does not learn of new members that are not candidates.

Cause: the feed of these members waits up to 10 s for a change, but a daemon that relays a read gives it up after 4.6 s. While nothing changes, every read of the feed fails at both daemons that it is relayed through.

Evidence: TestWaitOfRelayedReadIsBounded failed before.

Change: the relaying daemon waits at most 2 s for a change, as the feed of members and owners does, and then replies that there is none.

--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -130,8 +130,11 @@
 	return false
 }
 
-// serveTimeout limits a call that is executed for another daemon.
-const serveTimeout = cellFeedWait + storeTimeout
+// serveTimeout limits a call that is executed for another daemon, maxServedWait the wait of such a read.
+const (
+	serveTimeout  = maxServedWait + storeTimeout
+	maxServedWait = cellFeedWait
+)
 
 // commitRequest and readRequest relay a call to the store through another daemon.
 type commitRequest struct {
@@ -388,7 +391,9 @@
 	if !s.reachable() {
 		return nil, &Error{Op: "relay", Kind: KindUnavailable, Err: errors.New("the store does not answer here")}
 	}
-	stored, _, err := s.localRead(ctx, platform.ReadRequest{Keys: r.Keys, Prefixes: r.Prefixes, SinceVersion: cluster.Version(r.SinceVersion), Wait: r.Wait})
+	stored, _, err := s.localRead(ctx, platform.ReadRequest{
+		Keys: r.Keys, Prefixes: r.Prefixes, SinceVersion: cluster.Version(r.SinceVersion), Wait: min(r.Wait, maxServedWait),
+	})
 	reply := readReply{Rows: stored.Rows, AsOf: uint64(stored.AsOf), Failed: err != nil, Kind: int(errorKind(err))}
 	return reply.split(r.MaxParts), nil
 }
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
@@ -184,3 +185,22 @@
 		})
 	}
 }
+
+// Guards against a relayed feed that fails whenever nothing changes for a while, because its wait is longer than the
+// relaying daemon allows a call to take.
+func TestWaitOfRelayedReadIsBounded(t *testing.T) {
+	for _, wait := range []time.Duration{configFeedWait, jobFeedWait, cellFeedWait, memberFeedWait} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			d := newTestDaemon(t, &slowStore{})
+			defer d.stop()
+			_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+			is.NoErr(err)
+			bodies, err := d.executeCall(&peer.Call{Method: methodRead, Body: must(encode("test", &readRequest{Prefixes: []string{"members/"}, SinceVersion: 1, Wait: wait}))})
+			is.NoErr(err)
+			reply, err := decode[readReply]("test", bodies[0])
+			is.NoErr(err)
+			is.True(!reply.Failed)
+		})
+	}
+}
