--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -206,6 +206,60 @@
 	is.Equal(row.Epochs[0], uint64(3))
 }
 
+// Guards against an owner that learns the row of a later owner from a share that it receives, and then writes its own
+// epoch into it.
+func TestEarlierOwnerDoesNotOverwriteReceivedShares(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, d := newThreeShardDaemon(t)
+		earlier := newShardOwner(t, d, 0, 1)
+		newShardOwner(t, d, 0, 2)
+		other := newShardOwner(t, d, 1, 1)
+		reply, err := other.transferShare(shareRequest{To: 0, Team: limitedTeam, Wanted: 500})
+		is.NoErr(err)
+		earlier.applyShares(reply.Shares, cluster.Version(reply.Version))
+		_, err = earlier.transferShare(shareRequest{To: 2, Team: limitedTeam, Wanted: 500})
+		is.True(err != nil)
+		is.True(earlier.ctx.Err() != nil) // the ownership has ended
+		row, err := decode[sharesRow]("test", store.rows[sharesKey("s")].Value)
+		is.NoErr(err)
+		is.Equal(row.Epochs[0], uint64(2))
+		is.Equal(storedShares(t, store), []int{3834, 2833, 3333})
+	})
+}
+
+// lostReplyStore applies a transaction, calls afterCommit and loses the reply.
+type lostReplyStore struct {
+	*rowStore
+	afterCommit func()
+}
+
+func (s *lostReplyStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	if _, err := s.rowStore.Commit(ctx, txn); err != nil {
+		return 0, err
+	}
+	s.afterCommit()
+	return 0, &platform.Error{Op: "test", Kind: platform.KindUnknown}
+}
+
+func (s *lostReplyStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	if ctx.Err() != nil {
+		return platform.ReadReply{}, &platform.Error{Op: "test", Kind: platform.KindUnknown, Err: ctx.Err()}
+	}
+	return s.rowStore.Read(ctx, req)
+}
+
+// Guards against a transfer that is reported as not done although the owner stopped only after the store had applied it.
+func TestTransferByStoppedOwnerIsUnknown(t *testing.T) {
+	is := is.New(t)
+	store, d := newThreeShardDaemon(t)
+	o := newShardOwner(t, d, 0, 1)
+	d.store = newRelayStore(d, &lostReplyStore{rowStore: store, afterCommit: o.stop})
+	_, err := o.transferShare(shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
+	is.Equal(storedShares(t, store), []int{2834, 3833, 3333})
+	is.True(IsKind(err, KindUnknown))
+}
+
 // Guards against owners that transfer shares at the same time and undo each other's changes.
 func TestConcurrentShareTransfers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
