--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -86,8 +86,7 @@
 		if behindSince.IsZero() {
 			behindSince = time.Now()
 		}
-		feedMayDeliver := d.store.mayBeReachable()
-		if feedMayDeliver && time.Since(behindSince) < configFetchDelay {
+		if d.store.mayBeReachable() && time.Since(behindSince) < configFetchDelay {
 			continue
 		}
 		d.fetchConfig(sources[rand.IntN(len(sources))])
