--- a/goldcrestd/node/logger.go
+++ b/goldcrestd/node/logger.go
@@ -17,6 +17,8 @@
 	logPollInterval = 50 * time.Millisecond
 	// maxLinesPerSecond limits the lines below the level warn; the others are counted and dropped.
 	maxLinesPerSecond = 2000
+	// logFlushTimeout limits how long Close waits for the buffered lines.
+	logFlushTimeout = time.Second
 )
 
 // The time format is global in zerolog, so it is set before any logger is used.
@@ -27,13 +29,19 @@
 	out     diode.Writer
 	log     zerolog.Logger
 	dropped atomic.Int64
+	// queued and written count the lines that were passed to out and that out has written; missed counts those that
+	// did not fit into its buffer.
+	queued, written, missed atomic.Int64
 }
 
 func newLogger(w io.Writer, vm string) *logger {
 	l := &logger{}
-	l.out = diode.NewWriter(w, logBufferLines, logPollInterval, func(missed int) { l.dropped.Add(int64(missed)) })
+	l.out = diode.NewWriter(countingWriter{out: w, lines: &l.written}, logBufferLines, logPollInterval, func(missed int) {
+		l.missed.Add(int64(missed))
+		l.dropped.Add(int64(missed))
+	})
 	sampler := &rateSampler{dropped: &l.dropped}
-	l.log = zerolog.New(l.out).Level(zerolog.InfoLevel).Sample(sampler).With().Timestamp().Str("vm", vm).Logger()
+	l.log = zerolog.New(countingWriter{out: l.out, lines: &l.queued}).Level(zerolog.InfoLevel).Sample(sampler).With().Timestamp().Str("vm", vm).Logger()
 	return l
 }
 
@@ -43,8 +51,26 @@
 // popDropped returns the number of lines dropped since the last call.
 func (l *logger) popDropped() int64 { return l.dropped.Swap(0) }
 
-// Close writes the buffered lines.
-func (l *logger) Close() { _ = l.out.Close() }
+// Close writes the buffered lines. It waits for them, as the buffer discards a line that is queued while the buffer is
+// closed.
+func (l *logger) Close() {
+	deadline := time.Now().Add(logFlushTimeout)
+	for l.written.Load()+l.missed.Load() < l.queued.Load() && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	_ = l.out.Close()
+}
+
+// countingWriter counts the lines that it passes on.
+type countingWriter struct {
+	out   io.Writer
+	lines *atomic.Int64
+}
+
+func (w countingWriter) Write(p []byte) (int, error) {
+	defer w.lines.Add(1)
+	return w.out.Write(p)
+}
 
 // rateSampler passes maxLinesPerSecond lines a second, and every warning and error.
 type rateSampler struct {
