cell: fetch a configuration in time after a lost reply of the feed

Cause: a daemon waited 2 s for its feed before it requested a copy from another daemon.

A daemon now waits 0.5 s for its feed if a daemon of its own region has the configuration; that copy does not cross the link between the regions. For a copy from another region it still waits 2 s.

The tests of the requests are stricter: peers announce a configuration only once it is in the store, a peer in another region and the end of its longer wait are included, and further ones check that a configuration is fetched and put in force without the store, that the own region is preferred, and that a second copy is sent after the limit of the rate. The test of the rate is named after it, as all its requests come from one peer.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -45,8 +45,10 @@
 	// configCheckInterval is the time between two checks whether another daemon has a newer configuration.
 	configCheckInterval = 100 * time.Millisecond
 	// configFetchDelay is how long a daemon that can reach the store waits for its feed before it requests a newer
-	// configuration from another daemon.
-	configFetchDelay = configFeedWait + 500*time.Millisecond
+	// configuration from a daemon of another region, and regionalConfigFetchDelay that from one of its own region,
+	// which does not load the link between the regions.
+	configFetchDelay         = configFeedWait + 500*time.Millisecond
+	regionalConfigFetchDelay = 500 * time.Millisecond
 	// configFetchTimeout limits such a request.
 	configFetchTimeout = 2 * time.Second
 	// configSendRate bounds the bytes per second of the configurations that a daemon sends to others, as a VM with a
--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -68,9 +68,8 @@
 	}
 }
 
-// fetchNewerConfig requests a newer configuration from another daemon while this one can't reach the store or its feed
-// is late. A configuration may be as large as all other messages of seconds, so it is requested from one daemon at a
-// time.
+// fetchNewerConfig requests a newer configuration from another daemon if this one can't reach the store or its feed is
+// late. It requests one copy at a time, as a copy may take a large part of a slow link.
 func (d *Daemon) fetchNewerConfig() {
 	var version cluster.Version
 	var behindSince time.Time
@@ -78,7 +77,7 @@
 		if current := d.Snapshot().Version; current != version {
 			version, behindSince = current, time.Time{}
 		}
-		sources := d.configSources()
+		sources, sameRegion := d.configSources()
 		if len(sources) == 0 {
 			behindSince = time.Time{}
 			continue
@@ -86,7 +85,11 @@
 		if behindSince.IsZero() {
 			behindSince = time.Now()
 		}
-		if d.store.mayBeReachable() && time.Since(behindSince) < configFetchDelay {
+		delay := configFetchDelay
+		if sameRegion {
+			delay = regionalConfigFetchDelay
+		}
+		if d.store.mayBeReachable() && time.Since(behindSince) < delay {
 			continue
 		}
 		d.fetchConfig(sources[rand.IntN(len(sources))])
@@ -94,11 +97,11 @@
 }
 
 // configSources returns the daemons that announce a newer configuration, only those of this region if there are any.
-func (d *Daemon) configSources() []cluster.DaemonID {
+func (d *Daemon) configSources() (sources []cluster.DaemonID, sameRegion bool) {
 	version := d.Snapshot().Version
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var sources, sameRegion []cluster.DaemonID
+	var regional []cluster.DaemonID
 	for id, digest := range d.digests {
 		if digest.ConfigVersion <= version || time.Since(d.transport.LastSeen(id)) > peerTimeout {
 			continue
@@ -106,13 +109,13 @@
 		sources = append(sources, id)
 		vm, _, _ := strings.Cut(string(id), daemonSeparator)
 		if m, ok := d.members[vm]; ok && cluster.Region(m.Region) == d.cfg.Place.Region {
-			sameRegion = append(sameRegion, id)
+			regional = append(regional, id)
 		}
 	}
-	if len(sameRegion) > 0 {
-		return sameRegion
+	if len(regional) > 0 {
+		return regional, true
 	}
-	return sources
+	return sources, false
 }
 
 // fetchConfig requests the configuration of another daemon and applies it.
--- a/cluster/cell/configwatch_test.go
+++ b/cluster/cell/configwatch_test.go
@@ -64,73 +64,144 @@
 	return platform.Put{Key: versionReader{}.ConfigKey(), Value: []byte(fmt.Sprint(version))}
 }
 
-// startBehindPeers starts a daemon that has oldConfig and whose peers announce newConfig. It returns the number of
-// requests for a configuration that the peers have received; they answer none.
-func startBehindPeers(t *testing.T, peers int) (*Daemon, *feedStore, *atomic.Int64) {
+// configCell is a daemon that has oldConfig, with peers that announce another version.
+type configCell struct {
+	daemon *Daemon
+	store  *feedStore
+	// announced is the version that the peers announce.
+	announced atomic.Uint64
+	// requests holds the number of requests for a configuration that each peer has received.
+	requests []atomic.Int64
+	// answer makes the peers answer the requests with newConfig.
+	answer atomic.Bool
+}
+
+// totalRequests returns the number of requests to all peers.
+func (c *configCell) totalRequests() int64 {
+	total := int64(0)
+	for i := range c.requests {
+		total += c.requests[i].Load()
+	}
+	return total
+}
+
+// newConfigCell starts a daemon of the region "home" with a peer in each of the given regions.
+func newConfigCell(t *testing.T, regions ...cluster.Region) *configCell {
 	t.Helper()
 	is := is.New(t)
-	store := &feedStore{rowStore: &rowStore{rows: map[string]platform.Row{}}}
-	requests := &atomic.Int64{}
+	c := &configCell{store: &feedStore{rowStore: &rowStore{rows: map[string]platform.Row{}}}, requests: make([]atomic.Int64, len(regions))}
+	c.announced.Store(uint64(oldConfig))
 	puts := []platform.Put{configPut(oldConfig)}
-	for i := range peers {
+	for i, region := range regions {
 		vm := fmt.Sprintf("peer-%d", i)
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		is.NoErr(err)
-		remote := peer.New(peer.Config{
+		var remote atomic.Pointer[peer.Transport]
+		remote.Store(peer.New(peer.Config{
 			Self: peer.Hello{From: NewID(vm, time.UnixMilli(1))}, Listener: listener, Log: zerolog.Nop(),
-			Handler: func(_ cluster.DaemonID, m peer.Message) {
-				if c, ok := m.(*peer.Call); ok && c.Method == methodConfig {
-					requests.Add(1)
+			Handler: func(from cluster.DaemonID, m peer.Message) {
+				call, ok := m.(*peer.Call)
+				if !ok || call.Method != methodConfig {
+					return
+				}
+				c.requests[i].Add(1)
+				if c.answer.Load() {
+					body := must(encode("test", &configReply{Data: configPut(newConfig).Value}))
+					remote.Load().Send(from, &peer.Reply{ID: call.ID, Body: body})
 				}
 			},
-			Digest: func() peer.Digest { return peer.Digest{ConfigVersion: newConfig} },
-		})
-		t.Cleanup(remote.Close)
-		row := memberRow{ID: string(NewID(vm, time.UnixMilli(1))), Addr: listener.Addr().String()}
+			Digest: func() peer.Digest { return peer.Digest{ConfigVersion: cluster.Version(c.announced.Load())} },
+		}))
+		t.Cleanup(remote.Load().Close)
+		row := memberRow{ID: string(NewID(vm, time.UnixMilli(1))), Addr: listener.Addr().String(), Region: string(region)}
 		puts = append(puts, platform.Put{Key: memberKey(vm), Value: must(encode("test", &row))})
 	}
-	_, err := store.Commit(t.Context(), platform.Txn{Puts: puts})
+	_, err := c.store.Commit(t.Context(), platform.Txn{Puts: puts})
 	is.NoErr(err)
-	d := newTestDaemon(t, store)
-	d.cfg.Reader = versionReader{}
-	d.Start()
-	t.Cleanup(d.Close)
-	for i := range peers {
-		for d.transport.LastSeen(NewID(fmt.Sprintf("peer-%d", i), time.UnixMilli(1))).IsZero() {
-			time.Sleep(time.Millisecond)
+	c.daemon = newTestDaemon(t, c.store)
+	c.daemon.cfg.Reader = versionReader{}
+	c.daemon.cfg.Place.Region = "home"
+	c.daemon.Start()
+	t.Cleanup(c.daemon.Close)
+	for i := range regions {
+		waitUntil(t, func() bool {
+			return !c.daemon.transport.LastSeen(NewID(fmt.Sprintf("peer-%d", i), time.UnixMilli(1))).IsZero()
+		})
+	}
+	waitUntil(t, func() bool { return c.daemon.Snapshot().Version == oldConfig })
+	return c
+}
+
+func waitUntil(t *testing.T, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("condition not met after 10 s")
 		}
 	}
-	return d, store, requests
 }
 
 // Guards against links that are filled with copies of one large configuration: a daemon that is behind must not
 // request it from every peer, and not again while a request is in flight.
 func TestConfigIsRequestedFromOnePeerAtATime(t *testing.T) {
 	is := is.New(t)
-	_, store, requests := startBehindPeers(t, 8)
-	store.unavailable.Store(true)
-	for requests.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	c := newConfigCell(t, "home", "home", "home", "home", "away", "away", "away", "away")
+	c.store.unavailable.Store(true)
+	c.announced.Store(uint64(newConfig))
+	waitUntil(t, func() bool { return c.totalRequests() > 0 })
 	time.Sleep(time.Second)
-	is.Equal(requests.Load(), int64(1))
+	is.Equal(c.totalRequests(), int64(1))
 }
 
 // Guards against a configuration that is transferred between daemons although each reads it from the store.
 func TestConfigInReachableStoreIsNotRequested(t *testing.T) {
 	is := is.New(t)
-	d, store, requests := startBehindPeers(t, 2)
-	time.Sleep(configFeedWait)
-	_, err := store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{configPut(newConfig)}})
+	c := newConfigCell(t, "home", "away")
+	_, err := c.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{configPut(newConfig)}})
 	is.NoErr(err)
-	for d.Snapshot().Version < newConfig {
-		time.Sleep(time.Millisecond)
-	}
-	is.Equal(requests.Load(), int64(0))
+	c.announced.Store(uint64(newConfig))
+	time.Sleep(configFetchDelay + time.Second)
+	is.Equal(c.daemon.Snapshot().Version, newConfig)
+	is.Equal(c.totalRequests(), int64(0))
+}
+
+// Guards against a daemon that has lost the store and keeps an old configuration, or waits for its feed.
+func TestConfigIsFetchedWithoutStore(t *testing.T) {
+	is := is.New(t)
+	c := newConfigCell(t, "away", "home")
+	c.answer.Store(true)
+	c.store.unavailable.Store(true)
+	waitUntil(t, func() bool { return !c.daemon.store.mayBeReachable() })
+	announcedAt := time.Now()
+	c.announced.Store(uint64(newConfig))
+	waitUntil(t, func() bool { return c.daemon.Snapshot().Version == newConfig })
+	is.True(time.Since(announcedAt) < configFetchDelay)
+}
+
+// Guards against copies that cross the link between the regions although a daemon of the own region has one.
+func TestConfigIsRequestedInOwnRegion(t *testing.T) {
+	is := is.New(t)
+	c := newConfigCell(t, "away", "away", "home", "away")
+	c.announced.Store(uint64(newConfig))
+	waitUntil(t, func() bool {
+		c.daemon.mu.Lock()
+		defer c.daemon.mu.Unlock()
+		announcing := 0
+		for _, digest := range c.daemon.digests {
+			if digest.ConfigVersion == newConfig {
+				announcing++
+			}
+		}
+		return announcing == len(c.requests)
+	})
+	sources, sameRegion := c.daemon.configSources()
+	is.Equal(sources, []cluster.DaemonID{NewID("peer-2", time.UnixMilli(1))})
+	is.True(sameRegion)
 }
 
-// Guards against a daemon whose link is filled with copies of a large configuration for all daemons that are behind.
-func TestConfigIsSentToOnePeerAtATime(t *testing.T) {
+// Guards against a daemon whose link is filled with copies of a large configuration for all daemons that are behind,
+// and against one that sends no second copy.
+func TestConfigCopiesAreSentAtLimitedRate(t *testing.T) {
 	is := is.New(t)
 	const other = cluster.DaemonID("other@1")
 	replies := make(chan *peer.Reply, 8)
@@ -142,18 +213,23 @@
 			replies <- r
 		}
 	})
-	d.config.Store(&configState{snapshot: cluster.Assemble(8, nil), data: make([]byte, 256<<10), readAt: time.Now()})
+	const size = 256 << 10
+	d.config.Store(&configState{snapshot: cluster.Assemble(8, nil), data: make([]byte, size), readAt: time.Now()})
 	request := must(encode("test", &configRequest{}))
-	for i := range cap(replies) {
-		is.True(remote.Send(d.cfg.Self, &peer.Call{ID: uint64(i + 1), Method: methodConfig, Body: request}))
-	}
-	sent := 0
-	for range cap(replies) {
-		if r := <-replies; r.Failure == "" {
-			sent++
+	requestConfigs := func(n int) (sent int) {
+		for i := range n {
+			is.True(remote.Send(d.cfg.Self, &peer.Call{ID: uint64(i + 1), Method: methodConfig, Body: request}))
+		}
+		for range n {
+			if r := <-replies; r.Failure == "" {
+				sent++
+			}
 		}
+		return sent
 	}
-	is.Equal(sent, 1)
+	is.Equal(requestConfigs(cap(replies)), 1)
+	time.Sleep(size * time.Second / configSendRate)
+	is.Equal(requestConfigs(1), 1)
 }
 
 // countingStore counts the bytes of the rows that are read.
--- /dev/null
+++ b/cluster/cell/loadbound_test.go
@@ -0,0 +1,51 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// serialStore is a countingStore that serves one read at a time, so that concurrent reads are counted correctly.
+type serialStore struct {
+	countingStore
+	mu sync.Mutex
+}
+
+func (s *serialStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.countingStore.Read(ctx, req)
+}
+
+// Guards against a new owner that reads all jobs of its shard ten times a second while one part of the store is down.
+func TestLoadDoesNotRereadJobsOfHealthyParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const jobBytes = 1 << 10
+		rows := &rowStore{rows: map[string]platform.Row{}}
+		store := &serialStore{countingStore: countingStore{rowStore: rows}}
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		var puts []platform.Put
+		for part := range jobParts {
+			puts = append(puts, platform.Put{Key: jobKeyInPart(1, part, "job"), Value: make([]byte, jobBytes)})
+		}
+		_, err := d.store.Commit(t.Context(), platform.Txn{Puts: puts})
+		is.NoErr(err)
+		rows.setPartsUnreachable(jobPartPrefix(0, 0))
+		time.AfterFunc(5*time.Second, func() { rows.setPartsUnreachable() })
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		_, loaded := o.load()
+		is.True(loaded)
+		t.Logf("read %.1f times the jobs of the shard", float64(store.bytesRead)/(jobParts*jobBytes))
+		is.True(store.bytesRead <= 2*jobParts*jobBytes)
+	})
+}
