cell: read the ends of runs in late replies of workers

What callers saw: on loaded links, tasks that a worker had reported as done ran again.

Cause: a hold call without a reply after its wait and 0.7 s is given up and its reply is dropped; the next call asks for the same ends and is given up as well if the link is slow. After 4 s the leases count as expired and the tasks are started elsewhere, although replies with their ends have arrived.

A call without a reply still counts as unanswered after that time, and the worker gets no longer lease, but the call stays open until the lease is over and the ends in a late reply are read. Whether the worker responds is still decided by replies in time, so that nothing is acknowledged earlier than before.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -12,6 +12,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/paidlink"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 )
 
 // Timeouts, intervals and limits of a daemon.
@@ -93,8 +94,10 @@
 	// startTimeout limits a start request, stopTimeout a stop request.
 	startTimeout = 900 * time.Millisecond
 	stopTimeout  = 900 * time.Millisecond
-	// holdTimeoutMargin is added to the wait of a hold call to get its timeout.
+	// holdTimeoutMargin is added to the wait of a hold call to get the time after which it counts as unanswered.
 	holdTimeoutMargin = 700 * time.Millisecond
+	// lateHoldTimeout is added instead to get its timeout. A later reply is of no use, as the leases have expired.
+	lateHoldTimeout = pool.DefaultLease
 	// callTimeout limits a call to another daemon.
 	callTimeout = 600 * time.Millisecond
 	// adviceTimeoutMargin is added to the expected end of an advice request to get its timeout.
--- a/cluster/cell/workercalls.go
+++ b/cluster/cell/workercalls.go
@@ -59,17 +59,29 @@
 	o.sendEvent(&pool.StopAnswered{Fence: e.Request.Fence, Task: e.Task, Run: e.Request.Run, Worker: e.Worker.ID, Reply: reply, ReplyLost: err != nil})
 }
 
+// sendHold calls hold on a worker. If no reply has arrived in time it reports the call as unanswered, and passes on a
+// late reply.
 func (o *ownedShard) sendHold(e *pool.SendHold) {
-	ctx, cancel := context.WithTimeout(o.ctx, e.Request.Wait+holdTimeoutMargin)
+	ctx, cancel := context.WithTimeout(o.ctx, e.Request.Wait+lateHoldTimeout)
 	defer cancel()
 	sentAt := time.Now()
+	report := func(reply platform.HoldReply, lost, late bool) {
+		o.sendEvent(&pool.HoldAnswered{
+			Worker: e.Worker.ID, Fence: e.Request.Fence, Incarnation: e.Worker.Incarnation, SentAt: sentAt, ReceivedAt: time.Now(),
+			Reply: reply, ReplyLost: lost, Extra: e.Extra, Late: late,
+		})
+	}
+	unanswered := time.AfterFunc(e.Request.Wait+holdTimeoutMargin, func() { report(platform.HoldReply{}, true, false) })
 	reply, err := o.d.cfg.Workers.Hold(ctx, e.Worker, e.Request)
 	if err != nil && o.ctx.Err() == nil {
 		o.d.cfg.Log.Debug().Err(err).Str("worker", string(e.Worker.ID)).Msg("cell: hold call failed")
 	}
-	o.sendEvent(&pool.HoldAnswered{
-		Worker: e.Worker.ID, Fence: e.Request.Fence, Incarnation: e.Worker.Incarnation, SentAt: sentAt, ReceivedAt: time.Now(), Reply: reply, ReplyLost: err != nil, Extra: e.Extra,
-	})
+	switch late := !unanswered.Stop(); {
+	case !late:
+		report(reply, err != nil, false)
+	case err == nil:
+		report(reply, false, true)
+	}
 }
 
 func (o *ownedShard) requestAdvice(e *pool.RequestAdvice) {
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -13,6 +13,10 @@
 	if w == nil {
 		return
 	}
+	if e.Late {
+		s.lateHoldAnswered(w, e)
+		return
+	}
 	if !e.Extra {
 		w.holdInFlight = false
 		w.nextHoldAt = s.now
@@ -73,6 +77,15 @@
 	}
 }
 
+// lateHoldAnswered reads the run ends in a late reply, so that their tasks do not start again when the leases of the
+// worker expire. What the worker runs now, and whether it responds, shows only the reply to a later call.
+func (s *Scheduler) lateHoldAnswered(w *worker, e *HoldAnswered) {
+	if e.Reply.Fenced || e.Reply.Restarted || !w.fenceAccepted || e.Reply.Incarnation != w.vm.Incarnation {
+		return
+	}
+	s.readEnds(w, e.Reply.Ended)
+}
+
 // readEnds applies the run ends that were not read before, in their order.
 func (s *Scheduler) readEnds(w *worker, ended []platform.RunEnd) {
 	for _, e := range ended {
--- a/cluster/pool/event.go
+++ b/cluster/pool/event.go
@@ -70,6 +70,8 @@
 	ReplyLost bool
 	// Extra means that the call was made in addition to the periodic one.
 	Extra bool
+	// Late means that the call was reported with ReplyLost before the reply arrived.
+	Late bool
 }
 
 // AdviceAnswered reports the result of a RequestAdvice effect.
--- a/cluster/pool/hold_test.go
+++ b/cluster/pool/hold_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
 // Guards against an owner that calls all workers of a large shard at once after a takeover: the replies arrive
@@ -40,3 +41,23 @@
 		now = now.Add(10 * time.Millisecond)
 	}
 }
+
+// Guards against a task that runs again although its worker has reported that it is done, in a reply that arrived late
+// but before the leases of the worker expired.
+func TestTaskReportedInLateReplyDoesNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 2)
+	sim.failureRate = 0
+	const job = cluster.JobName("0000000000000001")
+	sim.submit(&workload.Job{ID: job, Steps: []workload.Step{{Tasks: 1, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second}}})
+	sim.runFor(500 * time.Millisecond)
+	is.Equal(sim.owner.lastRunCounter, uint64(1))
+	sim.replyLossRate = 1
+	sim.runFor(3 * DefaultLease)
+	sim.replyLossRate = 0
+	sim.runFor(DefaultLease)
+	state, _, _, _ := sim.owner.State(job)
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(sim.owner.lastRunCounter, uint64(1)) // the task was started once
+	is.Equal(sim.violations, nil)
+}
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -274,8 +274,16 @@
 		})
 		sim.deliver(owner, timeout, result(true))
 	case x < sim.delayRate+sim.replyLossRate:
-		sim.scheduleAfter(simLatency, func() { executeRequest() })
 		sim.deliver(owner, timeout, result(true))
+		sim.scheduleAfter(simLatency, func() {
+			if !executeRequest() {
+				return
+			}
+			if late, ok := result(false).(*HoldAnswered); ok {
+				late.Late = true
+				sim.deliver(owner, timeout+time.Duration(sim.rnd.Int64N(int64(3*time.Second))), late)
+			}
+		})
 	default:
 		sim.scheduleAfter(simLatency, func() {
 			if !executeRequest() {
