cell: answer calls while the shard is being loaded

Callers saw: accepted jobs of a shard never run, while all daemons see an owner that responds. Queries of states and pending jobs that reach this owner get no reply.

Cause: a claimed shard is known to the calls of other daemons before its rows are loaded. transferShare took shares.mu and waited in query for the control loop, which starts only after the load; the load waited in claimShares for shares.mu. Both ended only with the process. query did not end with the context of its caller either.

Evidence: TestShareRequestDoesNotBlockLoad and TestCallsFailWhileOwnerLoads (states, pending jobs, shares) failed before, without a reply within 3 s.

Change: query fails at once until the shard is loaded, and when the context of its caller ends; State then reads the store, as for an owner that can't be reached. The load comes before all other changes of the shares, so that claimShares needs no lock and can't wait for a request.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -130,9 +130,9 @@
 	defer cancel()
 	switch c.Method {
 	case methodState:
-		return serve(c, func(r stateRequest) (stateReply, error) { return d.ownedState(r) })
+		return serve(c, func(r stateRequest) (stateReply, error) { return d.ownedState(ctx, r) })
 	case methodPending:
-		return serve(c, func(r pendingRequest) (pendingReply, error) { return d.ownedPending(r) })
+		return serve(c, func(r pendingRequest) (pendingReply, error) { return d.ownedPending(ctx, r) })
 	case methodAdvise:
 		return serve(c, func(r adviseRequest) (adviseReply, error) { return d.serveAdvice(ctx, r) })
 	case methodCommit:
@@ -142,7 +142,7 @@
 	case methodConfig:
 		return serve(c, func(configRequest) (configReply, error) { return d.serveConfig(), nil })
 	case methodTransferShare:
-		return serve(c, func(r shareRequest) (shareReply, error) { return d.transferOwnedShare(r) })
+		return serve(c, func(r shareRequest) (shareReply, error) { return d.transferOwnedShare(ctx, r) })
 	case methodAnnounce:
 		return serve(c, func(a announcement) (struct{}, error) { d.receiveAnnouncement(a); return struct{}{}, nil })
 	}
--- /dev/null
+++ b/cluster/cell/loading_test.go
@@ -0,0 +1,95 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// newLoadingOwner returns an owner that can't load its shard until the store is reachable again.
+func newLoadingOwner(t *testing.T, store *rowStore, d *Daemon) *ownedShard {
+	t.Helper()
+	d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+	_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+	if err != nil {
+		t.Fatal(err)
+	}
+	store.setPartsUnreachable(recordPartPrefix(testShard, 0))
+	d.claim(testShard, d.owners[testShard])
+	o := d.lookupShard(testShard)
+	if o == nil {
+		t.Fatal("shard not claimed")
+	}
+	return o
+}
+
+// replyLimit is how long the tests wait for a reply of a daemon in the same process.
+const replyLimit = 3 * time.Second
+
+// startCall executes a call of another daemon in a goroutine and returns the channel of its result.
+func startCall(d *Daemon, method string, request any) <-chan error {
+	body := must(encode("test", request))
+	result := make(chan error, 1)
+	d.wg.Go(func() {
+		_, err := d.executeCall(&peer.Call{ID: 1, Method: method, Body: body})
+		result <- err
+	})
+	return result
+}
+
+// awaitReply returns the result of a call and fails the test if there is none within replyLimit.
+func awaitReply(t *testing.T, result <-chan error) error {
+	t.Helper()
+	select {
+	case err := <-result:
+		return err
+	case <-time.After(replyLimit):
+		t.Fatal("no reply")
+		return nil
+	}
+}
+
+// awaitLoad waits until the owner of a shard serves calls.
+func awaitLoad(t *testing.T, d *Daemon) {
+	t.Helper()
+	for startedAt := time.Now(); time.Since(startedAt) < replyLimit; time.Sleep(retryDelay) {
+		if awaitReply(t, startCall(d, methodState, &stateRequest{Shard: testShard.String(), ID: string(recordedJob)})) == nil {
+			return
+		}
+	}
+	t.Fatal("shard not loaded")
+}
+
+// Guards against an owner that is asked for a share while it loads its shard. If the request and the load wait for each
+// other, no job of the shard starts until the process ends, as other daemons see an owner that responds.
+func TestShareRequestDoesNotBlockLoad(t *testing.T) {
+	is := is.New(t)
+	store, d := newThreeShardDaemon(t)
+	newLoadingOwner(t, store, d)
+	reply := startCall(d, methodTransferShare, &shareRequest{Shard: testShard.String(), To: 1, Team: limitedTeam, Wanted: 100})
+	time.Sleep(2 * retryDelay) // until the request has reached the owner
+	store.setPartsUnreachable()
+	awaitLoad(t, d)
+	is.True(IsKind(awaitReply(t, reply), KindUnavailable))
+}
+
+// Guards against calls that wait for the load of a shard, which may take as long as the store is down, instead of
+// telling the caller that it has to read the store or to ask again.
+func TestCallsFailWhileOwnerLoads(t *testing.T) {
+	for method, request := range map[string]any{
+		methodState:         &stateRequest{Shard: testShard.String(), ID: string(recordedJob)},
+		methodPending:       &pendingRequest{Shard: testShard.String()},
+		methodTransferShare: &shareRequest{Shard: testShard.String(), To: 1, Team: limitedTeam, Wanted: 100},
+	} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			store, d := newThreeShardDaemon(t)
+			newLoadingOwner(t, store, d)
+			is.True(IsKind(awaitReply(t, startCall(d, method, request)), KindUnavailable))
+		})
+	}
+}
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -31,6 +31,8 @@
 	ctx                  context.Context
 	stop                 context.CancelFunc
 	goroutines           conc.WaitGroup
+	// loaded is closed when the rows have been loaded and the control loop is about to run.
+	loaded chan struct{}
 	// done is closed when run returns.
 	done   chan struct{}
 	events chan pool.Event
@@ -52,8 +54,8 @@
 
 func newOwnedShard(d *Daemon, id shardID, epoch cluster.Epoch, version cluster.Version, ownedSince time.Time, previousOwnerStopped bool) *ownedShard {
 	o := &ownedShard{
-		d: d, id: id, epoch: epoch, version: version, ownedSince: ownedSince, previousOwnerStopped: previousOwnerStopped, done: make(chan struct{}),
-		events: make(chan pool.Event, eventQueueLength), queries: make(chan func(*pool.Scheduler)),
+		d: d, id: id, epoch: epoch, version: version, ownedSince: ownedSince, previousOwnerStopped: previousOwnerStopped,
+		loaded: make(chan struct{}), done: make(chan struct{}), events: make(chan pool.Event, eventQueueLength), queries: make(chan func(*pool.Scheduler)),
 	}
 	o.ctx, o.stop = context.WithCancel(d.ctx)
 	return o
@@ -96,6 +98,7 @@
 	for o.ctx.Err() == nil {
 		version, err := o.tryLoad()
 		if err == nil {
+			close(o.loaded)
 			return version, true
 		}
 		o.d.cfg.Log.Warn().Err(err).Stringer("shard", o.id).Msg("cell: rows of the shard can't be loaded; retrying")
@@ -236,16 +239,23 @@
 	o.sendEvent(&pool.ConfigChanged{Snapshot: s})
 }
 
-// query runs f in the control loop and waits until f has returned. It returns false, without running f, if the
-// ownership ends first.
-func (o *ownedShard) query(f func(*pool.Scheduler)) bool {
+// query runs f in the control loop and waits until f has returned. It fails without running f if the shard is not
+// loaded yet, or if ctx or the ownership ends first.
+func (o *ownedShard) query(ctx context.Context, op string, f func(*pool.Scheduler)) error {
+	select {
+	case <-o.loaded:
+	default:
+		return &Error{Op: op, Kind: KindUnavailable, Err: errNotLoaded}
+	}
 	done := make(chan struct{})
 	select {
 	case o.queries <- func(s *pool.Scheduler) { f(s); close(done) }:
 		<-done
-		return true
+		return nil
 	case <-o.ctx.Done():
-		return false
+		return &Error{Op: op, Kind: KindUnavailable, Err: errNotOwner}
+	case <-ctx.Done():
+		return &Error{Op: op, Kind: KindUnavailable, Err: ctx.Err()}
 	}
 }
 
--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -28,6 +28,8 @@
 
 // sharesState is the state of the shares row as the owner of a shard last read or wrote it.
 type sharesState struct {
+	// mu allows one change at a time and guards the fields below. The load of the shard, which comes before all
+	// other changes, does not take it, so that no request of another daemon can block the load.
 	mu      sync.Mutex
 	row     sharesRow
 	version cluster.Version
@@ -116,8 +118,8 @@
 	return row, reply.Rows[0].Version, nil
 }
 
-// commitShares retries a change of the row until it is known to be in the store. The caller holds shares.mu.
-// change may be applied to several versions of the row. The result is false if the ownership has ended or the
+// commitShares retries a change of the row until it is known to be in the store. The caller holds shares.mu, or
+// is the load of the shard. change may be applied to several versions of the row. The result is false if the ownership has ended or the
 // row can't be encoded.
 func (o *ownedShard) commitShares(change func(*sharesRow)) bool {
 	s := &o.shares
@@ -157,13 +159,12 @@
 	return false
 }
 
-// claimShares writes the epoch of this owner into the row and returns the shares of its shard.
+// claimShares writes the epoch of this owner into the row and returns the shares of its shard. It is called while
+// the shard is loaded.
 func (o *ownedShard) claimShares() (map[cluster.TeamName]int, error) {
 	if o.d.shardCount() == 1 {
 		return nil, nil
 	}
-	o.shares.mu.Lock()
-	defer o.shares.mu.Unlock()
 	var err error
 	if o.shares.row, o.shares.version, err = o.readShares(o.ctx); err != nil {
 		return nil, err
@@ -175,8 +176,9 @@
 }
 
 // transferShare transfers a part of this shard's share of a team's limit to another shard. It fails if another
-// change is in progress instead of waiting for it, as the caller may time out before that ends.
-func (o *ownedShard) transferShare(r shareRequest) (shareReply, error) {
+// change is in progress instead of waiting for it, as the caller may time out before that ends. Once the share is
+// reduced, the change is written even if ctx ends.
+func (o *ownedShard) transferShare(ctx context.Context, r shareRequest) (shareReply, error) {
 	if !o.shares.mu.TryLock() {
 		return shareReply{}, &Error{Op: "lend", Kind: KindOverloaded}
 	}
@@ -185,10 +187,11 @@
 		return shareReply{}, &Error{Op: "lend", Kind: KindMalformed}
 	}
 	granted := 0
-	if !o.query(func(s *pool.Scheduler) {
+	err := o.query(ctx, "lend", func(s *pool.Scheduler) {
 		granted = s.ReduceShare(cluster.TeamName(r.Team), r.Wanted, time.UnixMilli(r.ReleaseTimeMS))
-	}) {
-		return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
+	})
+	if err != nil {
+		return shareReply{}, err
 	}
 	if granted > 0 {
 		if !o.commitShares(func(row *sharesRow) {
@@ -248,18 +251,18 @@
 	if !ok {
 		return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
 	}
-	if owner == o.d.cfg.Self {
-		return o.d.transferOwnedShare(r)
-	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
+	if owner == o.d.cfg.Self {
+		return o.d.transferOwnedShare(ctx, r)
+	}
 	return call[shareReply](ctx, o.d, owner, methodTransferShare, &r)
 }
 
-func (d *Daemon) transferOwnedShare(r shareRequest) (shareReply, error) {
+func (d *Daemon) transferOwnedShare(ctx context.Context, r shareRequest) (shareReply, error) {
 	owned := d.lookupShard(parseShardID(r.Shard))
 	if owned == nil {
 		return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
 	}
-	return owned.transferShare(r)
+	return owned.transferShare(ctx, r)
 }
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -117,6 +117,7 @@
 		&pool.ConfigChanged{Snapshot: cluster.Assemble(1, []cluster.Entity{&cluster.Team{Name: limitedTeam, Limit: cluster.Resources{CPU: 24 * cluster.Core}}})},
 		&pool.SharesChanged{Shares: shares},
 	})
+	close(o.loaded)
 	d.wg.Go(o.loop)
 	return o
 }
@@ -164,7 +165,7 @@
 				store, d := newThreeShardDaemon(t)
 				o := newShardOwner(t, d, 0, 1)
 				store.commitDelay = c.commitDelay
-				reply, err := o.transferShare(shareRequest{To: 2, Team: limitedTeam, Wanted: 1000})
+				reply, err := o.transferShare(t.Context(), shareRequest{To: 2, Team: limitedTeam, Wanted: 1000})
 				is.NoErr(err)
 				is.Equal(reply.Granted, 1000)
 				time.Sleep(10 * time.Second) // until the late transaction is applied
@@ -182,11 +183,11 @@
 		store, d := newThreeShardDaemon(t)
 		previous := newShardOwner(t, d, 0, 1)
 		current := newShardOwner(t, d, 0, 2)
-		_, err := previous.transferShare(shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
+		_, err := previous.transferShare(t.Context(), shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
 		is.True(err != nil)
 		is.True(previous.ctx.Err() != nil) // the ownership has ended
 		is.Equal(storedShares(t, store), []int{3334, 3333, 3333})
-		reply, err := current.transferShare(shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
+		reply, err := current.transferShare(t.Context(), shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
 		is.NoErr(err)
 		is.Equal(reply.Granted, 500)
 	})
@@ -216,7 +217,7 @@
 		for i, o := range owners {
 			transfers.Go(func() {
 				for range 5 {
-					_, err := o.transferShare(shareRequest{To: (i + 1) % 3, Team: limitedTeam, Wanted: 100})
+					_, err := o.transferShare(t.Context(), shareRequest{To: (i + 1) % 3, Team: limitedTeam, Wanted: 100})
 					if err != nil {
 						t.Error(err)
 					}
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -34,6 +34,8 @@
 
 var (
 	errNotOwner = errors.New("this daemon does not own the shard")
+	// errNotLoaded means that this daemon owns the shard but has not read its rows yet.
+	errNotLoaded = errors.New("this daemon has not loaded the shard yet")
 	// errNoLayout means that the keys of the rows of jobs are not known yet.
 	errNoLayout = errors.New("the division of the cell is not known yet")
 )
@@ -61,23 +63,24 @@
 		return stateReply{}, &Error{Op: "state", Kind: KindUnavailable, Err: errNotOwner}
 	}
 	if owner == d.cfg.Self {
-		return d.ownedState(r)
+		return d.ownedState(ctx, r)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	return call[stateReply](ctx, d, owner, methodState, &r)
 }
 
-func (d *Daemon) ownedState(r stateRequest) (stateReply, error) {
-	owned := d.lookupShard(parseShardID(r.Shard))
+func (d *Daemon) ownedState(ctx context.Context, r stateRequest) (stateReply, error) {
 	var reply stateReply
-	if owned == nil || !owned.query(func(s *pool.Scheduler) {
-		state, team, queue, known := s.State(cluster.JobName(r.ID))
-		reply = stateReply{Known: known, State: int(state), Team: string(team), Queue: string(queue)}
-	}) {
+	owned := d.lookupShard(parseShardID(r.Shard))
+	if owned == nil {
 		return reply, &Error{Op: "state", Kind: KindUnavailable, Err: errNotOwner}
 	}
-	return reply, nil
+	err := owned.query(ctx, "state", func(s *pool.Scheduler) {
+		state, team, queue, known := s.State(cluster.JobName(r.ID))
+		reply = stateReply{Known: known, State: int(state), Team: string(team), Queue: string(queue)}
+	})
+	return reply, err
 }
 
 // storedState reads the state from the rows of a job.
@@ -113,17 +116,18 @@
 	return state, nil
 }
 
-func (d *Daemon) ownedPending(r pendingRequest) (pendingReply, error) {
-	owned := d.lookupShard(parseShardID(r.Shard))
+func (d *Daemon) ownedPending(ctx context.Context, r pendingRequest) (pendingReply, error) {
 	reply := pendingReply{Queues: map[string]int{}}
-	if owned == nil || !owned.query(func(s *pool.Scheduler) {
+	owned := d.lookupShard(parseShardID(r.Shard))
+	if owned == nil {
+		return reply, &Error{Op: "pending", Kind: KindUnavailable, Err: errNotOwner}
+	}
+	err := owned.query(ctx, "pending", func(s *pool.Scheduler) {
 		for queue, n := range s.Pending() {
 			reply.Queues[string(queue)] = n
 		}
-	}) {
-		return reply, &Error{Op: "pending", Kind: KindUnavailable, Err: errNotOwner}
-	}
-	return reply, nil
+	})
+	return reply, err
 }
 
 // pendingCache caches the numbers of pending jobs that the owners of the shards report.
@@ -187,7 +191,7 @@
 		return pendingReply{}, &Error{Op: "pending", Kind: KindUnavailable, Err: errNotOwner}
 	}
 	if owner == c.d.cfg.Self {
-		return c.d.ownedPending(pendingRequest{Shard: id.String()})
+		return c.d.ownedPending(ctx, pendingRequest{Shard: id.String()})
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
