cell: announce jobs without waiting for the control loop

Callers saw: submissions at one daemon hang until they time out, for all jobs of a part, and cancellations wait past their timeout.

Cause: the events of a shard are queued until its control loop runs. When 4096 are queued, an announcement waits for room: until the shard is loaded, or until a paused owner has read its row. If the daemon that writes the job is the owner itself, the goroutine that writes all submissions of the part waits. Announcements of other daemons wait in one goroutine each, without a bound.

Evidence: TestSubmissionsContinueWhileOwnerLoads failed before: the second submission got no reply within 6 s.

Change: rows that do not fit in the queue are dropped. The feed of jobs starts at the version of the load and brings them.

Measured: the test passes 5 of 5 times with -race.

--- a/cluster/cell/announce.go
+++ b/cluster/cell/announce.go
@@ -39,7 +39,8 @@
 	}
 }
 
-// receiveAnnouncement passes announced rows to the scheduler if this daemon owns the shard.
+// receiveAnnouncement passes announced rows to the scheduler if this daemon owns the shard. It does not wait for the
+// control loop: rows that don't fit in its queue come with the change feed.
 func (d *Daemon) receiveAnnouncement(a announcement) {
 	owned := d.lookupShard(parseShardID(a.Shard))
 	if owned == nil || len(a.Keys) != len(a.Values) {
@@ -49,7 +50,15 @@
 	for i, key := range a.Keys {
 		rows = append(rows, platform.Row{Key: key, Value: a.Values[i]})
 	}
+	dropped := 0
 	for _, e := range owned.jobEvents(rows, nil) {
-		owned.sendEvent(e)
+		select {
+		case owned.events <- e:
+		default:
+			dropped++
+		}
+	}
+	if dropped > 0 {
+		d.cfg.Log.Debug().Stringer("shard", owned.id).Int("rows", dropped).Msg("cell: event queue is full; announced rows dropped")
 	}
 }
--- a/cluster/cell/loading_test.go
+++ b/cluster/cell/loading_test.go
@@ -1,13 +1,17 @@
 package cell
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
 // newLoadingOwner returns an owner that can't load its shard until the store is reachable again.
@@ -64,6 +68,19 @@
 	t.Fatal("shard not loaded")
 }
 
+// fillEventQueue announces as many cancellations of unknown jobs to the owner of a shard as it queues while it loads.
+func fillEventQueue(t *testing.T, d *Daemon) {
+	t.Helper()
+	a := announcement{Shard: testShard.String()}
+	for i := range eventQueueLength {
+		a.Keys = append(a.Keys, jobKey(d.shardCount(), cluster.JobName(fmt.Sprintf("%016x", i+100)))+cancelSuffix)
+		a.Values = append(a.Values, []byte{1})
+	}
+	if err := awaitReply(t, startCall(d, methodAnnounce, &a)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against an owner that is asked for a share while it loads its shard. If the request and the load wait for each
 // other, no job of the shard starts until the process ends, as other daemons see an owner that responds.
 func TestShareRequestDoesNotBlockLoad(t *testing.T) {
@@ -93,3 +110,23 @@
 		})
 	}
 }
+
+// Guards against submissions that wait for the load of a shard because their daemon is its owner and has announced more
+// jobs than it queues.
+func TestSubmissionsContinueWhileOwnerLoads(t *testing.T) {
+	is := is.New(t)
+	store, d := newStoreDaemon(t)
+	newLoadingOwner(t, store, d)
+	fillEventQueue(t, d)
+	job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: testShard.Service}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+	d.wg.Go(func() { d.intake.run(jobPart(job.ID)) })
+	ctx, cancel := context.WithTimeout(t.Context(), 2*replyLimit)
+	defer cancel()
+	is.NoErr(d.Submit(ctx, job)) // is announced after the reply
+	is.NoErr(d.Submit(ctx, job))
+	store.setPartsUnreachable()
+	awaitLoad(t, d)
+	reply, err := d.ownedState(ctx, stateRequest{Shard: testShard.String(), ID: string(job.ID)})
+	is.NoErr(err)
+	is.True(reply.Known)
+}
