cell: put configurations in force while a shard is loaded

Callers saw: a configuration that the operator writes while a daemon loads a shard is not in force there until the load ends, if many jobs are submitted meanwhile.

Cause: a new configuration was queued for the control loop of each owned shard. While its queue of 4096 events is full, applyConfig waited for room and the feed of configurations with it.

Evidence: TestConfigIsAppliedWhileOwnerLoads failed before, without an end of applyConfig within 3 s.

Change: the control loop is told that the configuration has changed and reads the one in force. A further change before that needs no further signal.

--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -62,7 +62,7 @@
 	d.mu.Unlock()
 	d.cfg.Log.Info().Uint64("version", uint64(snapshot.Version)).Str("source", source).Int("queues", len(snapshot.Queues)).Msg("cell: configuration in force")
 	for _, o := range owned {
-		o.configChanged(snapshot)
+		o.configChanged()
 	}
 }
 
--- a/cluster/cell/loading_test.go
+++ b/cluster/cell/loading_test.go
@@ -11,6 +11,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
@@ -130,3 +131,52 @@
 	is.NoErr(err)
 	is.True(reply.Known)
 }
+
+// versionReader reads configurations that consist of their version. Each has a team that is named after it.
+type versionReader struct{ stubConfigReader }
+
+func (versionReader) ReadConfig(data []byte) (*cluster.Snapshot, error) {
+	team := &cluster.Team{Name: teamOfVersion(data[0]), Limit: cluster.Resources{CPU: cluster.Core}}
+	return cluster.Assemble(cluster.Version(data[0]), []cluster.Entity{team}), nil
+}
+
+func teamOfVersion(version byte) cluster.TeamName {
+	return cluster.TeamName(fmt.Sprintf("team%d", version))
+}
+
+// awaitTeam waits until the scheduler of an owner has the configuration with a team.
+func awaitTeam(t *testing.T, o *ownedShard, team cluster.TeamName) {
+	t.Helper()
+	for startedAt := time.Now(); time.Since(startedAt) < replyLimit; time.Sleep(retryDelay) {
+		reduction := 0
+		err := o.query(t.Context(), "test", func(s *pool.Scheduler) { reduction = s.ReduceShare(team, 1, time.Now()) })
+		if err == nil && reduction == 1 {
+			return
+		}
+	}
+	t.Fatalf("%s is not known", team)
+}
+
+// Guards against a configuration that is not put in force because an owner that loads its shard does not take the one
+// before it, and against an owner that keeps the configuration that it was loaded with.
+func TestConfigIsAppliedWhileOwnerLoads(t *testing.T) {
+	is := is.New(t)
+	store, d := newThreeShardDaemon(t)
+	d.cfg.Reader = versionReader{}
+	o := newLoadingOwner(t, store, d)
+	fillEventQueue(t, d)
+	applied := make(chan error, 1)
+	d.wg.Go(func() {
+		for version := range byte(3) {
+			d.applyConfig([]byte{version + 1}, "test")
+		}
+		applied <- nil
+	})
+	is.NoErr(awaitReply(t, applied))
+	is.Equal(d.Snapshot().Version, cluster.Version(3))
+	store.setPartsUnreachable()
+	awaitLoad(t, d)
+	awaitTeam(t, o, teamOfVersion(3))
+	d.applyConfig([]byte{4}, "test")
+	awaitTeam(t, o, teamOfVersion(4))
+}
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -38,6 +38,8 @@
 	events chan pool.Event
 	// queries passes functions to run in the control loop.
 	queries chan func(*pool.Scheduler)
+	// configUpdates tells the control loop that another configuration is in force.
+	configUpdates chan struct{}
 
 	scheduler *pool.Scheduler
 	// workersListedAt is when the workers were last listed, in Unix milliseconds; zero before the first time.
@@ -56,6 +58,7 @@
 	o := &ownedShard{
 		d: d, id: id, epoch: epoch, version: version, ownedSince: ownedSince, previousOwnerStopped: previousOwnerStopped,
 		loaded: make(chan struct{}), done: make(chan struct{}), events: make(chan pool.Event, eventQueueLength), queries: make(chan func(*pool.Scheduler)),
+		configUpdates: make(chan struct{}, 1),
 	}
 	o.ctx, o.stop = context.WithCancel(d.ctx)
 	return o
@@ -235,8 +238,12 @@
 	}
 }
 
-func (o *ownedShard) configChanged(s *cluster.Snapshot) {
-	o.sendEvent(&pool.ConfigChanged{Snapshot: s})
+// configChanged makes the control loop read the configuration in force. It does not wait for the loop.
+func (o *ownedShard) configChanged() {
+	select {
+	case o.configUpdates <- struct{}{}:
+	default:
+	}
 }
 
 // query runs f in the control loop and waits until f has returned. It fails without running f if the shard is not
@@ -274,6 +281,8 @@
 		case e := <-o.events:
 			o.sleep(delay)
 			batch = append(batch, e)
+		case <-o.configUpdates:
+			batch = append(batch, &pool.ConfigChanged{Snapshot: o.d.Snapshot()})
 		case query := <-o.queries:
 			query(o.scheduler)
 			continue
