cell: put changed shares in force before the next transfer

Callers saw: nothing yet. Two shards may use the same part of a team's limit, so that the team runs more than its limit allows.

Cause: the control loop gets changed shares as an event and the request to reduce a share as a query, and handles what waits for it in any order. A reduction that came before an older event was undone by it until its transaction was in the store; tasks that were started meanwhile use a share that another shard has received.

Change: changed shares are set by a query as well, and a further change is not made before they are in force. The event queue can no longer block a change of the shares.

--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -101,7 +101,6 @@
 	for o.ctx.Err() == nil {
 		version, err := o.tryLoad()
 		if err == nil {
-			close(o.loaded)
 			return version, true
 		}
 		o.d.cfg.Log.Warn().Err(err).Stringer("shard", o.id).Msg("cell: rows of the shard can't be loaded; retrying")
@@ -130,7 +129,9 @@
 	})
 	events := []pool.Event{&pool.ConfigChanged{Snapshot: o.d.Snapshot()}, &pool.SharesChanged{Shares: shares}}
 	events = append(events, o.jobEvents(jobs.Rows, loaded.progress)...)
-	o.executeEffects(o.scheduler.Step(time.Now(), events))
+	effects := o.scheduler.Step(time.Now(), events)
+	close(o.loaded)
+	o.executeEffects(effects)
 	o.d.cfg.Log.Info().Stringer("shard", o.id).Uint64("epoch", uint64(o.epoch)).Int("rows", len(jobs.Rows)).
 		Int("workers", len(workers)).Dur("took", time.Since(o.ownedSince)).Msg("cell: shard loaded")
 	return jobs.AsOf, nil
--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -202,7 +202,7 @@
 		}) {
 			return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
 		}
-		o.sendEvent(&pool.SharesChanged{Shares: o.shares.row.shardShares(o.id.Index)})
+		o.setShares()
 		o.d.cfg.Log.Info().Stringer("shard", o.id).Int("to", r.To).Str("team", r.Team).Int("wanted", r.Wanted).Int("given", granted).Msg("cell: share of a limit transferred")
 	}
 	return shareReply{Granted: granted, Shares: o.shares.row, Version: uint64(o.shares.version)}, nil
@@ -216,7 +216,15 @@
 		return
 	}
 	o.shares.row, o.shares.version = row, version
-	o.sendEvent(&pool.SharesChanged{Shares: row.shardShares(o.id.Index)})
+	o.setShares()
+}
+
+// setShares passes the shares to the scheduler and waits until they are in force, as an event might be handled only
+// after the next reduction and undo it. The caller holds shares.mu, which neither the load nor the control loop takes.
+func (o *ownedShard) setShares() {
+	shares := o.shares.row.shardShares(o.id.Index)
+	// This fails only if the ownership has ended.
+	_ = o.query(o.ctx, "set shares", func(s *pool.Scheduler) { s.SetShares(shares) })
 }
 
 // requestShare requests a larger share of a team's limit from the owners of the other shards, one after
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -230,6 +230,48 @@
 	})
 }
 
+// transferWhenIdle transfers a share once no other change of the shares is in progress.
+func transferWhenIdle(t *testing.T, o *ownedShard, r shareRequest) (shareReply, error) {
+	t.Helper()
+	for {
+		reply, err := o.transferShare(t.Context(), r)
+		if !IsKind(err, KindOverloaded) {
+			return reply, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a share that is received, and takes effect in the scheduler only after a part of it was transferred to
+// another shard. Both shards could use that part until the transfer is in the store.
+func TestReceivedShareTakesEffectBeforeTransfer(t *testing.T) {
+	for range 20 { // the order in which the control loop handles what waits for it is random
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			rows, d := newThreeShardDaemon(t)
+			first, second := newShardOwner(t, d, 0, 1), newShardOwner(t, d, 1, 1)
+			received, err := second.transferShare(t.Context(), shareRequest{To: 0, Team: limitedTeam, Wanted: 500})
+			is.NoErr(err)
+			is.Equal(received.Granted, 500)
+			shareDuringCommit := 0
+			d.store = newRelayStore(d, &hookStore{rowStore: rows, beforeCommit: func() {
+				time.Sleep(retryDelay)
+				is.NoErr(first.query(t.Context(), "test", func(s *pool.Scheduler) { shareDuringCommit = s.ReduceShare(limitedTeam, pool.WholeLimit, time.Now()) }))
+			}})
+			unblock := make(chan struct{})
+			d.wg.Go(func() { _ = first.query(t.Context(), "test", func(*pool.Scheduler) { <-unblock }) })
+			synctest.Wait()
+			d.wg.Go(func() { first.applyShares(received.Shares, cluster.Version(received.Version)) })
+			synctest.Wait()
+			time.AfterFunc(retryDelay, func() { close(unblock) })
+			transferred, err := transferWhenIdle(t, first, shareRequest{To: 2, Team: limitedTeam, Wanted: 1000})
+			is.NoErr(err)
+			is.Equal(transferred.Granted, 1000)
+			is.Equal(shareDuringCommit, 2834) // 3334 + 500 - 1000
+		})
+	}
+}
+
 // Guards against different shards that have the same name.
 func TestShardNamesAreUnique(t *testing.T) {
 	is := is.New(t)
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -135,7 +135,7 @@
 	case *ConfigChanged:
 		s.snapshot = v.Snapshot
 	case *SharesChanged:
-		s.sharesChanged(v.Shares)
+		s.SetShares(v.Shares)
 	case *WorkersListed:
 		s.advisors = max(1, v.Advisors)
 		s.listWorkers(v.Workers)
--- a/cluster/pool/share.go
+++ b/cluster/pool/share.go
@@ -34,8 +34,8 @@
 	return EqualShare(s.cfg.Shard, s.cfg.Shards)
 }
 
-// sharesChanged replaces the shares of the teams' limits.
-func (s *Scheduler) sharesChanged(shares map[cluster.TeamName]int) { s.shares = shares }
+// SetShares sets the shares of the teams' limits at once, as SharesChanged does in the next step.
+func (s *Scheduler) SetShares(shares map[cluster.TeamName]int) { s.shares = shares }
 
 // limitShare returns the share of a limit that an amount uses, rounded up.
 func limitShare(amount, limit cluster.Resources) int {
