cell: restore a share whose transfer is refused

Callers saw: a team runs less than its limit allows, and shards that need more of a limit get none, after a transfer that the store refuses or that can't be encoded.

Cause: a transfer reduces the share in the scheduler and then writes the row. If the row couldn't be encoded, nothing restored the share. If the store refused it, for example as too large, the write was repeated without an end or a delay, and the owner transferred no other share.

Change: commitShares returns a refusal as an error, and the shares of the last known row are in force again. An earlier attempt whose reply was lost can't be applied after a refusal: it had the same row or its check fails.

--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -182,11 +182,13 @@
 	})
 }
 
-// rowLimitStore refuses transactions with a row that is larger than the platform allows.
+// maxRowBytes is the size of the largest row that the platform allows.
+const maxRowBytes = 64 << 10
+
+// rowLimitStore refuses transactions with a row that is larger than maxRowBytes.
 type rowLimitStore struct{ *rowStore }
 
 func (s rowLimitStore) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
-	const maxRowBytes = 64 << 10
 	for _, p := range txn.Puts {
 		if len(p.Value) > maxRowBytes {
 			return 0, &platform.Error{Op: "test", Kind: platform.KindInvalid, Key: p.Key}
--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -119,9 +119,9 @@
 }
 
 // commitShares retries a change of the row until it is known to be in the store. The caller holds shares.mu, or
-// is the load of the shard. change may be applied to several versions of the row. The result is false if the ownership has ended or the
-// row can't be encoded.
-func (o *ownedShard) commitShares(change func(*sharesRow)) bool {
+// is the load of the shard. change may be applied to several versions of the row. It fails if the ownership has ended
+// and, without a change in the store, if the row can't be encoded or is refused.
+func (o *ownedShard) commitShares(change func(*sharesRow)) error {
 	s := &o.shares
 	s.changeNumber++
 	for o.ctx.Err() == nil {
@@ -130,8 +130,7 @@
 		change(&next)
 		data, err := encode("split", &next)
 		if err != nil {
-			o.d.cfg.Log.Error().Err(err).Msg("cell: shares row can't be encoded")
-			return false
+			return err
 		}
 		key := sharesKey(o.id.Service)
 		version, err := o.d.store.Commit(o.ctx, platform.Txn{
@@ -139,7 +138,11 @@
 		})
 		if err == nil {
 			s.row, s.version = next, version
-			return true
+			return nil
+		}
+		if platform.IsKind(err, platform.KindInvalid) {
+			// An attempt before this one whose reply was lost had the same row or was for an earlier version.
+			return &Error{Op: "split", Kind: KindMalformed, Err: err}
 		}
 		o.d.cfg.Log.Info().Err(err).Stringer("shard", o.id).Uint64("loan", s.changeNumber).Msg("cell: shares row not written; reading it again")
 		row, version, err := o.readShares(o.ctx)
@@ -149,14 +152,14 @@
 		}
 		if row.Epochs[o.id.Index] > uint64(o.epoch) {
 			o.endOwnership("the shares row names a later owner")
-			return false
+			break
 		}
 		s.row, s.version = row, version
 		if row.Epochs[o.id.Index] == uint64(o.epoch) && row.ChangeNumbers[o.id.Index] == s.changeNumber {
-			return true
+			return nil
 		}
 	}
-	return false
+	return &Error{Op: "split", Kind: KindUnavailable, Err: errNotOwner}
 }
 
 // claimShares writes the epoch of this owner into the row and returns the shares of its shard. It is called while
@@ -169,8 +172,8 @@
 	if o.shares.row, o.shares.version, err = o.readShares(o.ctx); err != nil {
 		return nil, err
 	}
-	if !o.commitShares(func(*sharesRow) {}) {
-		return nil, &Error{Op: "claim shares", Kind: KindUnavailable, Err: errNotOwner}
+	if err = o.commitShares(func(*sharesRow) {}); err != nil {
+		return nil, err
 	}
 	return o.shares.row.shardShares(o.id.Index), nil
 }
@@ -194,15 +197,18 @@
 		return shareReply{}, err
 	}
 	if granted > 0 {
-		if !o.commitShares(func(row *sharesRow) {
+		err = o.commitShares(func(row *sharesRow) {
 			shares := row.teamShares(r.Team)
 			shares[o.id.Index] -= granted
 			shares[r.To] += granted
 			row.Teams[r.Team] = shares
-		}) {
-			return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
-		}
+		})
+		// If there was no transfer, this restores the share.
 		o.setShares()
+		if err != nil {
+			o.d.cfg.Log.Warn().Err(err).Stringer("shard", o.id).Int("to", r.To).Str("team", r.Team).Msg("cell: share of a limit not transferred")
+			return shareReply{}, err
+		}
 		o.d.cfg.Log.Info().Stringer("shard", o.id).Int("to", r.To).Str("team", r.Team).Int("wanted", r.Wanted).Int("given", granted).Msg("cell: share of a limit transferred")
 	}
 	return shareReply{Granted: granted, Shares: o.shares.row, Version: uint64(o.shares.version)}, nil
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -272,6 +273,36 @@
 	}
 }
 
+// Guards against a shard that loses a share that no shard has received, and transfers no other share, because the store
+// refuses the row with the transfer.
+func TestRefusedTransferRestoresShare(t *testing.T) {
+	is := is.New(t)
+	rows, d := newThreeShardDaemon(t)
+	full := sharesRow{Epochs: make([]uint64, 3), ChangeNumbers: make([]uint64, 3), Teams: map[string][]int{}}
+	// addTeams adds teams up to a number and returns the size of the row. Their names are as long as limitedTeam.
+	addTeams := func(n int) int {
+		for len(full.Teams) < n {
+			full.Teams[fmt.Sprint(1000+len(full.Teams))] = []int{3334, 3333, 3333}
+		}
+		return len(must(encode("test", &full)))
+	}
+	size := addTeams(100)
+	teamSize := (addTeams(200) - size) / 100
+	size = addTeams(100 + (maxRowBytes-size)/teamSize)
+	is.True(size <= maxRowBytes && size+teamSize > maxRowBytes)
+	_, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: sharesKey("s"), Value: must(encode("test", &full))}}})
+	is.NoErr(err)
+	d.store = newRelayStore(d, rowLimitStore{rows})
+	o := newShardOwner(t, d, 0, 1)
+	d.ownedShards[o.id] = o
+	err = awaitReply(t, startCall(d, methodTransferShare, &shareRequest{Shard: o.id.String(), To: 1, Team: limitedTeam, Wanted: 1000}))
+	is.True(err != nil)
+	share := 0
+	is.NoErr(o.query(t.Context(), "test", func(s *pool.Scheduler) { share = s.ReduceShare(limitedTeam, pool.WholeLimit, time.Now()) }))
+	is.Equal(share, pool.EqualShare(0, 3))
+	is.NoErr(o.ctx.Err())
+}
+
 // Guards against different shards that have the same name.
 func TestShardNamesAreUnique(t *testing.T) {
 	is := is.New(t)
