cell: release all shards of a leaving daemon together

Callers saw: a daemon that leaves while a part of the store is down does not release its shards, so that other daemons claim them only after the peer timeout.

Cause: shards were released one after another, each after its goroutines had ended. If two shards of one daemon request shares of each other and neither transfer can be written, a goroutine of each waits for the other shard, whose ownership ends only after the first release.

Change: the shards are released concurrently, which first ends the ownership of each.

--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -108,7 +108,8 @@
 	}
 }
 
-// Release gives up the owned shards so that other daemons can claim them without a delay.
+// Release gives up the owned shards so that other daemons can claim them without a delay. It releases them together, as
+// the goroutines of one shard may wait for a share of another one.
 func (d *Daemon) Release(ctx context.Context) {
 	d.leaving.Store(true)
 	d.mu.Lock()
@@ -117,9 +118,11 @@
 		owned = append(owned, o)
 	}
 	d.mu.Unlock()
+	var releases conc.WaitGroup
 	for _, o := range owned {
-		o.release(ctx)
+		releases.Go(func() { o.release(ctx) })
 	}
+	releases.Wait()
 }
 
 // Close stops the daemon and waits for its goroutines.
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -303,6 +303,40 @@
 	is.NoErr(o.ctx.Err())
 }
 
+// Guards against a daemon that leaves without releasing its shards because each of them waits for a share of the other,
+// which can't be transferred while a part of the store is down. Other daemons would claim them only after a delay.
+func TestReleaseDuringShareTransfer(t *testing.T) {
+	is := is.New(t)
+	rows, d := newThreeShardDaemon(t)
+	d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+	d.cfg.Reader = versionReader{}
+	d.applyConfig([]byte{1}, "test")
+	var owners []*ownedShard
+	for index := range 2 {
+		id := shardID{Service: "s", Index: index}
+		d.claim(id, ownership{})
+		owners = append(owners, d.lookupShard(id))
+		awaitTeam(t, owners[index], teamOfVersion(1))
+	}
+	key := sharesKey("s")
+	rows.setPartsUnreachable(key[:len(key)-len(rowName(key))])
+	for _, o := range owners {
+		o.goroutines.Go(func() {
+			o.requestShare(&pool.RequestShare{Team: teamOfVersion(1), Missing: 100, ReleaseTime: time.Now()})
+		})
+	}
+	time.Sleep(2 * retryDelay) // until both write their transfer
+	ctx, cancel := context.WithTimeout(t.Context(), replyLimit)
+	defer cancel()
+	d.Release(ctx)
+	is.NoErr(ctx.Err())
+	for _, o := range owners {
+		owner, _, err := d.readOwner(t.Context(), ownerKey(o.id))
+		is.NoErr(err)
+		is.Equal(owner.Owner, "")
+	}
+}
+
 // Guards against different shards that have the same name.
 func TestShardNamesAreUnique(t *testing.T) {
 	is := is.New(t)
