cell: let callers of Pending stop waiting for one another

Callers saw: requests for the number of pending jobs that hang beyond their timeout while an owner does not answer.

Cause: a caller held a mutex while it asked the owners, and the others waited for the mutex whatever their contexts.

Change: callers wait for their turn or for the end of their context.

--- a/cluster/cell/loading_test.go
+++ b/cluster/cell/loading_test.go
@@ -180,3 +180,37 @@
 	d.applyConfig([]byte{4}, "test")
 	awaitTeam(t, o, teamOfVersion(4))
 }
+
+// blockLoop blocks the control loop of an owner until the end of the test.
+func blockLoop(t *testing.T, o *ownedShard) {
+	t.Helper()
+	blocked, unblock := make(chan struct{}), make(chan struct{})
+	o.d.wg.Go(func() { _ = o.query(o.ctx, "test", func(*pool.Scheduler) { close(blocked); <-unblock }) })
+	t.Cleanup(func() { close(unblock) })
+	<-blocked
+}
+
+// Guards against a client that waits for the numbers of pending jobs beyond its timeout, because an earlier client waits
+// for an owner that does not answer.
+func TestPendingEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	_, d := newThreeShardDaemon(t)
+	o := newShardOwner(t, d, 0, 1)
+	d.ownedShards[o.id] = o
+	d.owners[o.id] = ownership{row: ownerRow{Owner: string(d.cfg.Self), Epoch: 1}, version: 1}
+	blockLoop(t, o)
+	queue := &cluster.Queue{Name: "q", Service: o.id.Service}
+	pending := func(timeout time.Duration) <-chan error {
+		result := make(chan error, 1)
+		d.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(d.ctx, timeout)
+			defer cancel()
+			_, err := d.Pending(ctx, queue)
+			result <- err
+		})
+		return result
+	}
+	pending(time.Minute)
+	time.Sleep(retryDelay) // until the first client waits for the owner
+	is.True(IsKind(awaitReply(t, pending(retryDelay)), KindUnavailable))
+}
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -138,7 +138,8 @@
 }
 
 type pendingEntry struct {
-	mu     sync.Mutex
+	// inUse holds an element while one caller uses the other fields. Unlike for a mutex, callers can stop waiting.
+	inUse  chan struct{}
 	reply  pendingReply
 	readAt time.Time
 }
@@ -153,12 +154,16 @@
 	c.mu.Lock()
 	e := c.entries[service]
 	if e == nil {
-		e = &pendingEntry{}
+		e = &pendingEntry{inUse: make(chan struct{}, 1)}
 		c.entries[service] = e
 	}
 	c.mu.Unlock()
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	select {
+	case e.inUse <- struct{}{}:
+	case <-ctx.Done():
+		return pendingReply{}, &Error{Op: "pending", Kind: KindUnavailable, Err: ctx.Err()}
+	}
+	defer func() { <-e.inUse }()
 	if time.Since(e.readAt) < pendingTTL {
 		return e.reply, nil
 	}
