cell: limit queries of shards that the daemon owns itself

Callers saw: the state of a job can't be read within the timeout of the client from the daemon that owns its shard, while the owner's control loop is paused, although the state is in the store.

Cause: a query to another daemon ends after 0.6 s and the store is read then; a query to a shard of the same daemon used the whole timeout of the client. Numbers of pending jobs waited as long.

Evidence: TestStateIsReadWhileOwnerIsBusy failed before in 2 of 2 runs: the reply came only after the timeout of 3 s.

Change: the limit of a call holds for both.

Measured: the test passes 5 of 5 times with -race.

--- a/cluster/cell/loading_test.go
+++ b/cluster/cell/loading_test.go
@@ -214,3 +214,23 @@
 	time.Sleep(retryDelay) // until the first client waits for the owner
 	is.True(IsKind(awaitReply(t, pending(retryDelay)), KindUnavailable))
 }
+
+// Guards against a state that is not read from the store because the owner is this daemon and does not answer.
+func TestStateIsReadWhileOwnerIsBusy(t *testing.T) {
+	is := is.New(t)
+	store, d := newThreeShardDaemon(t)
+	id := shardID{Service: "s", Index: jobShard(recordedJob, d.shardCount())}
+	o := newShardOwner(t, d, id.Index, 1)
+	d.ownedShards[id] = o
+	d.owners[id] = ownership{row: ownerRow{Owner: string(d.cfg.Self), Epoch: 1}, version: 1}
+	job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: id.Service}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+	_, err := store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: jobKey(d.shardCount(), job.ID), Value: must(workload.EncodeJob(job))}}})
+	is.NoErr(err)
+	blockLoop(t, o)
+	ctx, cancel := context.WithTimeout(t.Context(), replyLimit)
+	defer cancel()
+	state, err := d.State(ctx, job.ID, job.Team, &cluster.Queue{Name: job.Queue, Service: id.Service})
+	is.NoErr(err)
+	is.Equal(state, workload.StateQueued)
+	is.NoErr(ctx.Err()) // there was time to read the store
+}
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -62,11 +62,11 @@
 	if !ok {
 		return stateReply{}, &Error{Op: "state", Kind: KindUnavailable, Err: errNotOwner}
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if owner == d.cfg.Self {
 		return d.ownedState(ctx, r)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	return call[stateReply](ctx, d, owner, methodState, &r)
 }
 
@@ -195,10 +195,10 @@
 	if !ok {
 		return pendingReply{}, &Error{Op: "pending", Kind: KindUnavailable, Err: errNotOwner}
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	if owner == c.d.cfg.Self {
 		return c.d.ownedPending(ctx, pendingRequest{Shard: id.String()})
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	return call[pendingReply](ctx, c.d, owner, methodPending, &pendingRequest{Shard: id.String()})
 }
