cell: wait before shares are written again

Callers saw: further load on a store that throttles its callers.

Cause: an owner whose transaction for the shares row failed repeated it as soon as it had read the row again, without a delay unless the read failed as well.

Evidence: TestThrottledSharesAreWrittenAfterDelay failed before: more than 10 transactions within 1 s.

--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -133,18 +133,18 @@
 			return err
 		}
 		key := sharesKey(o.id.Service)
-		version, err := o.d.store.Commit(o.ctx, platform.Txn{
+		version, commitErr := o.d.store.Commit(o.ctx, platform.Txn{
 			Checks: []platform.Check{{Key: key, Version: s.version}}, Puts: []platform.Put{{Key: key, Value: data}},
 		})
-		if err == nil {
+		if commitErr == nil {
 			s.row, s.version = next, version
 			return nil
 		}
-		if platform.IsKind(err, platform.KindInvalid) {
+		if platform.IsKind(commitErr, platform.KindInvalid) {
 			// An attempt before this one whose reply was lost had the same row or was for an earlier version.
-			return &Error{Op: "split", Kind: KindMalformed, Err: err}
+			return &Error{Op: "split", Kind: KindMalformed, Err: commitErr}
 		}
-		o.d.cfg.Log.Info().Err(err).Stringer("shard", o.id).Uint64("loan", s.changeNumber).Msg("cell: shares row not written; reading it again")
+		o.d.cfg.Log.Info().Err(commitErr).Stringer("shard", o.id).Uint64("loan", s.changeNumber).Msg("cell: shares row not written; reading it again")
 		row, version, err := o.readShares(o.ctx)
 		if err != nil {
 			o.sleep(retryDelay)
@@ -158,6 +158,9 @@
 		if row.Epochs[o.id.Index] == uint64(o.epoch) && row.ChangeNumbers[o.id.Index] == s.changeNumber {
 			return nil
 		}
+		if !platform.IsKind(commitErr, platform.KindConflict) {
+			o.sleep(retryDelay)
+		}
 	}
 	return &Error{Op: "split", Kind: KindUnavailable, Err: errNotOwner}
 }
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -303,6 +303,23 @@
 	is.NoErr(o.ctx.Err())
 }
 
+// Guards against an owner that writes its shares again and again without a delay while the store is overloaded.
+func TestThrottledSharesAreWrittenAfterDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &slowStore{commitDelay: time.Millisecond, commitErr: &platform.Error{Op: "test", Kind: platform.KindThrottled}}
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		d.layout.Store(&layoutRow{Shards: 3})
+		d.wg.Go(func() { _, _ = newOwnedShard(d, testShard, 1, 1, time.Now(), true).claimShares() })
+		const duration = time.Second
+		time.Sleep(duration)
+		is.True(store.commits.Load() > 1)
+		is.True(store.commits.Load() <= int64(duration/retryDelay))
+	})
+}
+
 // Guards against a daemon that leaves without releasing its shards because each of them waits for a share of the other,
 // which can't be transferred while a part of the store is down. Other daemons would claim them only after a delay.
 func TestReleaseDuringShareTransfer(t *testing.T) {
