cell: end a query whose function panics

Callers saw: nothing yet. No function that panics there is known.

Cause: a query that had been taken by the control loop waited for its end, which a panic skips. Its caller waits for ever then, keeps the shares of the shard locked and holds up the end of the process.

Change: the query reports an unknown result. The panic ends the control loop and with it the ownership, as before.

--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -248,18 +248,23 @@
 }
 
 // query runs f in the control loop and waits until f has returned. It fails without running f if the shard is not
-// loaded yet, or if ctx or the ownership ends first.
+// loaded yet, or if ctx or the ownership ends first. A panic of f ends the control loop.
 func (o *ownedShard) query(ctx context.Context, op string, f func(*pool.Scheduler)) error {
 	select {
 	case <-o.loaded:
 	default:
 		return &Error{Op: op, Kind: KindUnavailable, Err: errNotLoaded}
 	}
-	done := make(chan struct{})
+	result := make(chan error, 1)
+	run := func(s *pool.Scheduler) {
+		err := error(&Error{Op: op, Kind: KindUnknown, Err: errLoopPanicked})
+		defer func() { result <- err }()
+		f(s)
+		err = nil
+	}
 	select {
-	case o.queries <- func(s *pool.Scheduler) { f(s); close(done) }:
-		<-done
-		return nil
+	case o.queries <- run:
+		return <-result
 	case <-o.ctx.Done():
 		return &Error{Op: op, Kind: KindUnavailable, Err: errNotOwner}
 	case <-ctx.Done():
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -35,7 +35,8 @@
 var (
 	errNotOwner = errors.New("this daemon does not own the shard")
 	// errNotLoaded means that this daemon owns the shard but has not read its rows yet.
-	errNotLoaded = errors.New("this daemon has not loaded the shard yet")
+	errNotLoaded    = errors.New("this daemon has not loaded the shard yet")
+	errLoopPanicked = errors.New("panic in the control loop")
 	// errNoLayout means that the keys of the rows of jobs are not known yet.
 	errNoLayout = errors.New("the division of the cell is not known yet")
 )
