--- a/cluster/cell/ownedshard_test.go
+++ b/cluster/cell/ownedshard_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/sourcegraph/conc"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
@@ -115,3 +116,19 @@
 		is.Equal(starts, 0)
 	})
 }
+
+// Guards against a query that never ends, and keeps its shard from transferring shares, because it panicked in the
+// control loop.
+func TestQueryEndsWithPanic(t *testing.T) {
+	is := is.New(t)
+	_, d := newStoreDaemon(t)
+	o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+	o.scheduler = pool.New(pool.Config{Service: testShard.Service, Epoch: 1, Now: time.Now()})
+	close(o.loaded)
+	var loop conc.WaitGroup
+	loop.Go(o.loop)
+	result := make(chan error, 1)
+	go func() { result <- o.query(t.Context(), "test", func(*pool.Scheduler) { panic("test") }) }()
+	is.True(IsKind(awaitReply(t, result), KindUnknown))
+	is.True(loop.WaitAndRecover() != nil)
+}
--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -28,8 +28,8 @@
 
 // sharesState is the state of the shares row as the owner of a shard last read or wrote it.
 type sharesState struct {
-	// mu allows one change at a time and guards the fields below. The load of the shard, which comes before all
-	// other changes, does not take it, so that no request of another daemon can block the load.
+	// mu allows one change at a time and guards row, version and changeNumber. The load of the shard comes before
+	// all other changes and does not take it, so that no request of another daemon can block the load.
 	mu      sync.Mutex
 	row     sharesRow
 	version cluster.Version
@@ -118,9 +118,9 @@
 	return row, reply.Rows[0].Version, nil
 }
 
-// commitShares retries a change of the row until it is known to be in the store. The caller holds shares.mu, or
-// is the load of the shard. change may be applied to several versions of the row. It fails if the ownership has ended
-// and, without a change in the store, if the row can't be encoded or is refused.
+// commitShares retries a change of the row until it is known to be in the store. The caller holds shares.mu or loads
+// the shard. change may be applied to several versions of the row. commitShares fails if the ownership has ended, and
+// with an unchanged row in the store if the new one can't be encoded or is refused.
 func (o *ownedShard) commitShares(change func(*sharesRow)) error {
 	s := &o.shares
 	s.changeNumber++
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -139,7 +139,7 @@
 }
 
 type pendingEntry struct {
-	// inUse holds an element while one caller uses the other fields. Unlike for a mutex, callers can stop waiting.
+	// inUse holds an element while a caller uses the other fields; unlike a mutex, it lets callers stop waiting.
 	inUse  chan struct{}
 	reply  pendingReply
 	readAt time.Time
--- /dev/null
+++ b/cluster/cell/status_test.go
@@ -0,0 +1,68 @@
+package cell
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+// blockLoop blocks the control loop of an owner until the end of the test.
+func blockLoop(t *testing.T, o *ownedShard) {
+	t.Helper()
+	blocked, unblock := make(chan struct{}), make(chan struct{})
+	o.d.wg.Go(func() { _ = o.query(o.ctx, "test", func(*pool.Scheduler) { close(blocked); <-unblock }) })
+	t.Cleanup(func() { close(unblock) })
+	<-blocked
+}
+
+// Guards against a client that waits for the numbers of pending jobs beyond its timeout, because an earlier client waits
+// for an owner that does not answer.
+func TestPendingEndsWithItsContext(t *testing.T) {
+	is := is.New(t)
+	_, d := newThreeShardDaemon(t)
+	o := newShardOwner(t, d, 0, 1)
+	d.ownedShards[o.id] = o
+	d.owners[o.id] = ownership{row: ownerRow{Owner: string(d.cfg.Self), Epoch: 1}, version: 1}
+	blockLoop(t, o)
+	queue := &cluster.Queue{Name: "q", Service: o.id.Service}
+	pending := func(timeout time.Duration) <-chan error {
+		result := make(chan error, 1)
+		d.wg.Go(func() {
+			ctx, cancel := context.WithTimeout(d.ctx, timeout)
+			defer cancel()
+			_, err := d.Pending(ctx, queue)
+			result <- err
+		})
+		return result
+	}
+	pending(time.Minute)
+	time.Sleep(retryDelay) // until the first client waits for the owner
+	is.True(IsKind(awaitReply(t, pending(retryDelay)), KindUnavailable))
+}
+
+// Guards against a state that is not read from the store because the owner is this daemon and does not answer.
+func TestStateIsReadWhileOwnerIsBusy(t *testing.T) {
+	is := is.New(t)
+	store, d := newThreeShardDaemon(t)
+	id := shardID{Service: "s", Index: jobShard(recordedJob, d.shardCount())}
+	o := newShardOwner(t, d, id.Index, 1)
+	d.ownedShards[id] = o
+	d.owners[id] = ownership{row: ownerRow{Owner: string(d.cfg.Self), Epoch: 1}, version: 1}
+	job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: id.Service}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+	_, err := store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: jobKey(d.shardCount(), job.ID), Value: must(workload.EncodeJob(job))}}})
+	is.NoErr(err)
+	blockLoop(t, o)
+	ctx, cancel := context.WithTimeout(t.Context(), replyLimit)
+	defer cancel()
+	state, err := d.State(ctx, job.ID, job.Team, &cluster.Queue{Name: job.Queue, Service: id.Service})
+	is.NoErr(err)
+	is.Equal(state, workload.StateQueued)
+	is.NoErr(ctx.Err()) // there was time to read the store
+}
