--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -31,11 +31,15 @@
 	ctx                  context.Context
 	stop                 context.CancelFunc
 	goroutines           conc.WaitGroup
+	// loaded is closed when the rows have been loaded and the control loop is about to run.
+	loaded chan struct{}
 	// done is closed when run returns.
 	done   chan struct{}
 	events chan pool.Event
 	// queries passes functions to run in the control loop.
 	queries chan func(*pool.Scheduler)
+	// configUpdates tells the control loop that another configuration is in force.
+	configUpdates chan struct{}
 
 	scheduler *pool.Scheduler
 	// workersListedAt is when the workers were last listed, in Unix milliseconds; zero before the first time.
@@ -52,8 +56,9 @@
 
 func newOwnedShard(d *Daemon, id shardID, epoch cluster.Epoch, version cluster.Version, ownedSince time.Time, previousOwnerStopped bool) *ownedShard {
 	o := &ownedShard{
-		d: d, id: id, epoch: epoch, version: version, ownedSince: ownedSince, previousOwnerStopped: previousOwnerStopped, done: make(chan struct{}),
-		events: make(chan pool.Event, eventQueueLength), queries: make(chan func(*pool.Scheduler)),
+		d: d, id: id, epoch: epoch, version: version, ownedSince: ownedSince, previousOwnerStopped: previousOwnerStopped,
+		loaded: make(chan struct{}), done: make(chan struct{}), events: make(chan pool.Event, eventQueueLength), queries: make(chan func(*pool.Scheduler)),
+		configUpdates: make(chan struct{}, 1),
 	}
 	o.ctx, o.stop = context.WithCancel(d.ctx)
 	return o
@@ -124,7 +129,9 @@
 	})
 	events := []pool.Event{&pool.ConfigChanged{Snapshot: o.d.Snapshot()}, &pool.SharesChanged{Shares: shares}}
 	events = append(events, o.jobEvents(jobs.Rows, loaded.progress)...)
-	o.executeEffects(o.scheduler.Step(time.Now(), events))
+	effects := o.scheduler.Step(time.Now(), events)
+	close(o.loaded)
+	o.executeEffects(effects)
 	o.d.cfg.Log.Info().Stringer("shard", o.id).Uint64("epoch", uint64(o.epoch)).Int("rows", len(jobs.Rows)).
 		Int("workers", len(workers)).Dur("took", time.Since(o.ownedSince)).Msg("cell: shard loaded")
 	return jobs.AsOf, nil
@@ -232,20 +239,36 @@
 	}
 }
 
-func (o *ownedShard) configChanged(s *cluster.Snapshot) {
-	o.sendEvent(&pool.ConfigChanged{Snapshot: s})
+// configChanged makes the control loop read the configuration in force. It does not wait for the loop.
+func (o *ownedShard) configChanged() {
+	select {
+	case o.configUpdates <- struct{}{}:
+	default:
+	}
 }
 
-// query runs f in the control loop and waits until f has returned. It returns false, without running f, if the
-// ownership ends first.
-func (o *ownedShard) query(f func(*pool.Scheduler)) bool {
-	done := make(chan struct{})
+// query runs f in the control loop and waits until f has returned. It fails without running f if the shard is not
+// loaded yet, or if ctx or the ownership ends first. A panic of f ends the control loop.
+func (o *ownedShard) query(ctx context.Context, op string, f func(*pool.Scheduler)) error {
 	select {
-	case o.queries <- func(s *pool.Scheduler) { f(s); close(done) }:
-		<-done
-		return true
+	case <-o.loaded:
+	default:
+		return &Error{Op: op, Kind: KindUnavailable, Err: errNotLoaded}
+	}
+	result := make(chan error, 1)
+	run := func(s *pool.Scheduler) {
+		err := error(&Error{Op: op, Kind: KindUnknown, Err: errLoopPanicked})
+		defer func() { result <- err }()
+		f(s)
+		err = nil
+	}
+	select {
+	case o.queries <- run:
+		return <-result
 	case <-o.ctx.Done():
-		return false
+		return &Error{Op: op, Kind: KindUnavailable, Err: errNotOwner}
+	case <-ctx.Done():
+		return &Error{Op: op, Kind: KindUnavailable, Err: ctx.Err()}
 	}
 }
 
@@ -264,6 +287,8 @@
 		case e := <-o.events:
 			o.sleep(delay)
 			batch = append(batch, e)
+		case <-o.configUpdates:
+			batch = append(batch, &pool.ConfigChanged{Snapshot: o.d.Snapshot()})
 		case query := <-o.queries:
 			query(o.scheduler)
 			continue
--- a/cluster/cell/shares.go
+++ b/cluster/cell/shares.go
@@ -28,6 +28,8 @@
 
 // sharesState is the state of the shares row as the owner of a shard last read or wrote it.
 type sharesState struct {
+	// mu allows one change at a time and guards row, version and changeNumber. The load of the shard comes before
+	// all other changes and does not take it, so that no request of another daemon can block the load.
 	mu      sync.Mutex
 	row     sharesRow
 	version cluster.Version
@@ -116,34 +118,37 @@
 	return row, reply.Rows[0].Version, nil
 }
 
-// commitShares retries a change of the row until it is known to be in the store. The caller holds shares.mu.
-// change may be applied to several versions of the row. The result is false if the ownership has ended or the
-// row can't be encoded.
-func (o *ownedShard) commitShares(change func(*sharesRow)) bool {
+// commitShares retries a change of the row until it is known to be in the store. The caller holds shares.mu or loads
+// the shard. change may be applied to several versions of the row. commitShares fails if the ownership has ended, and
+// with an unchanged row in the store if the new one can't be encoded or is refused.
+func (o *ownedShard) commitShares(change func(*sharesRow)) error {
 	s := &o.shares
 	s.changeNumber++
 	for o.ctx.Err() == nil {
 		if s.row.Epochs[o.id.Index] > uint64(o.epoch) {
 			o.endOwnership("the shares row names a later owner")
-			return false
+			break
 		}
 		next := s.row.clone()
 		next.Epochs[o.id.Index], next.ChangeNumbers[o.id.Index] = uint64(o.epoch), s.changeNumber
 		change(&next)
 		data, err := encode("split", &next)
 		if err != nil {
-			o.d.cfg.Log.Error().Err(err).Msg("cell: shares row can't be encoded")
-			return false
+			return err
 		}
 		key := sharesKey(o.id.Service)
-		version, err := o.d.store.Commit(o.ctx, platform.Txn{
+		version, commitErr := o.d.store.Commit(o.ctx, platform.Txn{
 			Checks: []platform.Check{{Key: key, Version: s.version}}, Puts: []platform.Put{{Key: key, Value: data}},
 		})
-		if err == nil {
+		if commitErr == nil {
 			s.row, s.version = next, version
-			return true
+			return nil
+		}
+		if platform.IsKind(commitErr, platform.KindInvalid) {
+			// An attempt before this one whose reply was lost had the same row or was for an earlier version.
+			return &Error{Op: "split", Kind: KindMalformed, Err: commitErr}
 		}
-		o.d.cfg.Log.Info().Err(err).Stringer("shard", o.id).Uint64("loan", s.changeNumber).Msg("cell: shares row not written; reading it again")
+		o.d.cfg.Log.Info().Err(commitErr).Stringer("shard", o.id).Uint64("loan", s.changeNumber).Msg("cell: shares row not written; reading it again")
 		row, version, err := o.readShares(o.ctx)
 		if err != nil {
 			o.sleep(retryDelay)
@@ -151,32 +156,35 @@
 		}
 		s.row, s.version = row, version
 		if row.Epochs[o.id.Index] == uint64(o.epoch) && row.ChangeNumbers[o.id.Index] == s.changeNumber {
-			return true
+			return nil
+		}
+		if !platform.IsKind(commitErr, platform.KindConflict) {
+			o.sleep(retryDelay)
 		}
 	}
-	return false
+	return &Error{Op: "split", Kind: KindUnknown, Err: errNotOwner}
 }
 
-// claimShares writes the epoch of this owner into the row and returns the shares of its shard.
+// claimShares writes the epoch of this owner into the row and returns the shares of its shard. It is called while
+// the shard is loaded.
 func (o *ownedShard) claimShares() (map[cluster.TeamName]int, error) {
 	if o.d.shardCount() == 1 {
 		return nil, nil
 	}
-	o.shares.mu.Lock()
-	defer o.shares.mu.Unlock()
 	var err error
 	if o.shares.row, o.shares.version, err = o.readShares(o.ctx); err != nil {
 		return nil, err
 	}
-	if !o.commitShares(func(*sharesRow) {}) {
-		return nil, &Error{Op: "claim shares", Kind: KindUnavailable, Err: errNotOwner}
+	if err = o.commitShares(func(*sharesRow) {}); err != nil {
+		return nil, err
 	}
 	return o.shares.row.shardShares(o.id.Index), nil
 }
 
 // transferShare transfers a part of this shard's share of a team's limit to another shard. It fails if another
-// change is in progress instead of waiting for it, as the caller may time out before that ends.
-func (o *ownedShard) transferShare(r shareRequest) (shareReply, error) {
+// change is in progress instead of waiting for it, as the caller may time out before that ends. Once the share is
+// reduced, the change is written even if ctx ends.
+func (o *ownedShard) transferShare(ctx context.Context, r shareRequest) (shareReply, error) {
 	if !o.shares.mu.TryLock() {
 		return shareReply{}, &Error{Op: "lend", Kind: KindOverloaded}
 	}
@@ -185,21 +193,25 @@
 		return shareReply{}, &Error{Op: "lend", Kind: KindMalformed}
 	}
 	granted := 0
-	if !o.query(func(s *pool.Scheduler) {
+	err := o.query(ctx, "lend", func(s *pool.Scheduler) {
 		granted = s.ReduceShare(cluster.TeamName(r.Team), r.Wanted, time.UnixMilli(r.ReleaseTimeMS))
-	}) {
-		return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
+	})
+	if err != nil {
+		return shareReply{}, err
 	}
 	if granted > 0 {
-		if !o.commitShares(func(row *sharesRow) {
+		err = o.commitShares(func(row *sharesRow) {
 			shares := row.teamShares(r.Team)
 			shares[o.id.Index] -= granted
 			shares[r.To] += granted
 			row.Teams[r.Team] = shares
-		}) {
-			return shareReply{}, &Error{Op: "lend", Kind: KindUnknown, Err: errNotOwner}
+		})
+		// If there was no transfer, this restores the share.
+		o.setShares()
+		if err != nil {
+			o.d.cfg.Log.Warn().Err(err).Stringer("shard", o.id).Int("to", r.To).Str("team", r.Team).Msg("cell: share of a limit not transferred")
+			return shareReply{}, err
 		}
-		o.sendEvent(&pool.SharesChanged{Shares: o.shares.row.shardShares(o.id.Index)})
 		o.d.cfg.Log.Info().Stringer("shard", o.id).Int("to", r.To).Str("team", r.Team).Int("wanted", r.Wanted).Int("given", granted).Msg("cell: share of a limit transferred")
 	}
 	return shareReply{Granted: granted, Shares: o.shares.row, Version: uint64(o.shares.version)}, nil
@@ -213,7 +225,15 @@
 		return
 	}
 	o.shares.row, o.shares.version = row, version
-	o.sendEvent(&pool.SharesChanged{Shares: row.shardShares(o.id.Index)})
+	o.setShares()
+}
+
+// setShares passes the shares to the scheduler and waits until they are in force, as an event might be handled only
+// after the next reduction and undo it. The caller holds shares.mu, which neither the load nor the control loop takes.
+func (o *ownedShard) setShares() {
+	shares := o.shares.row.shardShares(o.id.Index)
+	// This fails only if the ownership has ended.
+	_ = o.query(o.ctx, "set shares", func(s *pool.Scheduler) { s.SetShares(shares) })
 }
 
 // requestShare requests a larger share of a team's limit from the owners of the other shards, one after
@@ -248,18 +268,18 @@
 	if !ok {
 		return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
 	}
-	if owner == o.d.cfg.Self {
-		return o.d.transferOwnedShare(r)
-	}
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
 	defer cancel()
+	if owner == o.d.cfg.Self {
+		return o.d.transferOwnedShare(ctx, r)
+	}
 	return call[shareReply](ctx, o.d, owner, methodTransferShare, &r)
 }
 
-func (d *Daemon) transferOwnedShare(r shareRequest) (shareReply, error) {
+func (d *Daemon) transferOwnedShare(ctx context.Context, r shareRequest) (shareReply, error) {
 	owned := d.lookupShard(parseShardID(r.Shard))
 	if owned == nil {
 		return shareReply{}, &Error{Op: "lend", Kind: KindUnavailable, Err: errNotOwner}
 	}
-	return owned.transferShare(r)
+	return owned.transferShare(ctx, r)
 }
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -117,6 +118,7 @@
 		&pool.ConfigChanged{Snapshot: cluster.Assemble(1, []cluster.Entity{&cluster.Team{Name: limitedTeam, Limit: cluster.Resources{CPU: 24 * cluster.Core}}})},
 		&pool.SharesChanged{Shares: shares},
 	})
+	close(o.loaded)
 	d.wg.Go(o.loop)
 	return o
 }
@@ -164,7 +166,7 @@
 				store, d := newThreeShardDaemon(t)
 				o := newShardOwner(t, d, 0, 1)
 				store.commitDelay = c.commitDelay
-				reply, err := o.transferShare(shareRequest{To: 2, Team: limitedTeam, Wanted: 1000})
+				reply, err := o.transferShare(t.Context(), shareRequest{To: 2, Team: limitedTeam, Wanted: 1000})
 				is.NoErr(err)
 				is.Equal(reply.Granted, 1000)
 				time.Sleep(10 * time.Second) // until the late transaction is applied
@@ -182,11 +184,11 @@
 		store, d := newThreeShardDaemon(t)
 		previous := newShardOwner(t, d, 0, 1)
 		current := newShardOwner(t, d, 0, 2)
-		_, err := previous.transferShare(shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
+		_, err := previous.transferShare(t.Context(), shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
 		is.True(err != nil)
 		is.True(previous.ctx.Err() != nil) // the ownership has ended
 		is.Equal(storedShares(t, store), []int{3334, 3333, 3333})
-		reply, err := current.transferShare(shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
+		reply, err := current.transferShare(t.Context(), shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
 		is.NoErr(err)
 		is.Equal(reply.Granted, 500)
 	})
@@ -215,10 +217,10 @@
 		earlier := newShardOwner(t, d, 0, 1)
 		newShardOwner(t, d, 0, 2)
 		other := newShardOwner(t, d, 1, 1)
-		reply, err := other.transferShare(shareRequest{To: 0, Team: limitedTeam, Wanted: 500})
+		reply, err := other.transferShare(t.Context(), shareRequest{To: 0, Team: limitedTeam, Wanted: 500})
 		is.NoErr(err)
 		earlier.applyShares(reply.Shares, cluster.Version(reply.Version))
-		_, err = earlier.transferShare(shareRequest{To: 2, Team: limitedTeam, Wanted: 500})
+		_, err = earlier.transferShare(t.Context(), shareRequest{To: 2, Team: limitedTeam, Wanted: 500})
 		is.True(err != nil)
 		is.True(earlier.ctx.Err() != nil) // the ownership has ended
 		row, err := decode[sharesRow]("test", store.rows[sharesKey("s")].Value)
@@ -255,7 +257,7 @@
 	store, d := newThreeShardDaemon(t)
 	o := newShardOwner(t, d, 0, 1)
 	d.store = newRelayStore(d, &lostReplyStore{rowStore: store, afterCommit: o.stop})
-	_, err := o.transferShare(shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
+	_, err := o.transferShare(t.Context(), shareRequest{To: 1, Team: limitedTeam, Wanted: 500})
 	is.Equal(storedShares(t, store), []int{2834, 3833, 3333})
 	is.True(IsKind(err, KindUnknown))
 }
@@ -270,7 +272,7 @@
 		for i, o := range owners {
 			transfers.Go(func() {
 				for range 5 {
-					_, err := o.transferShare(shareRequest{To: (i + 1) % 3, Team: limitedTeam, Wanted: 100})
+					_, err := o.transferShare(t.Context(), shareRequest{To: (i + 1) % 3, Team: limitedTeam, Wanted: 100})
 					if err != nil {
 						t.Error(err)
 					}
@@ -283,6 +285,129 @@
 	})
 }
 
+// transferWhenIdle transfers a share once no other change of the shares is in progress.
+func transferWhenIdle(t *testing.T, o *ownedShard, r shareRequest) (shareReply, error) {
+	t.Helper()
+	for {
+		reply, err := o.transferShare(t.Context(), r)
+		if !IsKind(err, KindOverloaded) {
+			return reply, err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a share that is received, and takes effect in the scheduler only after a part of it was transferred to
+// another shard. Both shards could use that part until the transfer is in the store.
+func TestReceivedShareTakesEffectBeforeTransfer(t *testing.T) {
+	for range 20 { // the order in which the control loop handles what waits for it is random
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			rows, d := newThreeShardDaemon(t)
+			first, second := newShardOwner(t, d, 0, 1), newShardOwner(t, d, 1, 1)
+			received, err := second.transferShare(t.Context(), shareRequest{To: 0, Team: limitedTeam, Wanted: 500})
+			is.NoErr(err)
+			is.Equal(received.Granted, 500)
+			shareDuringCommit := 0
+			d.store = newRelayStore(d, &hookStore{rowStore: rows, beforeCommit: func() {
+				time.Sleep(retryDelay)
+				is.NoErr(first.query(t.Context(), "test", func(s *pool.Scheduler) { shareDuringCommit = s.ReduceShare(limitedTeam, pool.WholeLimit, time.Now()) }))
+			}})
+			unblock := make(chan struct{})
+			d.wg.Go(func() { _ = first.query(t.Context(), "test", func(*pool.Scheduler) { <-unblock }) })
+			synctest.Wait()
+			d.wg.Go(func() { first.applyShares(received.Shares, cluster.Version(received.Version)) })
+			synctest.Wait()
+			time.AfterFunc(retryDelay, func() { close(unblock) })
+			transferred, err := transferWhenIdle(t, first, shareRequest{To: 2, Team: limitedTeam, Wanted: 1000})
+			is.NoErr(err)
+			is.Equal(transferred.Granted, 1000)
+			is.Equal(shareDuringCommit, 2834) // 3334 + 500 - 1000
+		})
+	}
+}
+
+// Guards against a shard that loses a share that no shard has received, and transfers no other share, because the store
+// refuses the row with the transfer.
+func TestRefusedTransferRestoresShare(t *testing.T) {
+	is := is.New(t)
+	rows, d := newThreeShardDaemon(t)
+	full := sharesRow{Epochs: make([]uint64, 3), ChangeNumbers: make([]uint64, 3), Teams: map[string][]int{}}
+	// addTeams adds teams up to a number and returns the size of the row. Their names are as long as limitedTeam.
+	addTeams := func(n int) int {
+		for len(full.Teams) < n {
+			full.Teams[fmt.Sprint(1000+len(full.Teams))] = []int{3334, 3333, 3333}
+		}
+		return len(must(encode("test", &full)))
+	}
+	size := addTeams(100)
+	teamSize := (addTeams(200) - size) / 100
+	size = addTeams(100 + (maxRowBytes-size)/teamSize)
+	is.True(size <= maxRowBytes && size+teamSize > maxRowBytes)
+	_, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: sharesKey("s"), Value: must(encode("test", &full))}}})
+	is.NoErr(err)
+	d.store = newRelayStore(d, rowLimitStore{rows})
+	o := newShardOwner(t, d, 0, 1)
+	d.ownedShards[o.id] = o
+	err = awaitReply(t, startCall(d, methodTransferShare, &shareRequest{Shard: o.id.String(), To: 1, Team: limitedTeam, Wanted: 1000}))
+	is.True(err != nil)
+	share := 0
+	is.NoErr(o.query(t.Context(), "test", func(s *pool.Scheduler) { share = s.ReduceShare(limitedTeam, pool.WholeLimit, time.Now()) }))
+	is.Equal(share, pool.EqualShare(0, 3))
+	is.NoErr(o.ctx.Err())
+}
+
+// Guards against an owner that writes its shares again and again without a delay while the store is overloaded.
+func TestThrottledSharesAreWrittenAfterDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &slowStore{commitDelay: time.Millisecond, commitErr: &platform.Error{Op: "test", Kind: platform.KindThrottled}}
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		d.layout.Store(&layoutRow{Shards: 3})
+		d.wg.Go(func() { _, _ = newOwnedShard(d, testShard, 1, 1, time.Now(), true).claimShares() })
+		const duration = time.Second
+		time.Sleep(duration)
+		is.True(store.commits.Load() > 1)
+		is.True(store.commits.Load() <= int64(duration/retryDelay))
+	})
+}
+
+// Guards against a daemon that leaves without releasing its shards because each of them waits for a share of the other,
+// which can't be transferred while a part of the store is down. Other daemons would claim them only after a delay.
+func TestReleaseDuringShareTransfer(t *testing.T) {
+	is := is.New(t)
+	rows, d := newThreeShardDaemon(t)
+	d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+	d.cfg.Reader = teamConfigReader{}
+	d.applyConfig([]byte{1}, "test")
+	var owners []*ownedShard
+	for index := range 2 {
+		id := shardID{Service: "s", Index: index}
+		d.claim(id, ownership{})
+		owners = append(owners, d.lookupShard(id))
+		awaitTeam(t, owners[index], teamOfVersion(1))
+	}
+	key := sharesKey("s")
+	rows.setPartsUnreachable(key[:len(key)-len(rowName(key))])
+	for _, o := range owners {
+		o.goroutines.Go(func() {
+			o.requestShare(&pool.RequestShare{Team: teamOfVersion(1), Missing: 100, ReleaseTime: time.Now()})
+		})
+	}
+	time.Sleep(2 * retryDelay) // until both write their transfer
+	ctx, cancel := context.WithTimeout(t.Context(), replyLimit)
+	defer cancel()
+	d.Release(ctx)
+	is.NoErr(ctx.Err())
+	for _, o := range owners {
+		owner, _, err := d.readOwner(t.Context(), ownerKey(o.id))
+		is.NoErr(err)
+		is.Equal(owner.Owner, "")
+	}
+}
+
 // Guards against different shards that have the same name.
 func TestShardNamesAreUnique(t *testing.T) {
 	is := is.New(t)
