cell: delete the progress of an ended job after its rows

What callers saw: a job that had ended ran once more, two minutes after its end or when its shard was taken over after that.

Cause: the rows of an ended job (in both parts, with its cancellations) and its progress were deleted by independent transactions, and a failed one was not repeated. While the part of the job was down, only the progress was deleted; the next owner found the job without progress and started it. The scheduler forgot the job before its rows were deleted, too: an owner that read all rows of the jobs again in that time, or got one that was read or announced before the deletion, accepted the job as a new one.

Evidence: TestExpiredJobDoesNotRunAgain failed. TestRowOfExpiredJobIsIgnored and TestExpiredJobIsDeletedAfterFailure failed with the earlier code: the task was started in all three cases of a row that is received once more.

Fix: the progress is deleted only after all rows of the job are gone, so an owner that finds a row also finds that the job has ended. The result is an event for the scheduler, which keeps the job until nothing is left of it and repeats a failed deletion after 5 s. After that it recognizes a late row for 10 minutes by its identifier and the time at which it was accepted, so that a later submission with the same identifier still runs. The progress of an expired job is not recorded again.

Results: the tests named above and TestFailedDeletionIsRepeated, TestProgressOfExpiredJobIsNotRecorded pass 20 times with the race detector.

--- a/cluster/cell/ownedshard_test.go
+++ b/cluster/cell/ownedshard_test.go
@@ -115,3 +115,52 @@
 		is.Equal(starts, 0)
 	})
 }
+
+// Guards against rows of an ended job that are left in the store, and against progress that is deleted before them,
+// because one of the parts was down.
+func TestExpiredJobIsDeletedAfterFailure(t *testing.T) {
+	alternate := alternatePart(jobPart(recordedJob))
+	keys := jobKeys(1, recordedJob)
+	rowKeys := []string{keys[0], keys[1], keys[1] + cancelSuffix}
+	for _, c := range []struct {
+		name string
+		// down is the part that is down during the first deletion.
+		down         string
+		progressLeft bool
+	}{
+		{name: "regular part", down: jobPartPrefix(0, jobPart(recordedJob)), progressLeft: true},
+		{name: "alternate part", down: jobPartPrefix(0, alternate), progressLeft: true},
+		{name: "part of the records", down: recordPartPrefix(testShard, 1)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rows, d := newStoreDaemon(t)
+				d.store = newRelayStore(d, deletingStore{rows})
+				_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+				is.NoErr(err)
+				o, _ := newRecordOwner(t, d, 1)
+				progressKeys := []string{progressKey(testShard, 0, recordedJob), progressKey(testShard, 1, recordedJob)}
+				for _, key := range append(progressKeys, rowKeys...) {
+					_, err := d.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key}}})
+					is.NoErr(err)
+				}
+				left := func(keys []string) int {
+					reply, err := rows.Read(t.Context(), platform.ReadRequest{Keys: keys})
+					is.NoErr(err)
+					return len(reply.Rows)
+				}
+				rows.setPartsUnreachable(c.down)
+				o.deleteExpiredJobs([]cluster.JobName{recordedJob})
+				o.goroutines.Wait()
+				rows.setPartsUnreachable()
+				is.Equal((<-o.events).(*pool.JobsDeleted), &pool.JobsDeleted{Remaining: []cluster.JobName{recordedJob}})
+				is.Equal(left(progressKeys) == len(progressKeys), c.progressLeft)
+				o.deleteExpiredJobs([]cluster.JobName{recordedJob})
+				o.goroutines.Wait()
+				is.Equal((<-o.events).(*pool.JobsDeleted), &pool.JobsDeleted{Deleted: []cluster.JobName{recordedJob}})
+				is.Equal(left(rowKeys)+left(progressKeys), 0)
+			})
+		})
+	}
+}
--- a/cluster/cell/records.go
+++ b/cluster/cell/records.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sourcegraph/conc"
@@ -213,25 +215,80 @@
 	return txn, nil
 }
 
-// deleteExpiredJobs deletes the rows of jobs that ended long ago. Rows whose deletion fails are not deleted
-// later.
+// deleteExpiredJobs deletes the rows of jobs that ended long ago. The progress of a job is deleted last: without it
+// an owner that still finds the job would run it again.
 func (o *ownedShard) deleteExpiredJobs(jobs []cluster.JobName) {
-	shards := o.d.shardCount()
-	deletes := map[string][]string{}
+	if len(jobs) == 0 {
+		return
+	}
+	o.goroutines.Go(func() {
+		withoutRows, remaining := o.deleteRows(jobs, func(id cluster.JobName) []string {
+			var keys []string
+			for _, key := range jobKeys(o.d.shardCount(), id) {
+				keys = append(keys, key, key+cancelSuffix)
+			}
+			return keys
+		})
+		deleted, withProgress := o.deleteRows(withoutRows, func(id cluster.JobName) []string {
+			var keys []string
+			for part := range recordParts {
+				keys = append(keys, progressKey(o.id, part, id))
+			}
+			return keys
+		})
+		o.sendEvent(&pool.JobsDeleted{Deleted: deleted, Remaining: append(remaining, withProgress...)})
+	})
+}
+
+// maxDeletes bounds the rows that one transaction deletes; it may have 100 entries.
+const maxDeletes = 100
+
+// jobRow is a row of a job.
+type jobRow struct {
+	job cluster.JobName
+	key string
+}
+
+// deleteRows deletes the rows of jobs with the given keys, the parts concurrently. It returns the jobs whose rows are
+// all deleted and those with rows that may be left.
+func (o *ownedShard) deleteRows(jobs []cluster.JobName, keys func(cluster.JobName) []string) (deleted, remaining []cluster.JobName) {
+	parts := map[string][]jobRow{}
 	for _, id := range jobs {
-		for _, key := range jobKeys(shards, id) {
+		for _, key := range keys(id) {
 			partPrefix := key[:len(key)-len(rowName(key))]
-			deletes[partPrefix] = append(deletes[partPrefix], key, key+cancelSuffix)
+			parts[partPrefix] = append(parts[partPrefix], jobRow{job: id, key: key})
 		}
-		for part := range recordParts {
-			deletes[recordPartPrefix(o.id, part)] = append(deletes[recordPartPrefix(o.id, part)], progressKey(o.id, part, id))
+	}
+	var mu sync.Mutex
+	failed := map[cluster.JobName]bool{}
+	deletions := conc.NewWaitGroup()
+	for _, part := range parts {
+		for rows := range slices.Chunk(part, maxDeletes) {
+			deletions.Go(func() {
+				var txn platform.Txn
+				for _, r := range rows {
+					txn.Deletes = append(txn.Deletes, r.key)
+				}
+				_, err := o.d.store.Commit(o.ctx, txn)
+				if err == nil {
+					return
+				}
+				o.d.cfg.Log.Info().Err(err).Int("rows", len(rows)).Msg("cell: rows of ended jobs not deleted; retrying later")
+				mu.Lock()
+				defer mu.Unlock()
+				for _, r := range rows {
+					failed[r.job] = true
+				}
+			})
 		}
 	}
-	for _, keys := range deletes {
-		o.goroutines.Go(func() {
-			if _, err := o.d.store.Commit(o.ctx, platform.Txn{Deletes: keys}); err != nil {
-				o.d.cfg.Log.Info().Err(err).Int("rows", len(keys)).Msg("cell: rows of ended jobs not deleted")
-			}
-		})
+	deletions.Wait()
+	for _, id := range jobs {
+		if failed[id] {
+			remaining = append(remaining, id)
+		} else {
+			deleted = append(deleted, id)
+		}
 	}
+	return deleted, remaining
 }
--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -66,6 +66,10 @@
 	maxAdviceWorkers = 100
 	// endedJobRetention is how long the row of an ended job is kept.
 	endedJobRetention = 120 * time.Second
+	// deletionRetryDelay is the delay before the rows of jobs that could not be deleted are deleted again.
+	deletionRetryDelay = 5 * time.Second
+	// deletedJobRetention is how long a row that is received after it was deleted is recognized.
+	deletedJobRetention = 10 * time.Minute
 )
 
 // Config configures a Scheduler.
--- a/cluster/pool/event.go
+++ b/cluster/pool/event.go
@@ -84,6 +84,14 @@
 // RecordWritten reports that the record of a generation is in the store.
 type RecordWritten struct{ Generation uint64 }
 
+// JobsDeleted reports the result of deleting the rows of the jobs in WriteRecord.Expired.
+type JobsDeleted struct {
+	// Deleted are the jobs of which no row is left.
+	Deleted []cluster.JobName
+	// Remaining are the jobs of which rows may be left.
+	Remaining []cluster.JobName
+}
+
 // SharesChanged sets the shares of the teams' limits that this shard may use, in units of WholeLimit. A team
 // that is missing has an equal share.
 type SharesChanged struct{ Shares map[cluster.TeamName]int }
@@ -98,6 +106,7 @@
 func (*HoldAnswered) event()   {}
 func (*AdviceAnswered) event() {}
 func (*RecordWritten) event()  {}
+func (*JobsDeleted) event()    {}
 
 // Effect is an action that the caller of Scheduler.Step carries out: one of the types below.
 type Effect interface{ effect() }
@@ -139,7 +148,7 @@
 	Progress   []JobProgress
 	// Workers replaces the recorded workers; nil leaves them unchanged.
 	Workers []RecordedWorker
-	// Expired are the jobs whose rows can be deleted.
+	// Expired are the jobs whose rows can be deleted once the record is written; JobsDeleted reports the result.
 	Expired []cluster.JobName
 }
 
--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -1,13 +1,9 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
-)
+import "github.com/goldcrestshift/goldcrestshift/cluster/workload"
 
 func (s *Scheduler) markDirty(j *job) {
-	if !j.dirty {
+	if !j.dirty && !j.expired {
 		j.dirty = true
 		s.dirtyJobs = append(s.dirtyJobs, j)
 	}
@@ -129,16 +125,3 @@
 	}
 	w.unrecordedEnds = w.unrecordedEnds[n:]
 }
-
-// expireJobs removes the jobs that ended more than endedJobRetention ago.
-func (s *Scheduler) expireJobs() {
-	for len(s.endedJobs) > 0 {
-		j := s.endedJobs[0]
-		if s.now.Sub(j.progress.EndedAt) < endedJobRetention+time.Second || (j.finalGeneration == 0 && !j.visibleState.Final()) {
-			return
-		}
-		s.endedJobs = s.endedJobs[1:]
-		delete(s.jobs, j.spec.ID)
-		s.expiredJobs = append(s.expiredJobs, j.spec.ID)
-	}
-}
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -42,6 +42,10 @@
 	dirtyJobs   []*job
 	expiredJobs []cluster.JobName
 	endedJobs   []*job
+	// undeletedJobs are the expired jobs whose rows could not be deleted; they are tried again at nextDeletionAt.
+	undeletedJobs  []cluster.JobName
+	nextDeletionAt time.Time
+	deletedJobs    deletedJobs
 	// generation is the number of the last record that was emitted, recordedGeneration that of the last one in
 	// the store.
 	generation         uint64
@@ -88,6 +92,7 @@
 		restarts:         map[cluster.WorkerID]uint16{},
 		durationRatios:   map[cluster.QueueName]float64{},
 		permitShares:     map[cluster.QueueName]float64{},
+		deletedJobs:      deletedJobs{deletedAt: map[cluster.JobName]time.Time{}},
 		workersDirty:     true,
 		metrics:          newMetrics(cfg.Metrics),
 	}
@@ -153,6 +158,8 @@
 		s.adviceAnswered(v)
 	case *RecordWritten:
 		s.recordWritten(v.Generation)
+	case *JobsDeleted:
+		s.jobsDeleted(v)
 	}
 }
 
@@ -184,9 +191,10 @@
 	s.emit(&Superseded{Worker: w})
 }
 
-// acceptJob adds a job that is in the store; a known job is left unchanged.
+// acceptJob adds a job that is in the store; a known job is left unchanged. A row that was read or sent before it
+// was deleted is ignored.
 func (s *Scheduler) acceptJob(spec *workload.Job, progress *workload.Progress) {
-	if s.jobs[spec.ID] != nil {
+	if s.jobs[spec.ID] != nil || s.deletedJobs.contains(spec) {
 		return
 	}
 	j := &job{spec: spec, progress: progress, arrivedAt: s.now, criticalPaths: spec.CriticalPaths()}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -25,6 +25,8 @@
 	started bool
 	// dirty means that the progress has changed since it was last put into a record.
 	dirty bool
+	// expired means that the rows of the job are being deleted, so that its progress must not be recorded again.
+	expired bool
 	// finalGeneration is the generation of the record that holds the final state; zero until one does.
 	finalGeneration uint64
 	// visibleState is the state reported to callers; a final state is reported only once it is recorded.
