workload: count more than 16 failed runs of a task

What callers saw: a job whose queue allows more than 16 attempts never failed; its task was started again and again.

Cause: a job's progress lists the latest 16 failed runs of each task, and the length of that list was taken as the number of failed runs.

TestEarlierFailuresAreCountedOnce failed with 16 in place of 48.

Fix: the progress also holds the number of the runs before those in the list. A run that is numbered below the listed ones is one of them, so that an end that is reported again after a takeover is still counted once. Two records of a job are merged to the higher number, as one is based on the other.

The row can't get a field for it: rows are encoded as arrays, and msgpack refuses an array with another number of fields ("number of fields in array-encoded struct has changed"), so an earlier build would leave out the row and run the whole job again. The counts are entries of the failures with negative slots instead, which earlier builds keep and write again (TestProgressOfEarlierBuilds). The comments that allowed new fields at the end are corrected.

--- a/cluster/workload/progress.go
+++ b/cluster/workload/progress.go
@@ -1,7 +1,6 @@
 package workload
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -33,12 +32,15 @@
 	EndedAt time.Time
 	// Done is a bitmap of the tasks that are done, indexed by Job.TaskIndex.
 	Done []byte
-	// Failures holds the failed runs of each task, indexed by Job.TaskIndex; tasks without a failed run are absent.
+	// Failures holds the latest failed runs of each task in ascending order, indexed by Job.TaskIndex; tasks without a
+	// failed run are absent.
 	Failures map[int][]uint64
+	// EarlierFailures holds the number of failed runs of each task before those in Failures.
+	EarlierFailures map[int]int
 }
 
-// maxFailures bounds the failed runs recorded for one task, as some tasks are restarted without a limit on
-// attempts.
+// maxFailures bounds the failed runs listed for one task, as some tasks are restarted without a limit on attempts.
+// Earlier ones are only counted.
 const maxFailures = 16
 
 // TaskIndex returns the index of a task in a Progress.
@@ -74,23 +76,58 @@
 	for i, bits := range other.Done {
 		p.Done[i] |= bits
 	}
-	for _, index := range slices.Sorted(maps.Keys(other.Failures)) {
-		for _, run := range other.Failures[index] {
-			p.AddFailure(index, run)
-		}
+	for index := range other.EarlierFailures {
+		p.mergeFailures(index, other)
+	}
+	for index := range other.Failures {
+		p.mergeFailures(index, other)
 	}
 }
 
-// AddFailure records a failed run and returns the number of failed runs of the task. A run that is reported
-// again, in any order, is counted once.
-func (p *Progress) AddFailure(index int, run uint64) int {
+// mergeFailures merges the failed runs of a task. One of two records of a job is based on the other one, so that runs
+// that are only counted in both are the same.
+func (p *Progress) mergeFailures(index int, other *Progress) {
+	runs := slices.Concat(p.Failures[index], other.Failures[index])
+	slices.Sort(runs)
+	runs = slices.Compact(runs)
+	p.setFailures(index, runs, max(len(runs), p.failureCount(index), other.failureCount(index)))
+}
+
+func (p *Progress) failureCount(index int) int {
+	return len(p.Failures[index]) + p.EarlierFailures[index]
+}
+
+// setFailures sets the number of failed runs of a task, of which the given ones are known, in ascending order.
+func (p *Progress) setFailures(index int, runs []uint64, count int) {
+	runs = runs[max(0, len(runs)-maxFailures):]
 	if p.Failures == nil {
 		p.Failures = map[int][]uint64{}
 	}
-	runs := p.Failures[index]
-	if !slices.Contains(runs, run) {
-		runs = append(runs, run)
-		p.Failures[index] = runs[max(0, len(runs)-maxFailures):]
+	if len(runs) > 0 {
+		p.Failures[index] = runs
+	} else {
+		delete(p.Failures, index)
+	}
+	if count == len(runs) {
+		delete(p.EarlierFailures, index)
+		return
+	}
+	if p.EarlierFailures == nil {
+		p.EarlierFailures = map[int]int{}
+	}
+	p.EarlierFailures[index] = count - len(runs)
+}
+
+// AddFailure records a failed run and returns the number of failed runs of the task. A run that is reported
+// again, in any order, is counted once.
+func (p *Progress) AddFailure(index int, run uint64) int {
+	runs, count := p.Failures[index], p.failureCount(index)
+	i, found := slices.BinarySearch(runs, run)
+	// The runs of a task are numbered in ascending order, so one below all listed runs is among the earlier ones.
+	isEarlier := i == 0 && len(runs) > 0 && p.EarlierFailures[index] > 0
+	if found || isEarlier {
+		return count
 	}
-	return len(p.Failures[index])
+	p.setFailures(index, slices.Insert(slices.Clone(runs), i, run), count+1)
+	return count + 1
 }
--- a/cluster/workload/row.go
+++ b/cluster/workload/row.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -12,7 +13,8 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
 
-// jobRow is the stored row of a job. It is encoded as an array, so new fields may only be added at the end.
+// jobRow is the stored row of a job. It is encoded as an array, and a build that has another number of fields can't
+// read it.
 type jobRow struct {
 	Team         string    `msgpack:"Team"`
 	Queue        string    `msgpack:"Queue"`
@@ -92,14 +94,16 @@
 	flagBestEffortCPU
 )
 
-// failuresRow is the encoded form of an entry of Progress.Failures.
+// failuresRow is the encoded form of an entry of Progress.Failures or Progress.EarlierFailures. The latter has the
+// complement of the index as its slot and the count in place of the runs: earlier builds read it as the failures of a
+// task that does not exist, and write it unchanged.
 type failuresRow struct {
 	Slot int      `msgpack:"Slot"`
 	Runs []uint64 `msgpack:"Runs"`
 }
 
-// progressRow is the stored row of a job's progress. It is encoded as an array, so new fields may only be added
-// at the end.
+// progressRow is the stored row of a job's progress. It is encoded as an array, and a build that has another number
+// of fields can't read it.
 type progressRow struct {
 	State    int           `msgpack:"State"`
 	EndedMS  int64         `msgpack:"EndedMS"`
@@ -208,6 +212,9 @@
 	for _, index := range slices.Sorted(maps.Keys(p.Failures)) {
 		r.Failures = append(r.Failures, failuresRow{Slot: index, Runs: p.Failures[index]})
 	}
+	for _, index := range slices.Sorted(maps.Keys(p.EarlierFailures)) {
+		r.Failures = append(r.Failures, failuresRow{Slot: ^index, Runs: []uint64{uint64(p.EarlierFailures[index])}})
+	}
 	return encodeRow("encode progress", &r)
 }
 
@@ -225,10 +232,19 @@
 		p.EndedAt = time.UnixMilli(r.EndedMS)
 	}
 	for _, f := range r.Failures {
-		if p.Failures == nil {
-			p.Failures = map[int][]uint64{}
+		// Earlier builds list the runs in the order in which they were reported, and the counts of two merged rows.
+		slices.Sort(f.Runs)
+		switch {
+		case f.Slot >= 0:
+			p.setFailures(f.Slot, f.Runs, len(f.Runs)+p.EarlierFailures[f.Slot])
+		case len(f.Runs) > 0:
+			index, count := ^f.Slot, f.Runs[len(f.Runs)-1]
+			if count > math.MaxInt32 {
+				return nil, &Error{Op: "decode progress", Kind: KindMalformed, Err: fmt.Errorf("%d failed runs of task %d", count, index)}
+			}
+			runs := p.Failures[index]
+			p.setFailures(index, runs, len(runs)+int(count))
 		}
-		p.Failures[f.Slot] = f.Runs
 	}
 	return p, nil
 }
--- a/cluster/workload/workload_test.go
+++ b/cluster/workload/workload_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 	"pgregory.net/rapid"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
@@ -37,6 +38,68 @@
 	}
 }
 
+// Guards against failed runs that are forgotten or counted twice after a takeover, once there are more than are listed.
+func TestEarlierFailuresAreCountedOnce(t *testing.T) {
+	is := is.New(t)
+	const failed = 3 * maxFailures
+	var older, newer Progress
+	for run := range uint64(failed) {
+		if run < failed-2 {
+			older.AddFailure(7, run+1)
+		}
+		newer.AddFailure(7, run+1)
+	}
+	for _, rows := range [][]*Progress{{&newer}, {&older, &newer}, {&newer, &older}, {&newer, &newer}} {
+		loaded := &Progress{}
+		for _, row := range rows {
+			data, err := EncodeProgress(row)
+			is.NoErr(err)
+			decoded, err := DecodeProgress(data)
+			is.NoErr(err)
+			loaded.Merge(decoded)
+		}
+		is.Equal(loaded.AddFailure(7, failed), failed)
+		is.Equal(loaded.AddFailure(7, 1), failed)
+		is.Equal(len(loaded.Failures[7]), maxFailures)
+		is.Equal(loaded.AddFailure(7, failed+1), failed+1)
+	}
+}
+
+// earlierProgressRow is the row that earlier builds write and read.
+type earlierProgressRow struct {
+	State    int
+	EndedMS  int64
+	Done     []byte
+	Failures []failuresRow
+}
+
+// Guards against a progress row that can't be read after an upgrade, or by the daemons that are not upgraded yet.
+func TestProgressOfEarlierBuilds(t *testing.T) {
+	is := is.New(t)
+	earlier := earlierProgressRow{State: int(StateRunning), EndedMS: 5, Done: []byte{3}, Failures: []failuresRow{{Slot: 4, Runs: []uint64{20, 10}}}}
+	data, err := encodeRow("test", &earlier)
+	is.NoErr(err)
+	p, err := DecodeProgress(data)
+	is.NoErr(err)
+	is.Equal(p, &Progress{State: StateRunning, EndedAt: time.UnixMilli(5), Done: []byte{3}, Failures: map[int][]uint64{4: {10, 20}}})
+
+	for run := range uint64(maxFailures) {
+		p.AddFailure(4, 30+run)
+	}
+	data, err = EncodeProgress(p)
+	is.NoErr(err)
+	var read earlierProgressRow
+	is.NoErr(msgpack.Unmarshal(data, &read))
+	is.Equal(read.State, earlier.State)
+	is.Equal(read.Done, earlier.Done)
+	is.Equal(read.Failures[0], failuresRow{Slot: 4, Runs: p.Failures[4]})
+	data, err = encodeRow("test", &read) // written again by an earlier build
+	is.NoErr(err)
+	loaded, err := DecodeProgress(data)
+	is.NoErr(err)
+	is.Equal(loaded, p)
+}
+
 // Guards against a field of a job that is missing from its encoded row.
 func TestJobRoundTrip(t *testing.T) {
 	is := is.New(t)
