workload: bound the size of a job's progress row

What callers saw: no job of a pool completed any more and new workers got no tasks, after some thousand tasks of one job had failed a few times each.

Cause: the row of a job's progress lists every failed run, and 3 failed runs of 4,096 tasks exceed the 64 KiB that the platform allows for a row. The store refuses the whole record, which is retried forever, and only one record of a shard is in flight at a time.

Fix: a row above 60 KiB lists only the latest failed runs of the job and counts the others, which keeps the limit on attempts. An end that is reported again after a takeover is among the latest ones. If even the counts of all tasks have no room (above some 3,500 failing tasks beside the largest bitmap of done tasks, 5,000 without one), those with the fewest failed runs are left out, so that these tasks may get more attempts after a takeover.

--- a/cluster/workload/progress.go
+++ b/cluster/workload/progress.go
@@ -1,6 +1,8 @@
 package workload
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -131,3 +133,51 @@
 	p.setFailures(index, slices.Insert(slices.Clone(runs), i, run), count+1)
 	return count + 1
 }
+
+const (
+	// countBytes is the largest size of an encoded entry of EarlierFailures.
+	countBytes = 12
+	// failedRunBytes is the largest size of an encoded failed run, with the header and the slot of its task.
+	failedRunBytes = 16
+	// listBytes is the largest size of the header of the encoded failures.
+	listBytes = 5
+)
+
+// reduceFailures returns a copy whose failures take at most the given number of bytes in a row. It lists only the
+// latest failed runs of the job, as the earlier ones are unlikely to be reported again. If there is no room for the
+// counts of all tasks, it leaves out those with the fewest failed runs.
+func (p *Progress) reduceFailures(bytes int) *Progress {
+	reduced := &Progress{State: p.State, EndedAt: p.EndedAt, Done: p.Done}
+	failed := maps.Clone(p.EarlierFailures)
+	if failed == nil {
+		failed = map[int]int{}
+	}
+	for index, runs := range p.Failures {
+		failed[index] += len(runs)
+	}
+	indexes := slices.SortedFunc(maps.Keys(failed), func(a, b int) int { return cmp.Or(cmp.Compare(failed[b], failed[a]), cmp.Compare(a, b)) })
+	bytes = max(0, bytes-listBytes)
+	indexes = indexes[:min(len(indexes), bytes/countBytes)]
+	bytes -= len(indexes) * countBytes
+
+	type failedRun struct {
+		index int
+		run   uint64
+	}
+	var runs []failedRun
+	for _, index := range indexes {
+		for _, run := range p.Failures[index] {
+			runs = append(runs, failedRun{index: index, run: run})
+		}
+	}
+	slices.SortFunc(runs, func(a, b failedRun) int { return cmp.Or(cmp.Compare(b.run, a.run), cmp.Compare(a.index, b.index)) })
+	listed := map[int][]uint64{}
+	for _, r := range runs[:min(len(runs), bytes/failedRunBytes)] {
+		listed[r.index] = append(listed[r.index], r.run)
+	}
+	for _, index := range indexes {
+		slices.Sort(listed[index])
+		reduced.setFailures(index, listed[index], failed[index])
+	}
+	return reduced
+}
--- a/cluster/workload/row.go
+++ b/cluster/workload/row.go
@@ -203,8 +203,24 @@
 	return s
 }
 
-// EncodeProgress returns the row of a job's progress.
+// maxProgressBytes bounds the row of a job's progress, as the platform refuses rows above 64 KiB.
+const maxProgressBytes = 60 << 10
+
+// EncodeProgress returns the row of a job's progress. If the row would be too large, it lists fewer of the failed runs
+// and counts the others.
 func EncodeProgress(p *Progress) ([]byte, error) {
+	data, err := encodeProgress(p)
+	if err != nil || len(data) <= maxProgressBytes {
+		return data, err
+	}
+	withoutFailures, err := encodeProgress(&Progress{State: p.State, EndedAt: p.EndedAt, Done: p.Done})
+	if err != nil {
+		return nil, err
+	}
+	return encodeProgress(p.reduceFailures(maxProgressBytes - len(withoutFailures)))
+}
+
+func encodeProgress(p *Progress) ([]byte, error) {
 	r := progressRow{State: int(p.State), Done: p.Done}
 	if !p.EndedAt.IsZero() {
 		r.EndedMS = p.EndedAt.UnixMilli()
--- a/cluster/workload/workload_test.go
+++ b/cluster/workload/workload_test.go
@@ -65,6 +65,57 @@
 	}
 }
 
+// Guards against a progress row that the store refuses, and against failed runs that are no longer counted because the
+// row has no room for them.
+func TestProgressFitsIntoRow(t *testing.T) {
+	const rowBytes = 64 << 10
+	for _, c := range []struct {
+		name           string
+		tasks, runs    int
+		countsComplete bool
+	}{
+		{name: "large step", tasks: MaxTasks, runs: 3, countsComplete: true},
+		{name: "large step at the limit of attempts", tasks: MaxTasks, runs: 40, countsComplete: true},
+		{name: "largest job", tasks: maxTotalTasks, runs: 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			progress := &Progress{State: StateRunning}
+			const epoch = 20
+			run := uint64(epoch) << 28
+			for range c.runs {
+				for index := range c.tasks {
+					run++
+					progress.AddFailure(index, run)
+					progress.SetDone(index)
+				}
+			}
+			data, err := EncodeProgress(progress)
+			is.NoErr(err)
+			is.True(len(data) <= rowBytes)
+			loaded, err := DecodeProgress(data)
+			is.NoErr(err)
+			is.Equal(loaded.Done, progress.Done)
+			counted := 0
+			for index := range c.tasks {
+				if loaded.failureCount(index) == c.runs {
+					counted++
+				}
+			}
+			is.Equal(counted == c.tasks, c.countsComplete)
+			if c.countsComplete {
+				is.Equal(loaded.AddFailure(c.tasks-1, run), c.runs) // the last end is reported again
+				is.Equal(loaded.AddFailure(0, run+1), c.runs+1)
+			}
+			again, err := EncodeProgress(loaded)
+			is.NoErr(err)
+			is.True(len(again) <= rowBytes)
+			loaded.Merge(progress)
+			is.Equal(loaded.failureCount(c.tasks-2), c.runs)
+		})
+	}
+}
+
 // earlierProgressRow is the row that earlier builds write and read.
 type earlierProgressRow struct {
 	State    int
