pool: bound the size of a record

What callers saw: as with an oversized progress row, no job of a pool completed any more and new workers got no tasks, here when the progress of many large jobs had changed at the same time.

Cause: a record had up to 80 progress rows of up to 60 KiB each. The store refuses a transaction above 1 MB, and the record is retried forever.

Fix: no further row is added to a record that has 400 KiB; the remaining jobs go into the next records, and the run ends wait for those. Encoded as base64 the largest record stays below 700 KB with the row of the workers.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -28,8 +28,10 @@
 	maxHoldDelay = 300 * time.Millisecond
 	// recordInterval is the shortest time between two records, so that run ends are recorded in batches.
 	recordInterval = 40 * time.Millisecond
-	// maxRecordRows bounds the rows of a record; a transaction may have 100 entries.
-	maxRecordRows = 80
+	// maxRecordRows bounds the rows of a record, and no row is added once they have maxRecordBytes; a transaction may
+	// have 100 entries and 1 MB.
+	maxRecordRows  = 80
+	maxRecordBytes = 400 << 10
 	// maxClockDrift is the fraction by which a worker's clock may be slower than real time, as specified by the
 	// platform.
 	maxClockDrift = 0.02
--- a/cluster/pool/expired_test.go
+++ b/cluster/pool/expired_test.go
@@ -19,7 +19,9 @@
 	events    []Event
 	// expired holds the jobs whose rows were to be deleted, recorded those whose progress was recorded.
 	expired, recorded []cluster.JobName
-	starts            int
+	// largestRecord is the largest size of the progress in a record, in bytes.
+	largestRecord int
+	starts        int
 }
 
 func newExpiryPool() *expiryPool {
@@ -40,9 +42,12 @@
 			case *WriteRecord:
 				p.events = append(p.events, &RecordWritten{Generation: v.Generation})
 				p.expired = append(p.expired, v.Expired...)
+				size := 0
 				for _, j := range v.Progress {
 					p.recorded = append(p.recorded, j.ID)
+					size += len(j.Data)
 				}
+				p.largestRecord = max(p.largestRecord, size)
 			case *SendStart:
 				p.starts++
 			case *SendHold:
--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -21,8 +21,9 @@
 	s.generation++
 	s.recordInFlight = true
 	r := &WriteRecord{Generation: s.generation}
-	n := min(len(s.dirtyJobs), maxRecordRows)
-	for _, j := range s.dirtyJobs[:n] {
+	n, size := 0, 0
+	for ; n < len(s.dirtyJobs) && n < maxRecordRows && size < maxRecordBytes; n++ {
+		j := s.dirtyJobs[n]
 		j.dirty = false
 		data, err := workload.EncodeProgress(j.progress)
 		if err != nil {
@@ -34,6 +35,7 @@
 			s.endedJobs = append(s.endedJobs, j)
 		}
 		r.Progress = append(r.Progress, JobProgress{ID: j.spec.ID, Data: data})
+		size += len(data)
 	}
 	s.dirtyJobs = append([]*job(nil), s.dirtyJobs[n:]...)
 	if len(s.dirtyJobs) > 0 {
