cell: report the failure of an effect that panics

What callers saw: after a panic in an advice request its step requested no advice any more and never started. In the same way a run stayed unconfirmed, a worker's leases were not renewed, or an owner recorded nothing any more, and the daemon panicked when it was stopped.

Cause: the scheduler waits for the result of each effect. A panic ended only the goroutine of the effect, without a result, and was raised again by the group of goroutines that the end of the ownership waits for.

Evidence: TestPanicInAdviceRequestIsReported failed, as did TestPanicInWorkerRequestIsReported for start, stop and hold and TestPanicInRecordEndsOwnership. No code that panics there is known.

Fix: a request to a worker or for advice that panics is reported like one without a reply, and a deletion as failed, so that the scheduler retries them. After a panic in a record or in a request for shares it is not known what was written; the ownership ends and the next owner reads it.

--- a/cluster/cell/records.go
+++ b/cluster/cell/records.go
@@ -221,7 +221,7 @@
 	if len(jobs) == 0 {
 		return
 	}
-	o.goroutines.Go(func() {
+	o.runRequest(func() {
 		withoutRows, remaining := o.deleteRows(jobs, func(id cluster.JobName) []string {
 			var keys []string
 			for _, key := range jobKeys(o.d.shardCount(), id) {
@@ -237,7 +237,7 @@
 			return keys
 		})
 		o.sendEvent(&pool.JobsDeleted{Deleted: deleted, Remaining: append(remaining, withProgress...)})
-	})
+	}, &pool.JobsDeleted{Remaining: jobs})
 }
 
 // maxDeletes bounds the rows that one transaction deletes; it may have 100 entries.
--- a/cluster/cell/workercalls.go
+++ b/cluster/cell/workercalls.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 )
@@ -13,23 +15,52 @@
 	for _, e := range effects {
 		switch v := e.(type) {
 		case *pool.SendStart:
-			o.goroutines.Go(func() { o.sendStart(v) })
+			o.runRequest(func() { o.sendStart(v) }, &pool.StartAnswered{
+				Fence: v.Request.Fence, Task: v.Task, Run: v.Request.Run, Worker: v.Worker.ID, ReplyLost: true,
+			})
 		case *pool.SendStop:
-			o.goroutines.Go(func() { o.sendStop(v) })
+			o.runRequest(func() { o.sendStop(v) }, &pool.StopAnswered{
+				Fence: v.Request.Fence, Task: v.Task, Run: v.Request.Run, Worker: v.Worker.ID, ReplyLost: true,
+			})
 		case *pool.SendHold:
-			o.goroutines.Go(func() { o.sendHold(v) })
+			o.runRequest(func() { o.sendHold(v) }, &pool.HoldAnswered{
+				Worker: v.Worker.ID, Fence: v.Request.Fence, Incarnation: v.Worker.Incarnation, ReplyLost: true, Extra: v.Extra,
+			})
 		case *pool.RequestAdvice:
-			o.goroutines.Go(func() { o.requestAdvice(v) })
+			o.runRequest(func() { o.requestAdvice(v) }, &pool.AdviceAnswered{Step: v.Step, Failed: true})
 		case *pool.WriteRecord:
-			o.goroutines.Go(func() { o.writeRecord(v) })
+			o.runStoreEffect(func() { o.writeRecord(v) })
 		case *pool.RequestShare:
-			o.goroutines.Go(func() { o.requestShare(v) })
+			o.runStoreEffect(func() { o.requestShare(v) })
 		case *pool.Superseded:
 			o.endOwnership("a worker has seen the fencing token of a later owner")
 		}
 	}
 }
 
+// runRequest runs an effect that reports its result to the scheduler. If it panics, failed is reported, as the
+// scheduler would wait for the result forever.
+func (o *ownedShard) runRequest(request func(), failed pool.Event) {
+	o.runEffect(request, func() { o.sendEvent(failed) })
+}
+
+// runStoreEffect runs an effect that writes to the store. If it panics, the ownership ends, as it is not known what was
+// written; the next owner reads it.
+func (o *ownedShard) runStoreEffect(write func()) {
+	o.runEffect(write, func() { o.endOwnership("a write to the store ended in a panic") })
+}
+
+func (o *ownedShard) runEffect(effect, afterPanic func()) {
+	o.goroutines.Go(func() {
+		var catcher panics.Catcher
+		catcher.Try(effect)
+		if recovered := catcher.Recovered(); recovered != nil {
+			o.d.cfg.Log.Error().Err(recovered.AsError()).Stringer("shard", o.id).Msg("cell: panic in an effect of the scheduler")
+			afterPanic()
+		}
+	})
+}
+
 // mayHaveEffect reports whether a request that failed with err may still be carried out by the worker.
 func mayHaveEffect(err error) bool {
 	return err != nil && !platform.IsKind(err, platform.KindUnavailable)
