workload: refuse a job whose row is too large

What callers saw: submissions got 503 or 504 while a job with a very long image name, label or list of dependencies was being submitted, although the store served all other calls.

Cause: a submission may have 256 KiB and the store refuses rows above 64 KiB. The transaction with such a job was retried, together with the other jobs of its part that were in it, until the clients timed out.

Evidence: TestOversizedJobDoesNotBlockSubmissions failed: the other job was reported as unavailable.

Fix: EncodeJob refuses a row above 60 KiB as invalid, before the job is queued, and the client gets 400 with the size. Rows that are in the store are read as before.

--- a/cluster/cell/intake_test.go
+++ b/cluster/cell/intake_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
@@ -57,3 +61,34 @@
 		is.True(time.Since(startedAt) <= outage+probeInterval+intakeBatchDelay)
 	})
 }
+
+// Guards against a job whose row is too large for the store and with which the jobs in the same transaction are refused,
+// again and again until their clients time out.
+func TestOversizedJobDoesNotBlockSubmissions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store, d := newStoreDaemon(t)
+		d.store = newRelayStore(d, rowLimitStore{store})
+		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
+		is.NoErr(err)
+		for part := range jobParts {
+			d.wg.Go(func() { d.intake.run(part) })
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		large := &workload.Job{ID: recordedJob, Terms: workload.Terms{Service: "s"}, Steps: []workload.Step{{Tasks: 1, Image: strings.Repeat("x", 100<<10)}}}
+		other := &workload.Job{Terms: workload.Terms{Service: "s"}, Steps: []workload.Step{{Tasks: 1}}}
+		for i := 2; other.ID == ""; i++ {
+			if id := cluster.JobName(fmt.Sprintf("%016x", i)); jobPart(id) == jobPart(large.ID) {
+				other.ID = id
+			}
+		}
+		largeResult := make(chan error, 1)
+		d.wg.Go(func() { largeResult <- d.Submit(ctx, large) })
+		synctest.Wait()
+		is.NoErr(d.Submit(ctx, other))
+		var invalid *workload.Error
+		is.True(errors.As(<-largeResult, &invalid))
+		is.Equal(invalid.Kind, workload.KindInvalid)
+	})
+}
--- a/cluster/workload/row.go
+++ b/cluster/workload/row.go
@@ -111,7 +111,11 @@
 	Failures []failuresRow `msgpack:"Failures"`
 }
 
-// EncodeJob returns the row of a job; the job's identifier is the key of the row.
+// maxRowBytes bounds the rows of a job, as the platform refuses rows above 64 KiB.
+const maxRowBytes = 60 << 10
+
+// EncodeJob returns the row of a job; the job's identifier is the key of the row. An Error of kind KindInvalid means
+// that the row would be too large.
 func EncodeJob(j *Job) ([]byte, error) {
 	r := jobRow{
 		Team: string(j.Team), Queue: string(j.Queue), Spec: j.Spec, Count: j.Recurrence.Count,
@@ -123,7 +127,11 @@
 	for i := range j.Steps {
 		r.Steps = append(r.Steps, encodeStep(&j.Steps[i]))
 	}
-	return encodeRow("encode job", &r)
+	data, err := encodeRow("encode job", &r)
+	if err == nil && len(data) > maxRowBytes {
+		return nil, invalid("the job takes %d bytes, at most %d are allowed", len(data), maxRowBytes)
+	}
+	return data, err
 }
 
 // encodeRow encodes structs as arrays, which omits the field names.
@@ -203,21 +211,18 @@
 	return s
 }
 
-// maxProgressBytes bounds the row of a job's progress, as the platform refuses rows above 64 KiB.
-const maxProgressBytes = 60 << 10
-
 // EncodeProgress returns the row of a job's progress. If the row would be too large, it lists fewer of the failed runs
 // and counts the others.
 func EncodeProgress(p *Progress) ([]byte, error) {
 	data, err := encodeProgress(p)
-	if err != nil || len(data) <= maxProgressBytes {
+	if err != nil || len(data) <= maxRowBytes {
 		return data, err
 	}
 	withoutFailures, err := encodeProgress(&Progress{State: p.State, EndedAt: p.EndedAt, Done: p.Done})
 	if err != nil {
 		return nil, err
 	}
-	return encodeProgress(p.reduceFailures(maxProgressBytes - len(withoutFailures)))
+	return encodeProgress(p.reduceFailures(maxRowBytes - len(withoutFailures)))
 }
 
 func encodeProgress(p *Progress) ([]byte, error) {
