--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -1,13 +1,9 @@
 package pool
 
-import (
-	"time"
-
-	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
-)
+import "github.com/goldcrestshift/goldcrestshift/cluster/workload"
 
 func (s *Scheduler) markDirty(j *job) {
-	if !j.dirty {
+	if !j.dirty && !j.expired {
 		j.dirty = true
 		s.dirtyJobs = append(s.dirtyJobs, j)
 	}
@@ -25,8 +21,9 @@
 	s.generation++
 	s.recordInFlight = true
 	r := &WriteRecord{Generation: s.generation}
-	n := min(len(s.dirtyJobs), maxRecordRows)
-	for _, j := range s.dirtyJobs[:n] {
+	n, size := 0, 0
+	for ; n < len(s.dirtyJobs) && n < maxRecordRows && size < maxRecordBytes; n++ {
+		j := s.dirtyJobs[n]
 		j.dirty = false
 		data, err := workload.EncodeProgress(j.progress)
 		if err != nil {
@@ -38,6 +35,7 @@
 			s.endedJobs = append(s.endedJobs, j)
 		}
 		r.Progress = append(r.Progress, JobProgress{ID: j.spec.ID, Data: data})
+		size += len(data)
 	}
 	s.dirtyJobs = append([]*job(nil), s.dirtyJobs[n:]...)
 	if len(s.dirtyJobs) > 0 {
@@ -129,16 +127,3 @@
 	}
 	w.unrecordedEnds = w.unrecordedEnds[n:]
 }
-
-// expireJobs removes the jobs that ended more than endedJobRetention ago.
-func (s *Scheduler) expireJobs() {
-	for len(s.endedJobs) > 0 {
-		j := s.endedJobs[0]
-		if s.now.Sub(j.progress.EndedAt) < endedJobRetention+time.Second || (j.finalGeneration == 0 && !j.visibleState.Final()) {
-			return
-		}
-		s.endedJobs = s.endedJobs[1:]
-		delete(s.jobs, j.spec.ID)
-		s.expiredJobs = append(s.expiredJobs, j.spec.ID)
-	}
-}
--- a/cluster/workload/row.go
+++ b/cluster/workload/row.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -12,7 +13,8 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
 
-// jobRow is the stored row of a job. It is encoded as an array, so new fields may only be added at the end.
+// jobRow is the stored row of a job. It is encoded as an array, and a build that has another number of fields can't
+// read it.
 type jobRow struct {
 	Team         string    `msgpack:"Team"`
 	Queue        string    `msgpack:"Queue"`
@@ -92,14 +94,16 @@
 	flagBestEffortCPU
 )
 
-// failuresRow is the encoded form of an entry of Progress.Failures.
+// failuresRow is the encoded form of an entry of Progress.Failures or Progress.EarlierFailures. The latter has the
+// complement of the index as its slot and the count in place of the runs: earlier builds read it as the failures of a
+// task that does not exist, and write it unchanged.
 type failuresRow struct {
 	Slot int      `msgpack:"Slot"`
 	Runs []uint64 `msgpack:"Runs"`
 }
 
-// progressRow is the stored row of a job's progress. It is encoded as an array, so new fields may only be added
-// at the end.
+// progressRow is the stored row of a job's progress. It is encoded as an array, and a build that has another number
+// of fields can't read it.
 type progressRow struct {
 	State    int           `msgpack:"State"`
 	EndedMS  int64         `msgpack:"EndedMS"`
@@ -107,7 +111,11 @@
 	Failures []failuresRow `msgpack:"Failures"`
 }
 
-// EncodeJob returns the row of a job; the job's identifier is the key of the row.
+// maxRowBytes bounds the rows of a job, as the platform refuses rows above 64 KiB.
+const maxRowBytes = 60 << 10
+
+// EncodeJob returns the row of a job; the job's identifier is the key of the row. An Error of kind KindInvalid means
+// that the row would be too large.
 func EncodeJob(j *Job) ([]byte, error) {
 	r := jobRow{
 		Team: string(j.Team), Queue: string(j.Queue), Spec: j.Spec, Count: j.Recurrence.Count,
@@ -119,7 +127,11 @@
 	for i := range j.Steps {
 		r.Steps = append(r.Steps, encodeStep(&j.Steps[i]))
 	}
-	return encodeRow("encode job", &r)
+	data, err := encodeRow("encode job", &r)
+	if err == nil && len(data) > maxRowBytes {
+		return nil, invalid("the job takes %d bytes, at most %d are allowed", len(data), maxRowBytes)
+	}
+	return data, err
 }
 
 // encodeRow encodes structs as arrays, which omits the field names.
@@ -199,8 +211,21 @@
 	return s
 }
 
-// EncodeProgress returns the row of a job's progress.
+// EncodeProgress returns the row of a job's progress. If the row would be too large, it lists fewer of the failed runs
+// and counts the others.
 func EncodeProgress(p *Progress) ([]byte, error) {
+	data, err := encodeProgress(p)
+	if err != nil || len(data) <= maxRowBytes {
+		return data, err
+	}
+	withoutFailures, err := encodeProgress(&Progress{State: p.State, EndedAt: p.EndedAt, Done: p.Done})
+	if err != nil {
+		return nil, err
+	}
+	return encodeProgress(p.reduceFailures(maxRowBytes - len(withoutFailures)))
+}
+
+func encodeProgress(p *Progress) ([]byte, error) {
 	r := progressRow{State: int(p.State), Done: p.Done}
 	if !p.EndedAt.IsZero() {
 		r.EndedMS = p.EndedAt.UnixMilli()
@@ -208,6 +233,9 @@
 	for _, index := range slices.Sorted(maps.Keys(p.Failures)) {
 		r.Failures = append(r.Failures, failuresRow{Slot: index, Runs: p.Failures[index]})
 	}
+	for _, index := range slices.Sorted(maps.Keys(p.EarlierFailures)) {
+		r.Failures = append(r.Failures, failuresRow{Slot: ^index, Runs: []uint64{uint64(p.EarlierFailures[index])}})
+	}
 	return encodeRow("encode progress", &r)
 }
 
@@ -225,10 +253,19 @@
 		p.EndedAt = time.UnixMilli(r.EndedMS)
 	}
 	for _, f := range r.Failures {
-		if p.Failures == nil {
-			p.Failures = map[int][]uint64{}
+		// Earlier builds list the runs in the order in which they were reported, and the counts of two merged rows.
+		slices.Sort(f.Runs)
+		switch {
+		case f.Slot >= 0:
+			p.setFailures(f.Slot, f.Runs, len(f.Runs)+p.EarlierFailures[f.Slot])
+		case len(f.Runs) > 0:
+			index, count := ^f.Slot, f.Runs[len(f.Runs)-1]
+			if count > math.MaxInt32 {
+				return nil, &Error{Op: "decode progress", Kind: KindMalformed, Err: fmt.Errorf("%d failed runs of task %d", count, index)}
+			}
+			runs := p.Failures[index]
+			p.setFailures(index, runs, len(runs)+int(count))
 		}
-		p.Failures[f.Slot] = f.Runs
 	}
 	return p, nil
 }
