cell: reread only the missing parts when a load is retried

What callers saw: nothing so far; a shard with many jobs whose owner changes while one of the 64 parts of the jobs is down could fill the link of the new owner, which also serves clients and workers.

Cause: a load that fails starts from the beginning 100 ms later. It fences and reads the records, writes the shares row and reads all parts of the jobs again, although only one of them is missing.

The load now has three stages, and each is retried on its own with a delay that grows from 100 to 800 ms and ends early when an unreachable store is reachable again.

What is kept over a retry, and why:

- The parts of the records that are fenced and read.
The fence changes the version that each record checks, so a previous owner writes nothing to the part later; what it still writes to a part that is not fenced yet is read there.
A fence whose reply was lost is written again before the part is read.
If a later owner fences a part, the first record of this owner fails and its ownership ends, as after the load.
- The claim of the shares row.
It changes the version of the row, and a previous owner that reads it again finds the later epoch.
Only the owner of a shard reduces its shares, so they can only grow meanwhile.
Changes check the version and read the row again on a conflict.
- The parts of the jobs that are read.
The feed starts at the lowest version of all reads and reports what was written to them since.
If that version is no longer in the store's history, the feed fails with KindExpired and all rows are read again.

The order matters: a previous owner that still runs deletes the row of an ended job and then its progress, and neither is fenced. The records are therefore read before the first part of the jobs and not again, so that no kept job row lacks its progress. For the same reason the read of all rows after KindExpired keeps nothing when it fails: the owner itself deletes jobs by then and would run one again whose row was kept.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -116,8 +116,8 @@
 	maxIntakeBytes = 400 << 10
 	// maxQueuedSubmissions bounds the submissions that are queued for each part of the store at one daemon.
 	maxQueuedSubmissions = 2000
-	// retryDelay is the delay before a call to the store is retried. For submissions it doubles with each
-	// retry, up to maxRetryDelay.
+	// retryDelay is the delay before a call to the store is retried. For submissions and the load of a shard it
+	// doubles with each retry, up to maxRetryDelay.
 	retryDelay    = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
 )
--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -100,7 +100,7 @@
 		// overloaded.
 		jitteredDelay := delay/2 + rand.N(delay)
 		batch = in.dropExpired(batch, jitteredDelay)
-		in.d.store.sleepUntilRecovered(jitteredDelay)
+		in.d.store.sleepUntilRecovered(in.d.ctx, jitteredDelay)
 		delay = min(2*delay, maxRetryDelay)
 	}
 }
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,8 +46,10 @@
 	// records is used by the goroutine of run until the scheduler's first step, then by the goroutine of the
 	// one record in flight.
 	records recordWriteState
-	endOnce sync.Once
-	shares  sharesState
+	// recordReads reads the parts of the records while the shard is loaded.
+	recordReads *partReads[[]platform.Row]
+	endOnce     sync.Once
+	shares      sharesState
 }
 
 // eventQueueLength bounds the events that wait for the control loop.
@@ -61,6 +62,7 @@
 		configUpdates: make(chan struct{}, 1),
 	}
 	o.ctx, o.stop = context.WithCancel(d.ctx)
+	o.recordReads = newPartReads(recordParts, o.fencePart)
 	return o
 }
 
@@ -96,65 +98,64 @@
 }
 
 // load reads the rows of the shard and starts its scheduler. It returns the version after which the feed of
-// jobs starts.
+// jobs starts. The records are read before the jobs and not again: the rows of an ended job are deleted before its
+// progress, so a job that is still found has all its progress in the records.
 func (o *ownedShard) load() (cluster.Version, bool) {
-	for o.ctx.Err() == nil {
-		version, err := o.tryLoad()
+	var records loadedRecords
+	var shares map[cluster.TeamName]int
+	var jobs []platform.ReadReply
+	jobReads := newPartReads(jobParts, o.readJobPart)
+	loaded := o.retryRead(func() (err error) { records, err = o.loadRecords(); return err }) &&
+		o.retryRead(func() (err error) { shares, err = o.claimShares(); return err }) &&
+		o.retryRead(func() (err error) { jobs, err = jobReads.readMissing(); return err })
+	if !loaded {
+		return 0, false
+	}
+	merged := mergeReplies(jobs)
+	o.startScheduler(records, shares, merged.Rows)
+	return merged.AsOf, true
+}
+
+// retryRead repeats a read of the load until it succeeds. It returns false if the ownership ends before.
+func (o *ownedShard) retryRead(read func() error) bool {
+	for delay := retryDelay; o.ctx.Err() == nil; delay = min(2*delay, maxRetryDelay) {
+		err := read()
 		if err == nil {
-			return version, true
+			return true
 		}
 		o.d.cfg.Log.Warn().Err(err).Stringer("shard", o.id).Msg("cell: rows of the shard can't be loaded; retrying")
-		o.sleep(retryDelay)
+		o.d.store.sleepUntilRecovered(o.ctx, delay)
 	}
-	return 0, false
+	return false
 }
 
-func (o *ownedShard) tryLoad() (cluster.Version, error) {
-	loaded, err := o.loadRecords()
-	if err != nil {
-		return 0, err
-	}
-	shares, err := o.claimShares()
-	if err != nil {
-		return 0, err
-	}
-	jobs, err := o.readJobs()
-	if err != nil {
-		return 0, err
-	}
-	workers := loaded.workers.recordedWorkers()
+func (o *ownedShard) startScheduler(records loadedRecords, shares map[cluster.TeamName]int, jobs []platform.Row) {
+	workers := records.workers.recordedWorkers()
 	o.scheduler = pool.New(pool.Config{
 		Service: o.id.Service, Shard: o.id.Index, Shards: o.d.shardCount(), Epoch: o.epoch, Now: o.ownedSince, MaxLease: o.d.cfg.MaxLease,
 		InheritedWorkers: workers, PreviousOwnerStopped: o.previousOwnerStopped, Log: o.d.cfg.Log, Metrics: o.d.cfg.Metrics,
 	})
 	events := []pool.Event{&pool.ConfigChanged{Snapshot: o.d.Snapshot()}, &pool.SharesChanged{Shares: shares}}
-	events = append(events, o.jobEvents(jobs.Rows, loaded.progress)...)
+	events = append(events, o.jobEvents(jobs, records.progress)...)
 	effects := o.scheduler.Step(time.Now(), events)
 	close(o.loaded)
 	o.executeEffects(effects)
-	o.d.cfg.Log.Info().Stringer("shard", o.id).Uint64("epoch", uint64(o.epoch)).Int("rows", len(jobs.Rows)).
+	o.d.cfg.Log.Info().Stringer("shard", o.id).Uint64("epoch", uint64(o.epoch)).Int("rows", len(jobs)).
 		Int("workers", len(workers)).Dur("took", time.Since(o.ownedSince)).Msg("cell: shard loaded")
-	return jobs.AsOf, nil
 }
 
-// readJobs reads the parts of the jobs concurrently. The version of the reply is the lowest of all parts, so
-// that a feed that starts there misses nothing.
+// readJobs reads all parts of the jobs. It keeps nothing of a read that fails: while the shard runs, its owner deletes
+// the rows of ended jobs and forgets them, and would run a job again whose row was read before.
 func (o *ownedShard) readJobs() (platform.ReadReply, error) {
-	var replies [jobParts]platform.ReadReply
-	reads := conc.NewWaitGroup()
-	var errs [jobParts]error
-	for part := range jobParts {
-		reads.Go(func() {
-			replies[part], errs[part] = o.d.store.Read(o.ctx, platform.ReadRequest{Prefixes: []string{jobPartPrefix(o.id.Index, part)}})
-		})
-	}
-	reads.Wait()
-	merged := replies[0]
-	for _, r := range replies[1:] {
-		merged.Rows = append(merged.Rows, r.Rows...)
-		merged.AsOf = min(merged.AsOf, r.AsOf)
+	parts, err := newPartReads(jobParts, o.readJobPart).readMissing()
+	if err != nil {
+		return platform.ReadReply{}, err
 	}
-	return merged, errors.Join(errs[:]...)
+	return mergeReplies(parts), nil
+}
+
+func (o *ownedShard) readJobPart(part int) (platform.ReadReply, error) {
+	return o.d.store.Read(o.ctx, platform.ReadRequest{Prefixes: []string{jobPartPrefix(o.id.Index, part)}})
 }
 
 // jobEvents converts rows of jobs to events, cancellations last.
--- a/cluster/cell/records.go
+++ b/cluster/cell/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -31,17 +30,13 @@
 }
 
 // loadRecords reads all parts of the shard's records. It fences each part before it reads it, so that a record
-// of a previous owner that is committed during the read or later fails.
+// of a previous owner that is committed during the read or later fails. If a part can't be read, the next call reads
+// only the missing ones: only a later owner writes records to a fenced part, and then the first record of this owner
+// fails.
 func (o *ownedShard) loadRecords() (loadedRecords, error) {
-	var rows [recordParts][]platform.Row
-	var errs [recordParts]error
-	reads := conc.NewWaitGroup()
-	for part := range recordParts {
-		reads.Go(func() { rows[part], errs[part] = o.fencePart(part) })
-	}
-	reads.Wait()
 	loaded := loadedRecords{progress: map[cluster.JobName]*workload.Progress{}}
-	if err := errors.Join(errs[:]...); err != nil {
+	rows, err := o.recordReads.readMissing()
+	if err != nil {
 		return loaded, err
 	}
 	for part := range recordParts {
--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -248,15 +248,15 @@
 	}
 }
 
-// sleepUntilRecovered waits for the given time, or until an unreachable store is reachable again.
-func (s *relayStore) sleepUntilRecovered(t time.Duration) {
+// sleepUntilRecovered waits for the given time, or until ctx ends or an unreachable store is reachable again.
+func (s *relayStore) sleepUntilRecovered(ctx context.Context, t time.Duration) {
 	s.mu.Lock()
 	recovered := s.recovered
 	s.mu.Unlock()
 	timer := time.NewTimer(t)
 	defer timer.Stop()
 	select {
-	case <-s.d.ctx.Done():
+	case <-ctx.Done():
 	case <-recovered:
 	case <-timer.C:
 	}
