rollout: do not repeat a large push while it is in transit

A member behind a slow link polls its relay every second. The relay answered each poll with all rows since the polled commit, up to 768 KiB, also while the reply to the previous poll was still on its way. The member got a copy per poll, and its confirmations and the changes that followed waited behind the copies. Changes pushed to a member that had not acknowledged the previous ones repeated these as well.

The cause is that the relay only knew what a member had acknowledged, not what it had sent. It now keeps, for each member, the commits covered by the last push of 32 KiB or more until the member acknowledges them by a poll or a ConfigAck. For 3 s, longer than the 2 s in which a frame arrives or its connection is closed, later pushes and replies to polls start after these commits: they carry the newer changes and the confirmation, but not the rows in transit. Messages on a connection arrive in order, so the member has the rows when it applies such a reply; if it has not, it does not apply the reply and is not confirmed by it, as before. Small pushes are sent as before. The record is dropped when the peer connects anew or leaves, and when the transport did not queue the push. Replies without rows are at least 250 ms apart, because a member that lacks the push polls again at once.

--- a/cluster/rollout/peers.go
+++ b/cluster/rollout/peers.go
@@ -16,6 +16,8 @@
 	var out []outgoingMessage
 	switch v := m.(type) {
 	case *peer.Hello:
+		// What was sent on the previous connection may be lost.
+		delete(r.propagation.transits, from)
 		r.cfg.Members.AddReported(member.Member{ID: v.From, Place: v.Place, PeerAddr: v.PeerAddr, HTTPAddr: v.HTTPAddr})
 		r.freshness.apply(&peerReported{id: v.From, at: now})
 		r.publish(now, false)
@@ -26,7 +28,7 @@
 	case *peer.ConfigPoll:
 		out = r.handlePoll(from, v, now)
 	case *peer.ConfigAck:
-		r.propagation.ackedVersions[from] = v.AsOf
+		r.propagation.acknowledge(from, v.AsOf)
 	case *peer.ConfigPush:
 		out = r.applyPush(from, v, now)
 	}
@@ -66,6 +68,7 @@
 func (r *Rollout) applyLeaving(from cluster.DaemonID, d *peer.Digest, now time.Time) {
 	r.cfg.Members.MarkLeaving(from)
 	delete(r.propagation.ackedVersions, from)
+	delete(r.propagation.transits, from)
 	if len(d.Members) > 0 {
 		r.freshness.apply(&peerLeaving{digest: *newPeerDigest(from, d, now, now)})
 	}
@@ -73,16 +76,21 @@
 }
 
 // handlePoll returns the reply to a poll. It replies only if this daemon has a
-// configuration that the store has confirmed.
+// configuration that the store has confirmed. While a large push is in transit to
+// the peer, the reply continues that push and confirms the configuration.
 func (r *Rollout) handlePoll(from cluster.DaemonID, poll *peer.ConfigPoll, now time.Time) []outgoingMessage {
 	if !r.freshness.loaded || r.freshness.storeConfirmedAt.IsZero() {
 		return nil
 	}
-	r.propagation.ackedVersions[from] = poll.Since
-	push := r.newPush(min(poll.Since, r.replica.asOf), now)
+	r.propagation.acknowledge(from, poll.Since)
+	push := r.newPushTo(from, min(poll.Since, r.replica.asOf), now)
 	if push == nil {
 		return nil
 	}
+	if t := r.propagation.transits[from]; t != nil && push.Since > poll.Since && !t.mayReply(push, now) {
+		r.propagation.dropTransit(from, push)
+		return nil
+	}
 	push.PollSequence = poll.Sequence
 	return []outgoingMessage{{from, push}}
 }
--- a/cluster/rollout/relay.go
+++ b/cluster/rollout/relay.go
@@ -86,6 +86,8 @@
 	sentPolls [maxSentPolls]sentPoll
 	// ackedVersions holds the commit up to which each peer reported to have the configuration.
 	ackedVersions map[cluster.DaemonID]cluster.Version
+	// transits holds the last large push to each peer that has not acknowledged it.
+	transits map[cluster.DaemonID]*pushTransit
 	// pushPending means that there are changes to push; pushSinceVersion is the
 	// commit after which they start.
 	pushPending      bool
@@ -102,7 +104,9 @@
 
 // newPropagation returns the state before the first read.
 func newPropagation() propagation {
-	return propagation{ackedVersions: map[cluster.DaemonID]cluster.Version{}, retryDelay: readInterval}
+	return propagation{
+		ackedVersions: map[cluster.DaemonID]cluster.Version{}, transits: map[cluster.DaemonID]*pushTransit{}, retryDelay: readInterval,
+	}
 }
 
 // storeVisible reports whether the store was read within storeVisibleTTL.
@@ -138,7 +142,12 @@
 // sendAll sends messages. It is called without mu.
 func (r *Rollout) sendAll(out []outgoingMessage) {
 	for _, outgoing := range out {
-		r.cfg.Peers.Send(outgoing.to, outgoing.message)
+		sent := r.cfg.Peers.Send(outgoing.to, outgoing.message)
+		if push, ok := outgoing.message.(*peer.ConfigPush); ok && !sent {
+			r.mu.Lock()
+			r.propagation.dropTransit(outgoing.to, push)
+			r.mu.Unlock()
+		}
 	}
 }
 
@@ -315,7 +324,7 @@
 			sinceVersion = r.propagation.pushSinceVersion
 		}
 		if sinceVersion < r.replica.asOf {
-			if push := r.newPush(sinceVersion, now); push != nil {
+			if push := r.newPushTo(id, sinceVersion, now); push != nil {
 				out = append(out, outgoingMessage{id, push})
 			}
 		}
@@ -350,14 +359,19 @@
 // not fit into one frame.
 func (r *Rollout) newPush(sinceVersion cluster.Version, now time.Time) *peer.ConfigPush {
 	v := r.replica.changesSince(sinceVersion)
-	size := 0
-	for _, row := range v.rows {
-		// 16 bytes allow for the version and the encoding of a row.
-		size += len(row.Key) + len(row.Value) + 16
-	}
-	if len(v.rows) > maxPushRows || size > maxPushBytes {
+	if len(v.rows) > maxPushRows || pushSize(v.rows) > maxPushBytes {
 		r.cfg.Metrics.Counter("config_push_too_large").Inc(1)
 		return nil
 	}
 	return &peer.ConfigPush{Since: v.sinceVersion, AsOf: v.asOf, Age: max(0, member.Elapsed(r.freshness.storeConfirmedAt, now)), Rows: v.rows}
 }
+
+// pushSize returns the approximate size of a push in bytes.
+func pushSize(rows []platform.Row) int {
+	size := 0
+	for _, row := range rows {
+		// 16 bytes allow for the version and the encoding of a row.
+		size += len(row.Key) + len(row.Value) + 16
+	}
+	return size
+}
--- a/cluster/rollout/rollout.go
+++ b/cluster/rollout/rollout.go
@@ -208,6 +208,7 @@
 		r.cfg.Metrics.Gauge("config_version").Update(float64(r.replica.head))
 		r.propagation.markChanged(previous)
 		maps.DeleteFunc(r.propagation.ackedVersions, func(id cluster.DaemonID, _ cluster.Version) bool { return !r.freshness.isKnown(id) })
+		maps.DeleteFunc(r.propagation.transits, func(id cluster.DaemonID, _ *pushTransit) bool { return !r.freshness.isKnown(id) })
 	}
 	r.publish(now, changed)
 	return true
