pool: keep the end of a run until its job arrives

Cause: the daemon that accepts a job also sends it to the owner that it knows. If another daemon claims the shard at that moment, the previous owner may start the job before its successor has it from the change feed. The successor reads the end of that run in its first hold call, ignores it as that of an unknown task, and starts the task again when the job arrives.

Evidence: TestEndOfUnknownTaskIsNotAcknowledged, in which the job arrives a second after the end: the task was started again.

An end of a run of a previous owner whose job is not known is now kept, and not acknowledged, for up to 5 s after the claim. When the job arrives the end is applied before tasks are placed. Other ends of the worker are applied as before, and acknowledged with it.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -45,6 +45,8 @@
 	// previousOwnerGrace is how long a previous owner that has not noticed the takeover may keep sending
 	// requests.
 	previousOwnerGrace = 2 * time.Second
+	// takeoverFeedDelay is how long after a claim the change feed may deliver a job that the previous owner knew.
+	takeoverFeedDelay = 5 * time.Second
 	// clockReadTolerance is how far the clock in a reply may lag behind its expected value, because of the
 	// transmission time of the reply.
 	clockReadTolerance = time.Second
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
@@ -93,11 +95,48 @@
 			continue
 		}
 		w.lastEndRead = e.Number
+		if s.mayBelongToLaterJob(e) {
+			w.deferredEnds = append(w.deferredEnds, e)
+			w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{number: e.Number, generation: deferredGeneration})
+			continue
+		}
 		s.applyEnd(w, e)
 		w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{number: e.Number, generation: s.generation + 1})
 	}
 }
 
+// deferredGeneration is the generation of a run end that is not applied yet. It keeps the end, and those after it, from
+// being acknowledged.
+const deferredGeneration = math.MaxUint64
+
+// applyDeferredEnds applies the deferred run ends whose job has been received or is no longer expected.
+func (s *Scheduler) applyDeferredEnds() {
+	for _, w := range s.sortedWorkers {
+		w.deferredEnds = slices.DeleteFunc(w.deferredEnds, func(e platform.RunEnd) bool {
+			if s.mayBelongToLaterJob(e) {
+				return false
+			}
+			s.applyEnd(w, e)
+			for i := range w.unrecordedEnds {
+				if w.unrecordedEnds[i].number == e.Number {
+					w.unrecordedEnds[i].generation = s.generation + 1
+				}
+			}
+			return true
+		})
+	}
+}
+
+// mayBelongToLaterJob reports whether a run of a previous owner may belong to a job that this owner has not received
+// yet: the previous owner may have learned of the job before the change feed delivers it here.
+func (s *Scheduler) mayBelongToLaterJob(e platform.RunEnd) bool {
+	if uint64(e.Run)>>runCounterBits >= uint64(s.cfg.Epoch) || s.now.Sub(s.cfg.Now) >= takeoverFeedDelay {
+		return false
+	}
+	id, ok := workload.ParseTaskID(e.Task)
+	return ok && s.jobs[id.Job] == nil
+}
+
 // applyEnd applies the end of one run.
 func (s *Scheduler) applyEnd(w *worker, e platform.RunEnd) {
 	id, ok := workload.ParseTaskID(e.Task)
--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -57,7 +57,7 @@
 // hasUnrecordedEnds reports whether run ends, also ones that changed no job, wait to be acknowledged.
 func (s *Scheduler) hasUnrecordedEnds() bool {
 	for _, w := range s.sortedWorkers {
-		if len(w.unrecordedEnds) > 0 {
+		if len(w.unrecordedEnds) > len(w.deferredEnds) {
 			return true
 		}
 	}
--- a/cluster/pool/restart_test.go
+++ b/cluster/pool/restart_test.go
@@ -137,3 +137,49 @@
 	run(2 * time.Second)
 	is.Equal(s.jobs["0000000000000003"].steps[0].pendingTasks, 0) // the run counts until the first hold reply
 }
+
+// Guards against a task that runs again because the end of its first run was acknowledged before its job was known: the
+// previous owner has started a job that it was told of, and the change feed has not brought the job to this owner yet.
+func TestEndOfUnknownTaskIsNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	const job = cluster.JobName("0000000000000001")
+	s := New(Config{Service: testService, Epoch: 2, Now: now, InheritedWorkers: []RecordedWorker{{ID: "w0"}}, Log: zerolog.Nop()})
+	snapshot := cluster.Assemble(1, []cluster.Entity{
+		&cluster.Queue{Name: testQueue, Service: testService, MaxAttempts: 3, Stretch: 2, Target: time.Second}, &cluster.Team{Name: testTeam},
+	})
+	vm := platform.WorkerVM{ID: "w0", Service: testService, Incarnation: 1, Capacity: cluster.Resources{CPU: 8 * cluster.Core, Memory: cluster.GiB}}
+	ended := platform.RunEnd{Number: 1, Task: workload.TaskID{Job: job}.String(), Run: 1<<runCounterBits | 1, Outcome: platform.RunDone}
+	acknowledged, starts := false, 0
+	events := []Event{&ConfigChanged{Snapshot: snapshot}, &WorkersListed{Workers: []platform.WorkerVM{vm}, Advisors: 1}}
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(20 * time.Millisecond) {
+			effects := s.Step(now, events)
+			events = nil
+			for _, e := range effects {
+				switch v := e.(type) {
+				case *SendStart:
+					starts++
+				case *WriteRecord:
+					events = append(events, &RecordWritten{Generation: v.Generation})
+				case *SendHold:
+					acknowledged = acknowledged || v.Request.Acknowledge >= ended.Number
+					reply := platform.HoldReply{Incarnation: 1, Clock: now.Sub(time.Unix(1_799_990_000, 0))}
+					if !acknowledged {
+						reply.Ended = []platform.RunEnd{ended}
+					}
+					events = append(events, &HoldAnswered{Worker: "w0", Fence: v.Request.Fence, SentAt: now, ReceivedAt: now, Reply: reply, Extra: v.Extra})
+				}
+			}
+		}
+	}
+	run(time.Second)
+	is.True(!acknowledged)
+	spec := &workload.Job{ID: job, Team: testTeam, Queue: testQueue, AcceptedAt: now, Terms: workload.TermsOf(snapshot.Queues[testQueue])}
+	spec.Steps = []workload.Step{{Tasks: 1, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second}}
+	events = append(events, &JobAccepted{Job: spec})
+	run(10 * time.Second)
+	is.Equal(starts, 0)
+	state, _, _, _ := s.State(job)
+	is.Equal(state, workload.StateCompleted)
+}
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -127,6 +127,7 @@
 		s.apply(e)
 	}
 	s.loaded = true
+	s.applyDeferredEnds()
 	s.checkTakeover()
 	s.checkRuns()
 	s.place()
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -182,6 +182,8 @@
 	lastEndRead     uint64
 	lastEndRecorded uint64
 	unrecordedEnds  []unrecordedEnd
+	// deferredEnds are the run ends that are applied later; see mayBelongToLaterJob.
+	deferredEnds []platform.RunEnd
 	// consecutiveFailures counts the runs of different jobs that failed in a row.
 	consecutiveFailures int
 	lastFailedJob       cluster.JobName
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -85,7 +85,7 @@
 	}
 	w.vm.Incarnation = incarnation
 	w.fenceAccepted = false
-	w.lastEndRead, w.lastEndRecorded, w.unrecordedEnds = 0, 0, nil
+	w.lastEndRead, w.lastEndRecorded, w.unrecordedEnds, w.deferredEnds = 0, 0, nil, nil
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
 		if r.reportedByWorker {
