cell: let the delay of a claim pass only while the store is reachable

Cause: the time for which a daemon leaves a shard to daemons with more cores passed during the outage, when none of them could claim it, so that the first call after it decided. Change: the delays start again when the store is reachable. Result: TestClaimDelayDoesNotPassWhileStoreIsAway failed before (5 claims instead of none) and passes.

--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -29,6 +29,7 @@
 	for d.sleep(claimInterval) {
 		d.updateGauges()
 		if d.leaving.Load() || !d.store.reachable() {
+			d.restartClaimDelays()
 			continue
 		}
 		if d.shardCount() == 0 {
@@ -83,6 +84,14 @@
 	return o, time.Since(since) >= d.claimDelay()
 }
 
+// restartClaimDelays makes the delays of the claims start again. The daemons that come first can't claim a shard while
+// the store is unreachable either.
+func (d *Daemon) restartClaimDelays() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.unownedSince)
+}
+
 // canOwnShards reports whether this daemon may own shards; d.mu is held.
 func (d *Daemon) canOwnShards() bool { return isCandidate(d.cfg.VM) || !isLargeCell(d.members) }
 
--- a/cluster/cell/claim_test.go
+++ b/cluster/cell/claim_test.go
@@ -65,6 +65,37 @@
 	}
 }
 
+// Guards against a shard that goes to a VM with few cores after an outage of the store, because the time for which it
+// leaves the shard to VMs with more cores passes while nobody can claim it.
+func TestClaimDelayDoesNotPassWhileStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	store := &slowStore{commitErr: &platform.Error{Op: "test", Kind: platform.KindConflict}}
+	d := newTestDaemon(t, store)
+	defer d.wg.Wait()
+	defer d.stop()
+	d.cfg.Cores = 0.2
+	d.startedAt = time.Now().Add(-joinGrace)
+	const other = cluster.DaemonID("other@1")
+	connectPeer(t, d, other, func(peer.Message) {})
+	d.members["other"] = memberRow{ID: string(other), Cores: 0.8}
+	d.owners[testShard] = ownership{row: ownerRow{Epoch: 1}, version: 1}
+	d.config.Store(&configState{snapshot: cluster.Assemble(1, []cluster.Entity{&cluster.Queue{Name: "queue", Service: testShard.Service}})})
+	d.store.probe()
+	is.True(d.store.reachable())
+
+	d.wg.Go(d.claimLoop)
+	time.Sleep(fewerCoresClaimDelay / 2)
+	store.unavailable.Store(true)
+	d.store.probe()
+	is.True(!d.store.reachable())
+	time.Sleep(fewerCoresClaimDelay)
+	store.unavailable.Store(false)
+	d.store.probe()
+	is.True(d.store.reachable())
+	time.Sleep(fewerCoresClaimDelay / 2)
+	is.Equal(store.commits.Load(), int64(0)) // no claim
+}
+
 // hookStore calls beforeCommit before each transaction.
 type hookStore struct {
 	*rowStore
