cell: leave connections to the store free while a shard is loaded

Cause: the load read its 64 parts at the same time, so that it used all 16 connections to the store and the whole link. The probe of the store waited for a connection, failed after 0.8 s, and the load was cancelled and repeated. Change: at most 8 parts are read at a time. Result: TestLoadLeavesConnectionsForOtherCalls failed before (16 of 16 used) and passes.

--- a/cluster/cell/loadbound_test.go
+++ b/cluster/cell/loadbound_test.go
@@ -49,3 +49,38 @@
 		is.True(store.bytesRead <= 2*jobParts*jobBytes)
 	})
 }
+
+// limitedStore is a rowStore that serves a limited number of calls at a time, each for a tenth of a second.
+type limitedStore struct {
+	*rowStore
+	connections chan struct{}
+}
+
+func (s *limitedStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	select {
+	case s.connections <- struct{}{}:
+	case <-ctx.Done():
+		return platform.ReadReply{}, &platform.Error{Op: "test", Kind: platform.KindUnknown, Err: ctx.Err()}
+	}
+	defer func() { <-s.connections }()
+	time.Sleep(100 * time.Millisecond)
+	return s.rowStore.Read(ctx, req)
+}
+
+// Guards against a load of a shard that uses all connections to the store. Probes would wait for one, and the store
+// would count as unreachable.
+func TestLoadLeavesConnectionsForOtherCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const connections = 16 // to one address
+		rows := &rowStore{rows: map[string]platform.Row{}}
+		store := &limitedStore{rowStore: rows, connections: make(chan struct{}, connections)}
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		d.wg.Go(func() { _, _ = newPartReads(jobParts, o.readJobPart).readMissing() })
+		synctest.Wait()
+		is.True(len(store.connections) <= connections/2)
+	})
+}
--- a/cluster/cell/partreads.go
+++ b/cluster/cell/partreads.go
@@ -3,11 +3,14 @@
 import (
 	"errors"
 
-	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
+// maxConcurrentPartReads leaves half of the connections to the store, and of a slow link, to other calls.
+const maxConcurrentPartReads = 8
+
 // partReads reads the parts of a table concurrently and keeps those that were read while others fail.
 type partReads[T any] struct {
 	read    func(part int) (T, error)
@@ -23,7 +26,7 @@
 // call after that reads all of them again.
 func (r *partReads[T]) readMissing() ([]T, error) {
 	errs := make([]error, len(r.done))
-	reads := conc.NewWaitGroup()
+	reads := pool.New().WithMaxGoroutines(maxConcurrentPartReads)
 	for part, done := range r.done {
 		if done {
 			continue
