cell: test that a late probe alone doesn't make the store unreachable

A read that takes longer than probeDelay starts a probe, and a probe that has no reply within probeTimeout marks the store as unreachable and cancels all calls in flight, among them the read of the configuration, even if the store replies to other calls meanwhile.

--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -205,3 +205,37 @@
 		})
 	}
 }
+
+// lateProbeStore is a slowStore that doesn't reply to probes.
+type lateProbeStore struct{ slowStore }
+
+func (s *lateProbeStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	if len(req.Keys) > 0 {
+		<-ctx.Done()
+		return platform.ReadReply{}, &platform.Error{Op: "test", Kind: platform.KindUnknown, Err: ctx.Err()}
+	}
+	return s.slowStore.Read(ctx, req)
+}
+
+// Guards against a read of the configuration that is given up, and repeated, because a probe is late on a loaded link
+// although the store replies to other calls meanwhile.
+func TestReplyDuringProbeKeepsStoreReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const readDelay = 2 * probeTimeout
+		store := &lateProbeStore{slowStore{readDelay: readDelay, commitDelay: 10 * time.Millisecond}}
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		_, err := d.store.Commit(t.Context(), platform.Txn{})
+		is.NoErr(err)
+		d.wg.Go(func() {
+			for d.sleep(probeTimeout / 4) {
+				_, _ = d.store.Commit(d.ctx, platform.Txn{})
+			}
+		})
+		_, err = d.store.Read(t.Context(), platform.ReadRequest{Prefixes: []string{"op//"}})
+		is.NoErr(err)
+		is.True(d.store.reachable())
+	})
+}
