cell: take a reply that is arriving as a sign that the store is reachable

Callers saw no job start, and small VMs of the store's region failed their readiness checks, while an owner with a slow link loaded its shard. Cause: a probe that was late behind the daemon's own transfers made the store count as unreachable. All reads were then cancelled and repeated through other daemons, which read the same rows at full speed and could pass on only what the slow link took. Change: the store's client records when a part of a successful response last arrived; a probe without a reply does not count against the store if a reply, or a part of one, has arrived since the probe was sent. A refusal still does.

--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -80,7 +80,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if mayBeUnreachable(err) {
+	if mayBeUnreachable(err) && !(platform.IsKind(err, platform.KindUnknown) && s.receivesSince(startedAt)) {
 		s.markUnreachable(err)
 		return
 	}
@@ -88,6 +88,14 @@
 	s.markReachable(startedAt)
 }
 
+// receivesSince reports whether the store has replied, or a part of a reply has arrived, since t; s.mu is held. The
+// reply to a small call is late if a link is loaded with large ones; cancelling and repeating these would load it
+// further.
+func (s *relayStore) receivesSince(t time.Time) bool {
+	observer, ok := s.local.(platform.TransferObserver)
+	return s.repliedAt.After(t) || ok && observer.LastReceived().After(t)
+}
+
 // markUnreachable ends the calls in flight; s.mu is held.
 func (s *relayStore) markUnreachable(err error) {
 	if !s.unreachable {
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -93,6 +93,30 @@
 	})
 }
 
+// receivingStore is a slowStore on which a large reply is arriving.
+type receivingStore struct{ *slowStore }
+
+func (receivingStore) LastReceived() time.Time { return time.Now() }
+
+// Guards against a store that is treated as unreachable while a large reply fills the link. The reply would be given up
+// and requested again.
+func TestLateProbeDuringTransferKeepsStoreReachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &slowStore{}
+		d := newTestDaemon(t, receivingStore{store})
+		defer d.stop()
+		_, err := d.store.Commit(t.Context(), platform.Txn{})
+		is.NoErr(err)
+		store.readDelay = -1
+		d.store.probe()
+		is.True(d.store.reachable())
+		store.readErr, store.readDelay = &platform.Error{Op: "test", Kind: platform.KindUnavailable}, 0
+		d.store.probe()
+		is.True(!d.store.reachable()) // the store refuses calls
+	})
+}
+
 // Guards against calls that hang when the store no longer replies, such as those of the feed of jobs.
 func TestUnreachableStoreEndsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cluster/platform/platform.go
+++ b/cluster/platform/platform.go
@@ -18,6 +18,12 @@
 	Commit(ctx context.Context, txn Txn) (cluster.Version, error)
 }
 
+// TransferObserver is implemented by a TableService that can tell whether a reply is arriving.
+type TransferObserver interface {
+	// LastReceived returns when a part of a successful reply last arrived; zero if none has.
+	LastReceived() time.Time
+}
+
 // ReadRequest selects the rows with the given keys and those whose keys have one of the prefixes.
 type ReadRequest struct {
 	Keys     []string
