cell: distribute the configuration through one reader in each zone

Cause: each daemon read each version of the configuration whole, so that a change of a few bytes cost 12.9 MB on the link between the regions, 1.7 s of it, and the next version came before the link was free. Holds, starts, ends and cancels waited behind it. Change: the first daemon of each availability zone that reaches the store reads the row; it tells the others of its zone, which fetch it from there. Replies are compressed, and a patch if the daemon has an earlier version, and are sent in parts at a rate that follows the link. Daemons that restart, or take over reading, continue from the version that another daemon has. Relayed reads of the configuration are gone. Daemons of earlier versions still get the whole row.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -22,8 +22,9 @@
 	methodRead          = "read"
 	methodConfig        = "config"
 	methodTransferShare = "lend"
-	// methodAnnounce has no reply.
-	methodAnnounce = "announce"
+	// methodAnnounce and methodAnnounceConfig have no reply.
+	methodAnnounce       = "announce"
+	methodAnnounceConfig = "announceConfig"
 )
 
 // noReplyID is the identifier of a call that gets no reply.
@@ -139,7 +140,7 @@
 	var replies []*peer.Reply
 	var catcher panics.Catcher
 	catcher.Try(func() {
-		bodies, err := d.executeCall(c)
+		bodies, err := d.executeCall(from, c)
 		if err != nil {
 			replies = []*peer.Reply{failureReply(c.ID, err)}
 			return
@@ -193,7 +194,7 @@
 }
 
 // executeCall returns the bodies of the parts of the reply.
-func (d *Daemon) executeCall(c *peer.Call) ([][]byte, error) {
+func (d *Daemon) executeCall(from cluster.DaemonID, c *peer.Call) ([][]byte, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, serveTimeout)
 	defer cancel()
 	switch c.Method {
@@ -208,11 +209,16 @@
 	case methodRead:
 		return serveParts(c, func(r readRequest) ([]readReply, error) { return d.store.serveRead(ctx, r) })
 	case methodConfig:
-		return serve(c, func(configRequest) (configReply, error) { return d.serveConfig() })
+		return serveParts(c, func(r configRequest) ([]configReply, error) { return d.serveConfig(ctx, r) })
 	case methodTransferShare:
 		return serve(c, func(r shareRequest) (shareReply, error) { return d.transferOwnedShare(ctx, r) })
 	case methodAnnounce:
 		return serve(c, func(a announcement) (struct{}, error) { d.receiveAnnouncement(a); return struct{}{}, nil })
+	case methodAnnounceConfig:
+		return serve(c, func(a configAnnouncement) (struct{}, error) {
+			d.receiveConfigAnnouncement(from, a)
+			return struct{}{}, nil
+		})
 	}
 	return nil, &Error{Op: "serve call", Kind: KindMalformed, Err: errors.New("unknown method " + c.Method)}
 }
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -48,16 +48,27 @@
 	jobFeedWait    = time.Second
 	// configCheckInterval is the time between two checks whether another daemon has a newer configuration.
 	configCheckInterval = 100 * time.Millisecond
-	// configFetchDelay is how long a daemon that can reach the store waits for its feed before it requests a newer
-	// configuration from a daemon of another region, and regionalConfigFetchDelay that from one of its own region,
-	// which does not load the link between the regions.
+	// configJoinDelay is how long a new daemon waits for the configuration of another one before it reads that of the
+	// store.
+	configJoinDelay = 500 * time.Millisecond
+	// configFetchDelay is how long a daemon that reads the configuration from the store waits for its feed before it
+	// requests a newer one from a daemon of another region, and regionalConfigFetchDelay that from one of its own
+	// region, which does not load the link between the regions.
 	configFetchDelay         = configFeedWait + 500*time.Millisecond
 	regionalConfigFetchDelay = 500 * time.Millisecond
+	// zoneConfigFetchDelay is how long another daemon waits until a daemon of its zone has a newer configuration before
+	// it requests that from farther away.
+	zoneConfigFetchDelay = 400 * time.Millisecond
+	// configRetryDelay is the delay before a daemon that did not send its configuration is asked again.
+	configRetryDelay = 400 * time.Millisecond
 	// configFetchTimeout limits such a request.
 	configFetchTimeout = 2 * time.Second
-	// configSendRate bounds the bytes per second of the configurations that a daemon sends to others, as a VM with a
-	// slow link has to serve requests meanwhile.
-	configSendRate = 512 << 10
+	// configSendRate is the lowest limit of the bytes per second of the configurations that a daemon sends to others;
+	// with a fast link it may use one part in configLinkShare of that.
+	configSendRate  = 512 << 10
+	configLinkShare = 4
+	// maxConfigSendDelay is how long a request for a configuration may wait for those before it.
+	maxConfigSendDelay = 300 * time.Millisecond
 	// jobFeedDelay is the delay between two reads of the feed of jobs; new jobs are also announced.
 	jobFeedDelay = 150 * time.Millisecond
 	// feedRetryDelay is the delay after a failed read of a feed.
@@ -141,6 +152,8 @@
 	// Cores is the number of cores of the VM, which may be fractional. Daemons with more cores are preferred as
 	// owners.
 	Cores float64
+	// LinkRate is the rate of the VM's link in bytes per second; zero if it is not known.
+	LinkRate cluster.Bytes
 	// PeerAddr is the address at which other daemons reach this one.
 	PeerAddr netip.AddrPort
 	// MaxLease is the longest lease that a worker grants; zero means pool.DefaultMaxLease.
--- a/cluster/cell/configwatch.go
+++ b/cluster/cell/configwatch.go
@@ -1,27 +1,26 @@
 package cell
 
 import (
-	"context"
-	"math/rand/v2"
-	"strings"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
-// configState is the configuration in force and the row that it was decoded from.
+// configState is a configuration and the row that it was decoded from.
 type configState struct {
 	snapshot *cluster.Snapshot
 	data     []byte
-	readAt   time.Time
+	// hash is the hash of data.
+	hash   uint64
+	readAt time.Time
 }
 
-type configRequest struct{}
-
-type configReply struct {
-	Data []byte `msgpack:"Data"`
-}
+// maxConfigHistory is the number of earlier configurations that a daemon keeps to send patches to those that have them.
+const maxConfigHistory = 3
 
 // Snapshot returns the configuration in force; its version is zero until one has been read.
 func (d *Daemon) Snapshot() *cluster.Snapshot { return d.config.Load().snapshot }
@@ -31,18 +30,56 @@
 	return d.Snapshot().Version > 0 && d.shardCount() > 0 && !d.leaving.Load()
 }
 
-// followConfig applies each configuration that the operator writes.
-func (d *Daemon) followConfig() {
+// readConfigChanges reads the configuration, or its changes if the version of the store is known up to which this
+// daemon has it. The reads are not relayed: a daemon that can't reach the store gets the configuration from others.
+func (d *Daemon) readConfigChanges() {
 	key := d.cfg.Reader.ConfigKey()
-	table := key[:len(key)-len(rowName(key))]
-	feed := rowFeed{name: "config", prefixes: []string{table}, changePrefix: tablePrefix(key), wait: configFeedWait, timeout: configReadTimeout}
-	d.followRows(d.ctx, feed, func(rows []platform.Row, _ bool) {
-		for _, r := range rows {
+	asOf := d.configAsOf()
+	req := platform.ReadRequest{Keys: []string{key}}
+	if asOf != 0 {
+		req = platform.ReadRequest{Prefixes: []string{tablePrefix(key)}, SinceVersion: asOf, Wait: configFeedWait}
+	}
+	reply, unreachable, err := d.store.localRead(d.ctx, req, configReadTimeout)
+	switch {
+	case err == nil:
+		for _, r := range reply.Rows {
 			if r.Key == key && !r.Deleted {
 				d.applyConfig(r.Value, "store")
 			}
 		}
-	})
+		if d.Snapshot().Version > 0 {
+			d.advanceConfigAsOf(reply.AsOf)
+		}
+	case platform.IsKind(err, platform.KindExpired):
+		d.cfg.Log.Warn().Uint64("version", uint64(asOf)).Msg("cell: changes of the configuration are no longer available; reading all of it")
+		d.resetConfigAsOf(asOf)
+	case d.ctx.Err() == nil:
+		d.cfg.Log.Debug().Err(err).Bool("unreachable", unreachable).Msg("cell: configuration could not be read; retrying")
+		d.sleep(feedRetryDelay)
+	}
+}
+
+// configAsOf returns the version of the store up to which the configuration in force is known to be the newest one;
+// zero if no such version is known.
+func (d *Daemon) configAsOf() cluster.Version {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.configStoreVersion
+}
+
+func (d *Daemon) advanceConfigAsOf(version cluster.Version) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configStoreVersion = max(d.configStoreVersion, version)
+}
+
+// resetConfigAsOf makes the next read one of the whole row, unless the version has advanced since asOf.
+func (d *Daemon) resetConfigAsOf(asOf cluster.Version) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.configStoreVersion == asOf {
+		d.configStoreVersion = 0
+	}
 }
 
 // applyConfig puts a configuration in force unless the current one is as new.
@@ -53,11 +90,17 @@
 		return
 	}
 	d.mu.Lock()
-	if snapshot.Version <= d.Snapshot().Version {
+	previous := d.config.Load()
+	if snapshot.Version <= previous.snapshot.Version {
 		d.mu.Unlock()
 		return
 	}
-	d.config.Store(&configState{snapshot: snapshot, data: data, readAt: time.Now()})
+	if previous.snapshot.Version > 0 {
+		d.configHistory = append(d.configHistory, previous)
+		d.configHistory = slices.Delete(d.configHistory, 0, max(0, len(d.configHistory)-maxConfigHistory))
+	}
+	d.config.Store(&configState{snapshot: snapshot, data: data, hash: xxhash.Sum64(data), readAt: time.Now()})
+	clear(d.configUpdates)
 	owned := make([]*ownedShard, 0, len(d.ownedShards))
 	for _, o := range d.ownedShards {
 		owned = append(owned, o)
@@ -67,85 +110,5 @@
 	for _, o := range owned {
 		o.configChanged()
 	}
-}
-
-// fetchNewerConfig requests a newer configuration from another daemon if this one can't reach the store or its feed is
-// late. It requests one copy at a time, as a copy may take a large part of a slow link.
-func (d *Daemon) fetchNewerConfig() {
-	var version cluster.Version
-	var behindSince time.Time
-	for d.sleep(configCheckInterval) {
-		if current := d.Snapshot().Version; current != version {
-			version, behindSince = current, time.Time{}
-		}
-		sources, sameRegion := d.configSources()
-		if len(sources) == 0 {
-			behindSince = time.Time{}
-			continue
-		}
-		if behindSince.IsZero() {
-			behindSince = time.Now()
-		}
-		delay := configFetchDelay
-		if sameRegion {
-			delay = regionalConfigFetchDelay
-		}
-		if d.store.mayBeReachable() && time.Since(behindSince) < delay {
-			continue
-		}
-		d.fetchConfig(sources[rand.IntN(len(sources))])
-	}
-}
-
-// configSources returns the daemons that announce a newer configuration, only those of this region if there are any.
-func (d *Daemon) configSources() (sources []cluster.DaemonID, sameRegion bool) {
-	version := d.Snapshot().Version
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	var regional []cluster.DaemonID
-	for id, digest := range d.digests {
-		if digest.ConfigVersion <= version || time.Since(d.transport.LastSeen(id)) > peerTimeout {
-			continue
-		}
-		sources = append(sources, id)
-		vm, _, _ := strings.Cut(string(id), daemonSeparator)
-		if m, ok := d.members[vm]; ok && cluster.Region(m.Region) == d.cfg.Place.Region {
-			regional = append(regional, id)
-		}
-	}
-	if len(regional) > 0 {
-		return regional, true
-	}
-	return sources, false
-}
-
-// fetchConfig requests the configuration of another daemon and applies it.
-func (d *Daemon) fetchConfig(from cluster.DaemonID) {
-	ctx, cancel := context.WithTimeout(d.ctx, configFetchTimeout)
-	defer cancel()
-	requestedAt := time.Now()
-	d.cfg.Metrics.Counter("config_requests").Inc(1)
-	reply, err := call[configReply](ctx, d, from, methodConfig, &configRequest{})
-	if err != nil {
-		d.cfg.Metrics.Counter("config_request_failures").Inc(1)
-		d.cfg.Log.Info().Err(err).Str("peer", string(from)).Dur("took", time.Since(requestedAt)).Msg("cell: configuration could not be fetched")
-		return
-	}
-	d.cfg.Log.Info().Str("peer", string(from)).Int("bytes", len(reply.Data)).Dur("took", time.Since(requestedAt)).Msg("cell: configuration fetched")
-	d.applyConfig(reply.Data, string(from))
-}
-
-// serveConfig returns the configuration in force for another daemon. A request above configSendRate is refused; the
-// other daemon then asks one that has fetched the configuration meanwhile.
-func (d *Daemon) serveConfig() (configReply, error) {
-	data := d.config.Load().data
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if now.Before(d.nextConfigSendAt) {
-		return configReply{}, &Error{Op: "serve configuration", Kind: KindOverloaded}
-	}
-	d.nextConfigSendAt = now.Add(time.Duration(len(data)) * time.Second / configSendRate)
-	d.cfg.Metrics.Counter("config_bytes_sent").Inc(int64(len(data)))
-	return configReply{Data: data}, nil
+	d.announceConfig(snapshot.Version)
 }
--- a/cluster/cell/configwatch_test.go
+++ b/cluster/cell/configwatch_test.go
@@ -194,9 +194,9 @@
 		}
 		return announcing == len(c.requests)
 	})
-	sources, sameRegion := c.daemon.configSources()
+	sources, nearest := c.daemon.configSources()
 	is.Equal(sources, []cluster.DaemonID{NewID("peer-2", time.UnixMilli(1))})
-	is.True(sameRegion)
+	is.True(nearest != otherRegion)
 }
 
 // Guards against a daemon whose link is filled with copies of a large configuration for all daemons that are behind,
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -42,6 +42,10 @@
 	// lastWorkerCount is the length of the worker list at the last attempt to create the shard layout; only
 	// claimLoop uses it.
 	lastWorkerCount int
+	// configAnnounced receives a value after another daemon has announced a configuration.
+	configAnnounced chan struct{}
+	// configEncodeMu is held while the configuration is encoded, so that it is encoded once for several requests.
+	configEncodeMu sync.Mutex
 
 	mu sync.Mutex
 	// members holds the member rows by VM.
@@ -52,6 +56,14 @@
 	digests map[cluster.DaemonID]peer.Digest
 	// unownedSince is when each shard was first seen to need a new owner.
 	unownedSince map[shardID]time.Time
+	// configHistory holds the configurations before the one in force, the newest last.
+	configHistory []*configState
+	// configStoreVersion is the version of the store up to which the configuration in force is the newest one.
+	configStoreVersion cluster.Version
+	// configUpdates holds the encoded configuration in force by the version of its base.
+	configUpdates map[cluster.Version]configUpdate
+	// configRetryAt is the earliest time of the next request to a daemon that did not send its configuration.
+	configRetryAt map[cluster.DaemonID]time.Time
 	// nextConfigSendAt is the earliest time at which the configuration is sent to another daemon again.
 	nextConfigSendAt time.Time
 	// layoutMissingSince is when this daemon first saw that the cell has no shard layout.
@@ -80,7 +92,8 @@
 	d := &Daemon{
 		cfg: cfg, calls: newCallTable(), startedAt: time.Now(), cellLoaded: make(chan struct{}),
 		members: map[string]memberRow{}, owners: map[shardID]ownership{}, ownedShards: map[shardID]*ownedShard{},
-		digests: map[cluster.DaemonID]peer.Digest{}, unownedSince: map[shardID]time.Time{},
+		digests: map[cluster.DaemonID]peer.Digest{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
+		configUpdates: map[cluster.Version]configUpdate{}, configRetryAt: map[cluster.DaemonID]time.Time{},
 	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.store = newRelayStore(d, cfg.Store)
--- a/cluster/cell/loading_test.go
+++ b/cluster/cell/loading_test.go
@@ -40,7 +40,7 @@
 	body := must(encode("test", request))
 	result := make(chan error, 1)
 	d.wg.Go(func() {
-		_, err := d.executeCall(&peer.Call{ID: 1, Method: method, Body: body})
+		_, err := d.executeCall("other@1", &peer.Call{ID: 1, Method: method, Body: body})
 		result <- err
 	})
 	return result
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -221,7 +221,7 @@
 			defer d.stop()
 			_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
 			is.NoErr(err)
-			bodies, err := d.executeCall(&peer.Call{Method: methodRead, Body: must(encode("test", &readRequest{Prefixes: []string{"members/"}, SinceVersion: 1, Wait: wait}))})
+			bodies, err := d.executeCall("other@1", &peer.Call{Method: methodRead, Body: must(encode("test", &readRequest{Prefixes: []string{"members/"}, SinceVersion: 1, Wait: wait}))})
 			is.NoErr(err)
 			reply, err := decode[readReply]("test", bodies[0])
 			is.NoErr(err)
