peer: let small messages pass large transfers on a connection

Cause: parts of a large reply stood in the same queue as pings, holds and submissions, in parts of up to 512 KiB. Change: replies to requests for rows and for the configuration are sent while no other message waits, and their parts are as small as their number allows.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -157,8 +157,12 @@
 	if c.ID == noReplyID {
 		return
 	}
+	send := d.transport.Send
+	if c.Method == methodConfig || c.Method == methodRead {
+		send = d.transport.SendBulk
+	}
 	for _, reply := range replies {
-		if !d.transport.Send(from, reply) {
+		if !send(from, reply) {
 			d.cfg.Log.Debug().Str("peer", string(from)).Str("method", c.Method).Msg("cell: reply not sent")
 			return
 		}
--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -180,27 +180,25 @@
 }
 
 const (
-	// maxReplyParts bounds the parts of the reply to a relayed read, and maxPartBytes the rows of a part, unless it is
-	// a single larger row.
-	maxReplyParts = 64
-	maxPartBytes  = 512 << 10
+	// maxReplyParts bounds the parts of the reply to a relayed read.
+	maxReplyParts = 128
+	// minPartBytes and maxPartBytes bound the rows of a part, unless it is a single larger row. Small messages pass
+	// between the parts.
+	minPartBytes = 32 << 10
+	maxPartBytes = 512 << 10
 	// rowOverheadBytes is the largest encoded size of a row in addition to its key and its value.
 	rowOverheadBytes = 64
 )
 
-// split divides a large reply into parts. It returns the undivided reply if there would be more than maxParts.
+// split divides a large reply into parts, which are as small as their number allows. It returns the undivided reply if
+// there would be more than maxParts.
 func (r *readReply) split(maxParts int) []readReply {
 	var parts []readReply
-	first, size := 0, 0
-	for i, row := range r.Rows {
-		rowSize := len(row.Key) + len(row.Value) + rowOverheadBytes
-		if i > first && size+rowSize > maxPartBytes {
-			parts = append(parts, readReply{Rows: r.Rows[first:i], AsOf: r.AsOf})
-			first, size = i, 0
+	for size := minPartBytes; size <= maxPartBytes; size *= 2 {
+		if parts = r.splitAt(size); len(parts) <= maxParts {
+			break
 		}
-		size += rowSize
 	}
-	parts = append(parts, readReply{Rows: r.Rows[first:], AsOf: r.AsOf})
 	if len(parts) == 1 || len(parts) > maxParts {
 		return []readReply{*r}
 	}
@@ -210,6 +208,21 @@
 	return parts
 }
 
+// splitAt divides a reply into parts of at most partBytes, or of a single larger row.
+func (r *readReply) splitAt(partBytes int) []readReply {
+	var parts []readReply
+	first, size := 0, 0
+	for i, row := range r.Rows {
+		rowSize := len(row.Key) + len(row.Value) + rowOverheadBytes
+		if i > first && size+rowSize > partBytes {
+			parts = append(parts, readReply{Rows: r.Rows[first:i], AsOf: r.AsOf})
+			first, size = i, 0
+		}
+		size += rowSize
+	}
+	return append(parts, readReply{Rows: r.Rows[first:], AsOf: r.AsOf})
+}
+
 // readCollector joins the parts of the reply to a relayed read.
 type readCollector struct {
 	reply    readReply
--- a/cluster/peer/conn.go
+++ b/cluster/peer/conn.go
@@ -147,23 +147,32 @@
 	return nil
 }
 
-// writeLoop sends pings and the queued messages.
+// writeLoop sends pings and the queued messages, those of bulkQueue while there are no others.
 func (c *conn) writeLoop() error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
+		var m Message
 		select {
 		case <-c.ctx.Done():
 			return nil
 		case <-timer.C:
-			if err := c.write(c.nextPing(), c.region); err != nil {
-				return err
+		case m = <-c.peer.sendQueue:
+		default:
+			select {
+			case <-c.ctx.Done():
+				return nil
+			case <-timer.C:
+			case m = <-c.peer.sendQueue:
+			case m = <-c.peer.bulkQueue:
 			}
+		}
+		if m == nil {
+			m = c.nextPing()
 			timer.Reset(c.transport.pingInterval())
-		case m := <-c.peer.sendQueue:
-			if err := c.write(m, c.region); err != nil {
-				return err
-			}
+		}
+		if err := c.write(m, c.region); err != nil {
+			return err
 		}
 	}
 }
--- a/cluster/peer/transport.go
+++ b/cluster/peer/transport.go
@@ -35,6 +35,8 @@
 	id        cluster.DaemonID
 	addr      netip.AddrPort
 	sendQueue chan Message
+	// bulkQueue holds the messages that are sent while sendQueue is empty.
+	bulkQueue chan Message
 	// lastSeen is when the last frame from the peer arrived.
 	lastSeen time.Time
 	// conn is nil while the peer is not connected.
@@ -122,7 +124,7 @@
 func (t *Transport) peerState(id cluster.DaemonID) *peerState {
 	state := t.peers[id]
 	if state == nil {
-		state = &peerState{id: id, sendQueue: make(chan Message, sendQueueLength)}
+		state = &peerState{id: id, sendQueue: make(chan Message, sendQueueLength), bulkQueue: make(chan Message, sendQueueLength)}
 		t.peers[id] = state
 	}
 	return state
@@ -134,14 +136,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	state := t.peers[to]
-	return state != nil && t.enqueue(state, m)
+	return state != nil && t.enqueue(state, state.sendQueue, m)
+}
+
+// SendBulk is Send for a part of a large transfer. Messages of Send and pings pass those of SendBulk, whose order is
+// kept.
+func (t *Transport) SendBulk(to cluster.DaemonID, m Message) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	state := t.peers[to]
+	return state != nil && t.enqueue(state, state.bulkQueue, m)
 }
 
 // enqueue queues a message for a connected peer, or drops it and returns false.
-func (t *Transport) enqueue(state *peerState, m Message) bool {
+func (t *Transport) enqueue(state *peerState, queue chan<- Message, m Message) bool {
 	if state.conn != nil {
 		select {
-		case state.sendQueue <- m:
+		case queue <- m:
 			return true
 		default:
 		}
@@ -156,7 +167,7 @@
 	defer t.mu.Unlock()
 	for _, state := range t.peers {
 		if state.conn != nil {
-			t.enqueue(state, m)
+			t.enqueue(state, state.sendQueue, m)
 		}
 	}
 }
--- a/cluster/peer/transport_test.go
+++ b/cluster/peer/transport_test.go
@@ -297,6 +297,45 @@
 	}
 }
 
+// Guards against small messages and pings that wait behind a large transfer on a slow connection, so that the peer
+// counts as failed.
+func TestSmallMessagesPassBulkTransfer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newMemNetwork()
+		n.delay = 20 * time.Millisecond
+		a, b := startDaemon(n, 0, nil), startDaemon(n, 1, nil)
+		defer a.Close()
+		defer b.Close()
+		a.SetPeers(peerList(2))
+		time.Sleep(time.Second)
+		const parts = 100
+		for i := range parts {
+			is.True(a.SendBulk("d01", &Reply{ID: uint64(i + 1)}))
+		}
+		time.Sleep(10 * n.delay)
+		is.True(a.Send("d01", &Call{ID: 1}))
+		time.Sleep(2 * parts * n.delay)
+		received, callAt, pings := 0, 0, 0
+		for _, m := range b.received() {
+			switch v := m.(type) {
+			case *Reply:
+				received++
+				is.Equal(v.ID, uint64(received)) // the order is kept
+			case *Call:
+				callAt = received
+			case *Ping:
+				if received > 0 && received < parts {
+					pings++
+				}
+			}
+		}
+		is.Equal(received, parts)
+		is.True(callAt < parts/2)
+		is.True(pings >= 2)
+	})
+}
+
 // Guards against a slow peer that blocks the sender or makes its queue grow
 // without limit.
 func TestSendNeverBlocks(t *testing.T) {
