pool: wait for the ends of runs on a worker that is alive

Cause: a worker that does not answer until its leases are over counted as lost with all its runs, also while its heartbeats show that it is alive and it still lists the ends; and the first replies to a new owner were dropped if late. Change: the version of a worker's entry in the platform's list shows its heartbeats. A run whose lease has expired on a worker that sends them keeps its task from starting again until its end is read, for 4 s more at most, and a takeover waits for such workers. A late first reply is read if the worker has accepted the owner's fencing token. The log tells the age of the heartbeat of a lost run and whether a run that ended was known. Result: TestDoneTaskOfListedWorkerDoesNotRunAgain, TestDoneTaskOfInheritedWorkerDoesNotRunAgain and TestLateFirstReplyAfterTakeoverIsRead failed on (started twice, once and once again) and pass. In the simulation a worker that can't be reached sends no heartbeats either.

--- a/cluster/platform/workers.go
+++ b/cluster/platform/workers.go
@@ -27,6 +27,8 @@
 	Capacity    cluster.Resources
 	// Labels holds the worker's kind and its rack.
 	Labels []string
+	// EntryVersion changes with each heartbeat of the worker; zero if the list does not tell.
+	EntryVersion cluster.Version
 }
 
 // Rack returns the last label, which is the ID of the worker's rack; the label
--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -21,6 +21,12 @@
 	// maxInitialHolds bounds the concurrent hold calls to workers that have not replied to this owner yet.
 	// Without it, the calls after a takeover delay one another until the replies count as missing.
 	maxInitialHolds = 256
+	// endReportWait is how long after the end of its leases the scheduler waits for a worker that does not respond but
+	// is alive to report how its runs have ended.
+	endReportWait = 4 * time.Second
+	// heartbeatTTL is how long a heartbeat in the platform's list shows that a worker is alive: two heartbeats and the
+	// time between two reads of the list.
+	heartbeatTTL = 4 * time.Second
 	// holdRetryDelay is the delay after an unanswered hold call.
 	holdRetryDelay = 300 * time.Millisecond
 	// maxHoldDelay bounds how long the next hold call is delayed while run ends wait to be recorded, so that the
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -82,7 +82,8 @@
 // lateHoldAnswered reads the run ends in a late reply, so that their tasks do not start again when the leases of the
 // worker expire. What the worker runs now, and whether it responds, shows only the reply to a later call.
 func (s *Scheduler) lateHoldAnswered(w *worker, e *HoldAnswered) {
-	if e.Reply.Fenced || e.Reply.Restarted || !w.fenceAccepted || e.Reply.Incarnation != w.vm.Incarnation {
+	fenceAccepted := w.fenceAccepted || e.Fence == s.fence(w)
+	if e.Reply.Fenced || e.Reply.Restarted || !fenceAccepted || e.Reply.Incarnation != w.vm.Incarnation {
 		return
 	}
 	s.readEnds(w, e.Reply.Ended)
@@ -145,14 +146,16 @@
 		s.cfg.Log.Debug().Str("task", e.Task).Str("worker", string(w.vm.ID)).Msg("pool: ignoring the end of a run of an unknown task")
 		return
 	}
+	r := w.runs[id]
+	known := r != nil && r.number == e.Run
 	s.cfg.Log.Info().Str("job", string(id.Job)).Str("task", e.Task).Uint64("run", uint64(e.Run)).Str("worker", string(w.vm.ID)).
-		Stringer("outcome", e.Outcome).Msg("pool: run ended")
+		Stringer("outcome", e.Outcome).Bool("known", known).Msg("pool: run ended")
 	s.metrics.ends[e.Outcome].Inc(1)
 	if e.Checkpoint != "" {
 		st.saveCheckpoint(id.Index, e.Checkpoint)
 	}
 	st.job.started = true
-	if r := w.runs[id]; r != nil && r.number == e.Run {
+	if known {
 		s.observeEnd(r, e.Outcome)
 		s.releaseRun(r)
 	}
@@ -276,7 +279,8 @@
 // markLost releases a run whose end was not reported; a gang can't continue without it.
 func (s *Scheduler) markLost(r *run, reason string) {
 	s.cfg.Log.Info().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(r.number)).
-		Str("worker", string(r.worker.vm.ID)).Stringer("state", r.state).Str("reason", reason).Msg("pool: run lost")
+		Str("worker", string(r.worker.vm.ID)).Stringer("state", r.state).Str("reason", reason).Bool("listed", r.worker.inPlatformList).
+		Dur("sinceHeartbeat", s.now.Sub(r.worker.heartbeatSeenAt)).Msg("pool: run lost")
 	s.metrics.lost.Inc(1)
 	s.releaseRun(r)
 	if st := r.step; st.spec.Gang && st.gangRun == r.number {
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -148,15 +148,32 @@
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			if expired {
-				s.markLost(r, "lease expired")
-			} else {
+			switch {
+			case !expired:
 				s.runDueAction(r)
+			case !s.awaitsEnd(r):
+				s.markLost(r, "lease expired")
 			}
 		}
 	}
 }
 
+// awaitsEnd reports whether the worker of a run whose lease has expired may still report how the run has ended. The
+// task may be done; it must not start again before the report.
+func (s *Scheduler) awaitsEnd(r *run) bool {
+	st := r.step
+	if st.closed() || st.spec.LongRunning || st.tasks[r.id.Index].done || st.spec.Gang && st.gangRun != r.number {
+		return false
+	}
+	return s.mayReportEnds(r.worker, r.worker.leaseExpiry)
+}
+
+// mayReportEnds reports whether a worker that does not respond may still report the ends of its runs: its heartbeats
+// show that it is alive, so that its replies are late or lost on the way.
+func (s *Scheduler) mayReportEnds(w *worker, leaseExpiry time.Time) bool {
+	return w != nil && w.inPlatformList && s.now.Sub(w.heartbeatSeenAt) < heartbeatTTL && s.now.Before(leaseExpiry.Add(endReportWait))
+}
+
 // hasDueAction reports whether an action is due for a run of a worker.
 func (s *Scheduler) hasDueAction(w *worker) bool {
 	for _, r := range w.runs {
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -81,6 +81,9 @@
 	unreachable bool
 	// gone is true while the worker's process does not run, unlisted while the platform does not list it.
 	gone, unlisted bool
+	// repliesLost is true while the worker carries out requests and its replies are lost, repliesLate while they
+	// arrive late.
+	repliesLost, repliesLate bool
 	// tasksStalled is true while the tasks on the worker make no progress.
 	tasksStalled       bool
 	fence              cluster.Epoch
@@ -221,6 +224,9 @@
 		sim.lastListAt = sim.now
 		list := &WorkersListed{Advisors: sim.advisors}
 		for _, f := range sim.workers {
+			if !f.unreachable && !f.gone {
+				f.vm.EntryVersion++ // a heartbeat
+			}
 			if !f.unlisted {
 				list.Workers = append(list.Workers, f.vm)
 			}
@@ -261,6 +267,9 @@
 		return true
 	}
 	switch x := sim.rnd.Float64(); {
+	case f.repliesLost:
+		sim.deliver(owner, timeout, result(true))
+		sim.scheduleAfter(simLatency, func() { executeRequest() })
 	case x < sim.delayRate:
 		delay := 2*time.Second + time.Duration(sim.rnd.Int64N(int64(10*time.Second)))
 		sim.scheduleAfter(simLatency, func() {
@@ -273,7 +282,7 @@
 			})
 		})
 		sim.deliver(owner, timeout, result(true))
-	case x < sim.delayRate+sim.replyLossRate:
+	case f.repliesLate, x < sim.delayRate+sim.replyLossRate:
 		sim.deliver(owner, timeout, result(true))
 		sim.scheduleAfter(simLatency, func() {
 			if !executeRequest() {
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -148,6 +148,8 @@
 	rack string
 	// inPlatformList means that the platform's last list includes the worker.
 	inPlatformList bool
+	// heartbeatSeenAt is when the worker's entry in the list last changed, which shows a heartbeat.
+	heartbeatSeenAt time.Time
 	// fenceAccepted means that the worker has replied under this epoch in its current incarnation.
 	fenceAccepted bool
 	// inSync is false if the scheduler's view of the worker may be out of date, because a request got no reply
--- /dev/null
+++ b/cluster/pool/unreachable_test.go
@@ -0,0 +1,87 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+// newSimulationWithRun returns a simulation of two workers and the worker that runs the only task of a job. The run
+// ends as done 600 ms later.
+func newSimulationWithRun(is *is.I) (*simulation, *fakeWorker) {
+	sim := newSimulation(1, 2)
+	sim.failureRate = 0
+	sim.submit(&workload.Job{ID: singleTaskJob, Steps: []workload.Step{{Tasks: 1, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second}}})
+	sim.runFor(500 * time.Millisecond)
+	for _, f := range sim.workers {
+		if len(f.running) == 1 {
+			return sim, f
+		}
+	}
+	is.Fail() // the task does not run
+	return nil, nil
+}
+
+const singleTaskJob = cluster.JobName("0000000000000001")
+
+// listsEndOfTask reports whether a worker still lists the end of the run as done.
+func listsEndOfTask(f *fakeWorker) bool {
+	return len(f.unacknowledgedEnds) == 1 && f.unacknowledgedEnds[0].Outcome == platform.RunDone
+}
+
+// Guards against a done task that starts again because the replies of its worker are lost until the leases have expired,
+// although the platform lists the worker and the worker still lists the end of the run.
+func TestDoneTaskOfListedWorkerDoesNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	sim, f := newSimulationWithRun(is)
+	f.repliesLost = true
+	sim.runFor(DefaultLease + time.Second)
+	is.True(listsEndOfTask(f))
+	is.Equal(sim.owner.lastRunCounter, uint64(1)) // the task was started once
+	f.repliesLost = false
+	sim.runFor(DefaultLease)
+	state, _, _, _ := sim.owner.State(singleTaskJob)
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(sim.owner.lastRunCounter, uint64(1))
+}
+
+// Guards against a done task that starts again after a takeover because the replies of its worker are lost until the
+// leases granted by the previous owner have expired.
+func TestDoneTaskOfInheritedWorkerDoesNotRunAgain(t *testing.T) {
+	is := is.New(t)
+	sim, f := newSimulationWithRun(is)
+	f.repliesLost = true
+	sim.runFor(time.Second)
+	sim.takeOver()
+	sim.runFor(previousOwnerGrace + DefaultLease + time.Second)
+	is.True(listsEndOfTask(f))
+	is.Equal(sim.owner.lastRunCounter, uint64(0)) // the new owner has not started the task
+	f.repliesLost = false
+	sim.runFor(DefaultLease)
+	state, _, _, _ := sim.owner.State(singleTaskJob)
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(sim.owner.lastRunCounter, uint64(0))
+}
+
+// Guards against a done task that starts again after a takeover although its worker has reported the end to the new
+// owner, in replies that are always late.
+func TestLateFirstReplyAfterTakeoverIsRead(t *testing.T) {
+	is := is.New(t)
+	sim, f := newSimulationWithRun(is)
+	f.repliesLate = true
+	sim.runFor(300 * time.Millisecond) // the run has not ended yet
+	is.Equal(len(f.running), 1)
+	sim.takeOver()
+	sim.runFor(previousOwnerGrace + DefaultLease + time.Second)
+	is.Equal(sim.owner.lastRunCounter, uint64(0)) // the new owner has not started the task
+	f.repliesLate = false
+	sim.runFor(DefaultLease)
+	state, _, _, _ := sim.owner.State(singleTaskJob)
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(sim.owner.lastRunCounter, uint64(0))
+}
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -41,6 +41,9 @@
 	if vm.Draining && !w.vm.Draining {
 		s.cfg.Log.Info().Str("worker", string(vm.ID)).Int("runs", len(w.runs)).Msg("pool: worker is draining")
 	}
+	if vm.EntryVersion != w.vm.EntryVersion || vm.EntryVersion != 0 && w.heartbeatSeenAt.IsZero() {
+		w.heartbeatSeenAt = s.now
+	}
 	incarnation := w.vm.Incarnation
 	w.vm = vm
 	w.vm.Incarnation = max(incarnation, vm.Incarnation)
@@ -153,7 +156,7 @@
 // left.
 func (s *Scheduler) checkTakeover() {
 	for id, w := range s.inheritedWorkers {
-		if !s.now.Before(w.leaseExpiry) {
+		if !s.now.Before(w.leaseExpiry) && !s.mayReportEnds(s.workers[id], w.leaseExpiry) {
 			delete(s.inheritedWorkers, id)
 			s.cfg.Log.Warn().Str("worker", string(id)).Msg("pool: an inherited worker did not answer; its leases have expired")
 		}
