pool: keep the ends of done runs when their worker restarts

Cause: ends that wait for their job were dropped when their worker restarted, and a reply of an earlier incarnation that came late was ignored with its ends. Change: both are applied; only the acknowledgement belongs to an incarnation.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -40,7 +40,8 @@
 	}
 	if e.Reply.Incarnation != 0 && e.Reply.Incarnation != w.vm.Incarnation {
 		if e.Reply.Incarnation < w.vm.Incarnation {
-			return // a late reply of an earlier incarnation
+			s.applyEarlierEnds(w, e.Reply.Ended)
+			return
 		}
 		s.workerRestarted(w, e.Reply.Incarnation)
 	}
@@ -82,11 +83,27 @@
 // lateHoldAnswered reads the run ends in a late reply, so that their tasks do not start again when the leases of the
 // worker expire. What the worker runs now, and whether it responds, shows only the reply to a later call.
 func (s *Scheduler) lateHoldAnswered(w *worker, e *HoldAnswered) {
-	fenceAccepted := w.fenceAccepted || e.Fence == s.fence(w)
-	if e.Reply.Fenced || e.Reply.Restarted || !fenceAccepted || e.Reply.Incarnation != w.vm.Incarnation {
+	if e.Reply.Fenced || e.Reply.Restarted {
 		return
 	}
-	s.readEnds(w, e.Reply.Ended)
+	if e.Reply.Incarnation < w.vm.Incarnation {
+		s.applyEarlierEnds(w, e.Reply.Ended)
+		return
+	}
+	fenceAccepted := w.fenceAccepted || e.Fence == s.fence(w)
+	if fenceAccepted && e.Reply.Incarnation == w.vm.Incarnation {
+		s.readEnds(w, e.Reply.Ended)
+	}
+}
+
+// applyEarlierEnds applies the ends of runs that were done in an earlier incarnation of a worker. They can't be
+// acknowledged any more.
+func (s *Scheduler) applyEarlierEnds(w *worker, ended []platform.RunEnd) {
+	for _, e := range ended {
+		if e.Outcome == platform.RunDone {
+			s.applyEnd(w, e)
+		}
+	}
 }
 
 // readEnds applies the run ends that were not read before, in their order.
@@ -110,8 +127,21 @@
 // being acknowledged.
 const deferredGeneration = math.MaxUint64
 
+// unacknowledgedEnd is a deferred run end of an earlier incarnation of a worker, which can't be acknowledged any more.
+type unacknowledgedEnd struct {
+	worker *worker
+	end    platform.RunEnd
+}
+
 // applyDeferredEnds applies the deferred run ends whose job has been received or is no longer expected.
 func (s *Scheduler) applyDeferredEnds() {
+	s.deferredEarlierEnds = slices.DeleteFunc(s.deferredEarlierEnds, func(e unacknowledgedEnd) bool {
+		if s.mayBelongToLaterJob(e.end) {
+			return false
+		}
+		s.applyEnd(e.worker, e.end)
+		return true
+	})
 	for _, w := range s.sortedWorkers {
 		w.deferredEnds = slices.DeleteFunc(w.deferredEnds, func(e platform.RunEnd) bool {
 			if s.mayBelongToLaterJob(e) {
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -65,8 +65,10 @@
 	durationRatios map[cluster.QueueName]float64
 	// permitShares is the moving average of the share of workers that may run the steps of a queue.
 	permitShares map[cluster.QueueName]float64
-	metrics      *metrics
-	effects      []Effect
+	// deferredEarlierEnds are the deferred run ends of workers that have restarted since.
+	deferredEarlierEnds []unacknowledgedEnd
+	metrics             *metrics
+	effects             []Effect
 }
 
 // New returns a scheduler for a new ownership of a pool.
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -88,6 +88,9 @@
 	}
 	w.vm.Incarnation = incarnation
 	w.fenceAccepted = false
+	for _, e := range w.deferredEnds {
+		s.deferredEarlierEnds = append(s.deferredEarlierEnds, unacknowledgedEnd{worker: w, end: e})
+	}
 	w.lastEndRead, w.lastEndRecorded, w.unrecordedEnds, w.deferredEnds = 0, 0, nil, nil
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
