pool: let a job that arrives late wait for the previous owner's workers

Change: a job that was accepted while the previous owner may still have sent requests waits, whenever it arrives. Result: TestLateJobWaitsForInheritedWorkers failed on (one start, not none) and passes.

--- a/cluster/pool/ends_test.go
+++ b/cluster/pool/ends_test.go
@@ -132,3 +132,22 @@
 	state, _, _, _ := p.scheduler.State(singleTaskJob)
 	is.Equal(state, workload.StateCompleted)
 }
+
+// Guards against a task that runs twice at the same time after a takeover: the previous owner has started it on a worker
+// that does not answer, and the change feed brings the job late.
+func TestLateJobWaitsForInheritedWorkers(t *testing.T) {
+	is := is.New(t)
+	p := newEndPool(2, "w0", "w1")
+	p.scheduler = New(Config{Service: testService, Epoch: 2, Now: p.now, InheritedWorkers: []RecordedWorker{{ID: "w0"}, {ID: "w1"}}, Log: zerolog.Nop()})
+	p.replies["w0"] = nil
+	p.runFor(time.Second)
+	p.submit() // accepted now; the previous owner does not know of the takeover yet
+	job := p.events[len(p.events)-1]
+	p.events = p.events[:len(p.events)-1]
+	p.runFor(previousOwnerGrace)
+	is.True(!p.scheduler.takeoverComplete)
+	p.events = append(p.events, job)
+	p.runFor(500 * time.Millisecond)
+	is.True(!p.scheduler.takeoverComplete)
+	is.Equal(len(p.starts), 0) // the task may run on w0
+}
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -206,7 +206,7 @@
 	}
 	// A previous owner may have started the jobs of the first step. Until it notices the takeover it may also start
 	// jobs that are accepted later.
-	j.possiblyRunning = len(s.inheritedWorkers) > 0 && (!s.loaded || !s.now.After(s.previousOwnerActiveUntil))
+	j.possiblyRunning = len(s.inheritedWorkers) > 0 && (!s.loaded || !s.now.After(s.previousOwnerActiveUntil) || s.previousOwnerMayKnow(spec))
 	s.jobs[spec.ID] = j
 	if j.progress.State.Final() {
 		j.visibleState = j.progress.State
@@ -222,6 +222,12 @@
 	}
 }
 
+// previousOwnerMayKnow reports whether a job that is received late was accepted while the previous owner may still have
+// sent requests.
+func (s *Scheduler) previousOwnerMayKnow(spec *workload.Job) bool {
+	return spec.AcceptedAt.Before(s.previousOwnerActiveUntil)
+}
+
 // buildSteps creates the steps of all occurrences of a job from its specification and recorded progress.
 func (s *Scheduler) buildSteps(j *job) {
 	for occurrence := range j.spec.Occurrences() {
