--- a/cluster/platform/workers.go
+++ b/cluster/platform/workers.go
@@ -24,7 +24,8 @@
 	// Draining means that the worker will be removed soon and accepts no new tasks.
 	Draining    bool
 	Incarnation Incarnation
-	Capacity    cluster.Resources
+	// Capacity has no negative component, and the sum over all workers does not overflow.
+	Capacity cluster.Resources
 	// Labels holds the worker's kind and its rack.
 	Labels []string
 }
