record: decode rows without space for elements that are missing

A row of 12 bytes made it allocate 618 GB, which ends the process with an error that Go can't recover from.

Change: record.Unmarshal skips through the data first, which fails at the first element that is missing. All decoders of rows use it; those of messages between daemons check lengths already or use the same decoders.

Callers would see all daemons that read such a row end, and end again after each start, for as long as the row is in the jobs, the progress, the shares or the recorded workers.

--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -12,6 +12,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
+	"github.com/goldcrestshift/goldcrestshift/cluster/record"
 )
 
 // Rows of a cell. A key is table/part/name; the rows of one transaction are in the same part of the store.
@@ -152,7 +153,7 @@
 
 func decode[T any](op string, data []byte) (T, error) {
 	var row T
-	if err := msgpack.Unmarshal(data, &row); err != nil {
+	if err := record.Unmarshal(data, &row); err != nil {
 		return row, &Error{Op: op, Kind: KindMalformed, Err: err}
 	}
 	return row, nil
--- a/cluster/gateway/idem.go
+++ b/cluster/gateway/idem.go
@@ -13,6 +13,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/record"
 )
 
 const (
@@ -64,11 +65,11 @@
 }
 
 func decodeIdemRecord(data []byte) (*idemRecord, error) {
-	record := new(idemRecord)
-	if err := msgpack.Unmarshal(data, record); err != nil {
+	decoded := new(idemRecord)
+	if err := record.Unmarshal(data, decoded); err != nil {
 		return nil, &Error{Op: "decode idempotency key", Kind: KindMalformed, Err: err}
 	}
-	return record, nil
+	return decoded, nil
 }
 
 // digest returns a hash of what a request asks for; each part is preceded by its length.
--- a/cluster/gateway/slotpool.go
+++ b/cluster/gateway/slotpool.go
@@ -12,6 +12,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/record"
 )
 
 const (
@@ -103,21 +104,21 @@
 
 func decodePoolRow(data []byte) (poolAllocations, error) {
 	var encoded poolRecord
-	if err := msgpack.Unmarshal(data, &encoded); err != nil {
+	if err := record.Unmarshal(data, &encoded); err != nil {
 		return nil, &Error{Op: "decode slots", Kind: KindMalformed, Err: err}
 	}
 	row := poolAllocations{}
-	for _, record := range encoded.Allocations {
-		if len(record.Slots) != len(encoded.Daemons) {
-			return nil, &Error{Op: "decode slots", Kind: KindMalformed, Err: fmt.Errorf("%s has %d allocations for %d daemons", record.ID, len(record.Slots), len(encoded.Daemons))}
+	for _, r := range encoded.Allocations {
+		if len(r.Slots) != len(encoded.Daemons) {
+			return nil, &Error{Op: "decode slots", Kind: KindMalformed, Err: fmt.Errorf("%s has %d allocations for %d daemons", r.ID, len(r.Slots), len(encoded.Daemons))}
 		}
-		alloc := &allocation{capacity: record.Capacity, byDaemon: map[cluster.DaemonID]int{}}
-		for i, n := range record.Slots {
+		alloc := &allocation{capacity: r.Capacity, byDaemon: map[cluster.DaemonID]int{}}
+		for i, n := range r.Slots {
 			if n > 0 {
 				alloc.byDaemon[cluster.DaemonID(encoded.Daemons[i])] = n
 			}
 		}
-		row[record.ID] = alloc
+		row[r.ID] = alloc
 	}
 	return row, nil
 }
--- a/cluster/member/row.go
+++ b/cluster/member/row.go
@@ -8,6 +8,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/record"
 )
 
 // Key prefixes of the rows that the package reads.
@@ -53,25 +54,25 @@
 
 // DecodeRow decodes a row under Prefix.
 func DecodeRow(row platform.Row) (Member, error) {
-	var record memberRecord
+	var encoded memberRecord
 	malformed := func(err error) (Member, error) {
 		return Member{}, &Error{Op: "decode " + row.Key, Kind: KindMalformed, Err: err}
 	}
-	if err := msgpack.Unmarshal(row.Value, &record); err != nil {
+	if err := record.Unmarshal(row.Value, &encoded); err != nil {
 		return malformed(err)
 	}
-	peerAddr, err := parseAddr(record.PeerAddr)
+	peerAddr, err := parseAddr(encoded.PeerAddr)
 	if err != nil {
 		return malformed(err)
 	}
-	httpAddr, err := parseAddr(record.HTTPAddr)
+	httpAddr, err := parseAddr(encoded.HTTPAddr)
 	if err != nil {
 		return malformed(err)
 	}
 	return Member{
 		ID:       cluster.DaemonID(strings.TrimPrefix(row.Key, Prefix)),
-		Place:    cluster.Place{Region: cluster.Region(record.Region), Zone: cluster.Zone(record.Zone)},
-		PeerAddr: peerAddr, HTTPAddr: httpAddr, VM: record.VM, Version: row.Version,
+		Place:    cluster.Place{Region: cluster.Region(encoded.Region), Zone: cluster.Zone(encoded.Zone)},
+		PeerAddr: peerAddr, HTTPAddr: httpAddr, VM: encoded.VM, Version: row.Version,
 	}, nil
 }
 
--- a/cluster/note/row.go
+++ b/cluster/note/row.go
@@ -90,7 +90,7 @@
 }
 
 func decodeRecord(row platform.Row, v any) error {
-	if err := msgpack.Unmarshal(row.Value, v); err != nil {
+	if err := record.Unmarshal(row.Value, v); err != nil {
 		return &Error{Op: "decode " + row.Key, Kind: KindMalformed, Err: err}
 	}
 	return nil
--- a/cluster/rack/row.go
+++ b/cluster/rack/row.go
@@ -132,7 +132,7 @@
 
 // decodeRow decodes the value of the row with a key into v.
 func decodeRow(key string, data []byte, v any) error {
-	if err := msgpack.Unmarshal(data, v); err != nil {
+	if err := record.Unmarshal(data, v); err != nil {
 		return &Error{Op: "decode row " + key, Kind: KindMalformed, Err: err}
 	}
 	return nil
--- a/cluster/record/entity.go
+++ b/cluster/record/entity.go
@@ -202,7 +202,7 @@
 }
 
 func unmarshal(op string, data []byte, v any) error {
-	if err := msgpack.Unmarshal(data, v); err != nil {
+	if err := Unmarshal(data, v); err != nil {
 		return &Error{Op: op, Kind: KindMalformed, Err: err}
 	}
 	return nil
--- a/cluster/workload/row.go
+++ b/cluster/workload/row.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/record"
 )
 
 // jobRow is the stored row of a job. It is encoded as an array, and a build that has another number of fields can't
@@ -180,7 +181,7 @@
 // DecodeJob decodes the row of a job.
 func DecodeJob(id cluster.JobName, data []byte) (*Job, error) {
 	var r jobRow
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := record.Unmarshal(data, &r); err != nil {
 		return nil, &Error{Op: "decode job", Kind: KindMalformed, Err: fmt.Errorf("%s: %w", id, err)}
 	}
 	j := &Job{
@@ -242,7 +243,7 @@
 // DecodeProgress decodes the row of a job's progress.
 func DecodeProgress(data []byte) (*Progress, error) {
 	var r progressRow
-	if err := msgpack.Unmarshal(data, &r); err != nil {
+	if err := record.Unmarshal(data, &r); err != nil {
 		return nil, &Error{Op: "decode progress", Kind: KindMalformed, Err: err}
 	}
 	if r.State < 0 || r.State >= len(stateNames) {
