pool: record a worker as unresponsive if another one has its address

Cause: a hold call that another worker refused, because the entry in the list has its address, counted as an answer. The record listed the worker as responsive, and the next owner waited for its leases.

Change: such a worker is recorded as unresponsive, like one that doesn't answer.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -36,6 +36,7 @@
 	if e.Reply.Restarted {
 		w.nextHoldAt = s.now.Add(holdRetryDelay)
 		w.inSync = false
+		s.recordUnresponsive(w)
 		return
 	}
 	if e.Reply.Incarnation != 0 && e.Reply.Incarnation != w.vm.Incarnation {
@@ -69,16 +70,21 @@
 // expired.
 func (s *Scheduler) holdUnanswered(w *worker) {
 	w.nextHoldAt = s.now.Add(holdRetryDelay)
-	if !w.holdUnanswered {
-		w.holdUnanswered = true
-		s.workersDirty = true
-	}
+	s.recordUnresponsive(w)
 	if w.inSync {
 		w.inSync = false
 		s.cfg.Log.Warn().Str("worker", string(w.vm.ID)).Int("runs", len(w.runs)).Time("lapse", w.leaseExpiry).Msg("pool: worker did not answer a hold call")
 	}
 }
 
+// recordUnresponsive has the next record list a worker as unresponsive.
+func (s *Scheduler) recordUnresponsive(w *worker) {
+	if !w.holdUnanswered {
+		w.holdUnanswered = true
+		s.workersDirty = true
+	}
+}
+
 // lateHoldAnswered reads the run ends in a late reply, so that their tasks do not start again when the leases of the
 // worker expire. What the worker runs now, and whether it responds, shows only the reply to a later call.
 func (s *Scheduler) lateHoldAnswered(w *worker, e *HoldAnswered) {
--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -152,6 +152,9 @@
 }
 
 func (sim *simulation) hold(f *fakeWorker, req platform.HoldRequest) platform.HoldReply {
+	if f.misdirected {
+		return platform.HoldReply{Restarted: true}
+	}
 	if req.Fence < f.fence {
 		return platform.HoldReply{Fenced: true}
 	}
--- a/cluster/pool/oddworker_test.go
+++ b/cluster/pool/oddworker_test.go
@@ -14,6 +14,7 @@
 		odd  func(f *fakeWorker)
 	}{
 		{"no answer", func(f *fakeWorker) { f.unreachable = true }},
+		{"address of another worker", func(f *fakeWorker) { f.misdirected = true }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -81,6 +81,8 @@
 	unreachable bool
 	// gone is true while the worker's process does not run, unlisted while the platform does not list it.
 	gone, unlisted bool
+	// misdirected is true if another worker answers at the address in the list.
+	misdirected bool
 	// tasksStalled is true while the tasks on the worker make no progress.
 	tasksStalled       bool
 	fence              cluster.Epoch
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -158,7 +158,8 @@
 	// written.
 	recordedUnresponsive bool
 	responsiveGeneration uint64
-	// holdUnanswered is true from a hold call without a reply until the next answered one.
+	// holdUnanswered is true from a hold call that the worker did not answer, also because another one has its address,
+	// until the next answered one.
 	holdUnanswered bool
 	// registeredGeneration is the generation of the first record that lists the worker; zero if none does yet.
 	registeredGeneration uint64
