--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -84,6 +84,8 @@
 	// repliesLost is true while the worker carries out requests and its replies are lost, repliesLate while they
 	// arrive late.
 	repliesLost, repliesLate bool
+	// misdirected is true if another worker answers at the address in the list.
+	misdirected bool
 	// tasksStalled is true while the tasks on the worker make no progress.
 	tasksStalled       bool
 	fence              cluster.Epoch
@@ -224,7 +226,7 @@
 		sim.lastListAt = sim.now
 		list := &WorkersListed{Advisors: sim.advisors}
 		for _, f := range sim.workers {
-			if !f.unreachable && !f.gone {
+			if !f.unreachable && !f.gone && !f.misdirected {
 				f.vm.EntryVersion++ // a heartbeat
 			}
 			if !f.unlisted {
