pool: log what a stopped gang waits for

A gang that was stopped and waited long could not be traced: the log had neither the member that caused the stop, nor when the last member had ended, nor whether the order of urgency, the limit kept for another step or reserved capacity held it back.

'stopping a gang' names the member, its worker and the number of members, and tells a stalled member from an unconfirmed start. A line and a histogram follow when the last member has ended. The line for waiting steps comes after 2 s, as the platform's rule allows 3 s, and has the urgency, the utilization of the pool, the step that the limit is kept for and the oldest run. No decision changes.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
@@ -202,7 +203,7 @@
 		s.taskFailed(st, id, e.Run, w)
 	default:
 		if st.spec.Gang && st.gangRun == e.Run {
-			s.abortGang(st, e.Outcome.String())
+			s.abortGang(st, e.Outcome.String(), id, w.vm.ID)
 		}
 	}
 }
@@ -265,7 +266,7 @@
 	if st.spec.Gang {
 		counted.Index = 0
 		if st.gangRun == number {
-			s.abortGang(st, "a member failed")
+			s.abortGang(st, "a member failed", id, w.vm.ID)
 		}
 	}
 	failures := st.job.progress.AddFailure(st.job.spec.TaskIndex(counted), uint64(number))
@@ -279,14 +280,29 @@
 	s.finishJob(st.job, workload.StateFailed)
 }
 
-// abortGang stops the members of a gang that can't continue together.
-func (s *Scheduler) abortGang(st *step, reason string) {
+// abortGang stops the members of a gang that can't continue together. The task and its worker are the cause.
+func (s *Scheduler) abortGang(st *step, reason string, cause workload.TaskID, id cluster.WorkerID) {
 	if st.gangRun == 0 {
 		return
 	}
-	s.cfg.Log.Info().Str("job", string(st.id.Job)).Int("step", st.id.Step).Uint64("run", uint64(st.gangRun)).Str("reason", reason).Msg("pool: stopping a gang")
-	st.gangRun = 0
+	s.cfg.Log.Info().Str("job", string(st.id.Job)).Int("step", st.id.Step).Uint64("run", uint64(st.gangRun)).Int("members", st.unfinishedTasks-st.pendingTasks).
+		Str("reason", reason).Stringer("task", cause).Str("worker", string(id)).Msg("pool: stopping a gang")
+	s.metrics.stoppedGangs.Inc(1)
+	st.gangRun, st.gangStoppedAt = 0, s.now
 	s.stopStep(st)
+	s.checkGangEnded(st, id)
+}
+
+// checkGangEnded logs that the last member of a stopped gang has ended, which allows the gang to start again.
+func (s *Scheduler) checkGangEnded(st *step, id cluster.WorkerID) {
+	if st.gangStoppedAt.IsZero() || st.pendingTasks < st.unfinishedTasks {
+		return
+	}
+	took := s.now.Sub(st.gangStoppedAt)
+	st.gangStoppedAt = time.Time{}
+	s.metrics.gangEnd.RecordDuration(took)
+	s.cfg.Log.Info().Str("job", string(st.id.Job)).Int("step", st.id.Step).Dur("took", took).Str("worker", string(id)).
+		Msg("pool: the last member of a stopped gang has ended")
 }
 
 // releaseRun frees the resources of a run; its task is pending again unless it is done.
@@ -309,6 +325,7 @@
 	t.run = nil
 	if !t.done {
 		r.step.pendingTasks++
+		s.checkGangEnded(r.step, w.vm.ID)
 	}
 }
 
@@ -320,7 +337,7 @@
 	s.metrics.lost.Inc(1)
 	s.releaseRun(r)
 	if st := r.step; st.spec.Gang && st.gangRun == r.number {
-		s.abortGang(st, reason)
+		s.abortGang(st, reason, r.id, r.worker.vm.ID)
 	}
 }
 
--- a/cluster/pool/metrics.go
+++ b/cluster/pool/metrics.go
@@ -14,6 +14,9 @@
 	refusals [platform.NumStartRefusals]tally.Counter
 	starts   tally.Counter
 	lost     tally.Counter
+	// stoppedGangs counts the attempts of gangs that were stopped, gangEnd is the time until their last member ended.
+	stoppedGangs tally.Counter
+	gangEnd      tally.Histogram
 	// preempted counts the runs stopped to free capacity for a gang.
 	preempted tally.Counter
 	wait      tally.Histogram
@@ -32,7 +35,8 @@
 	m := &metrics{
 		starts: scope.Counter("task_starts_total"), lost: scope.Counter("lost_runs_total"), preempted: scope.Counter("preempted_runs_total"),
 		wait: scope.Histogram("task_wait_seconds", waitBuckets), open: scope.Gauge("open_steps"),
-		waiting: scope.Gauge("waiting_steps"),
+		waiting: scope.Gauge("waiting_steps"), stoppedGangs: scope.Counter("stopped_gangs_total"),
+		gangEnd: scope.Histogram("stopped_gang_end_seconds", waitBuckets),
 	}
 	for i := range m.ends {
 		m.ends[i] = scope.Tagged(map[string]string{"outcome": platform.RunOutcome(i).String()}).Counter("run_ends_total")
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -108,6 +108,11 @@
 	overdue
 )
 
+var urgencyNames = [...]string{"on time", "late", "surplus", "overdue"}
+
+// String returns the urgency's name.
+func (u urgency) String() string { return urgencyNames[u] }
+
 const (
 	// overdueFactor is the multiple of the time between release and deadline after which a step is overdue.
 	overdueFactor = 3
@@ -146,14 +151,17 @@
 
 // hasSpareCapacity reports whether the utilization of the pool is so low that overdue steps do not delay
 // others.
-func (s *Scheduler) hasSpareCapacity() bool {
+func (s *Scheduler) hasSpareCapacity() bool { return s.utilization() < maxSpareUtilization }
+
+// utilization returns the used share of the usable workers' capacity, of the resource that is used most.
+func (s *Scheduler) utilization() float64 {
 	var used, capacity cluster.Resources
 	for _, w := range s.sortedWorkers {
 		if w.usable {
 			used, capacity = used.Add(w.used), capacity.Add(w.vm.Capacity)
 		}
 	}
-	return used.DominantShare(capacity) < maxSpareUtilization
+	return used.DominantShare(capacity)
 }
 
 // candidate is a worker that may run a step, with the ticket for it.
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -247,7 +247,11 @@
 // stopRunOrGang stops a run together with the gang that it belongs to, as the other members would only wait for it.
 func (s *Scheduler) stopRunOrGang(r *run) {
 	if r.step.spec.Gang && r.step.gangRun == r.number {
-		s.abortGang(r.step, "a member is stalled or unconfirmed")
+		reason := "a member is stalled"
+		if r.state == runUnconfirmed {
+			reason = "the start of a member is unconfirmed"
+		}
+		s.abortGang(r.step, reason, r.id, r.worker.vm.ID)
 		return
 	}
 	s.stopRun(r)
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -65,6 +65,8 @@
 	nextSearchAt time.Time
 	// gangRun is the run number that the members of a gang share; zero if the gang does not run.
 	gangRun platform.RunNumber
+	// gangStoppedAt is when the gang was stopped; zero if none of its members is being stopped.
+	gangStoppedAt time.Time
 	// preemptedAt is the last time at which tasks were stopped to free capacity for the step; preemptedWorkers are
 	// the workers on which they ran.
 	preemptedAt      time.Time
--- a/cluster/pool/waiting.go
+++ b/cluster/pool/waiting.go
@@ -1,12 +1,15 @@
 package pool
 
 import (
+	"slices"
 	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
 
 // waitReportInterval is how long nothing of a due step may run while the pool has spare capacity before the step is
 // logged, and the time between two such lines of a step.
-const waitReportInterval = 5 * time.Second
+const waitReportInterval = 2 * time.Second
 
 // reportWaiting logs the due steps of which nothing has run for waitReportInterval although the pool has spare
 // capacity.
@@ -41,10 +44,19 @@
 }
 
 func (s *Scheduler) logWaiting(st *step) {
-	valid, fitting, fittingNow := 0, 0, 0
+	valid, fitting, fittingNow, fittingUnreserved := 0, 0, 0, 0
 	for _, p := range st.permits {
+		if !p.worker.inPlatformList {
+			continue
+		}
+		reserved := p.worker.reserved
+		p.worker.reserved = cluster.Resources{}
+		if c, ok := s.candidate(st, p.worker); ok {
+			fittingUnreserved += c.taskCapacity
+		}
+		p.worker.reserved = reserved
 		c, ok := s.candidate(st, p.worker)
-		if !ok || !p.worker.inPlatformList {
+		if !ok {
 			continue
 		}
 		fitting += c.taskCapacity
@@ -55,22 +67,45 @@
 	}
 	u := s.team(st.job.spec.Team)
 	line := s.cfg.Log.Warn().Str("job", string(st.id.Job)).Int("occurrence", st.id.Occurrence).Int("step", st.id.Step).Bool("gang", st.spec.Gang).
-		Str("reason", s.waitReason(st, fittingNow)).Dur("idle", s.now.Sub(st.idleSince)).Int("pending", st.pendingTasks).Int("unfinished", st.unfinishedTasks).
+		Str("reason", s.waitReason(st, fittingNow, fittingUnreserved)).Dur("idle", s.now.Sub(st.idleSince)).Stringer("urgency", s.urgency(st)).
+		Float64("utilization", s.utilization()).Int("reservations", s.reservations).Int("pending", st.pendingTasks).Int("unfinished", st.unfinishedTasks).
 		Uint64("run", uint64(st.gangRun)).Stringer("size", st.spec.Size).Str("team", string(st.job.spec.Team)).Stringer("teamUse", u.running)
 	if team := s.snapshot.Teams[st.job.spec.Team]; team != nil {
 		line = line.Stringer("teamLimit", team.Limit)
 	}
-	line.Int("permits", len(st.permits)).Int("validPermits", valid).Int("fitting", fitting).Int("fittingNow", fittingNow).Int("advisedWorkers", len(st.advisedWorkers)).
+	if u.reservedFor != nil {
+		line = line.Str("limitReservedFor", string(u.reservedFor.id.Job)).Stringer("reservedLimit", u.reserved)
+	}
+	if r := st.oldestRun(); r != nil {
+		line = line.Str("worker", string(r.worker.vm.ID)).Stringer("state", r.state).Bool("inSync", r.worker.inSync).
+			Dur("runAge", s.now.Sub(r.startSentAt)).Dur("leaseLeft", r.worker.leaseExpiry.Sub(s.now))
+	}
+	line.Int("permits", len(st.permits)).Int("validPermits", valid).Int("fitting", fitting).Int("fittingNow", fittingNow).
+		Int("fittingUnreserved", fittingUnreserved).Int("advisedWorkers", len(st.advisedWorkers)).
 		Msg("pool: step waits although the pool has spare capacity")
 }
 
-// waitReason returns what keeps an idle step from starting. fitting is the number of its tasks that fit on the
-// workers for which it has valid permits.
-func (s *Scheduler) waitReason(st *step, fitting int) string {
+// oldestRun returns the run of a step that was started first, or nil if it has none.
+func (st *step) oldestRun() *run {
+	var oldest *run
+	for i := range st.tasks {
+		if r := st.tasks[i].run; r != nil && (oldest == nil || r.startSentAt.Before(oldest.startSentAt)) {
+			oldest = r
+		}
+	}
+	return oldest
+}
+
+// waitReason returns what keeps an idle step from starting. fitting is the number of its tasks that fit on the workers
+// for which it has valid permits, fittingUnreserved the number that would fit on all its permitted workers if no gang
+// had reserved capacity there.
+func (s *Scheduler) waitReason(st *step, fitting, fittingUnreserved int) string {
 	needed := 1
 	if st.spec.Gang {
 		needed = st.unfinishedTasks
 	}
+	needsAdvice := s.terms(st.job).Advice != nil
+	u := s.team(st.job.spec.Team)
 	switch {
 	case st.job.possiblyRunning && !s.takeoverComplete:
 		return "the previous owner may have started it"
@@ -78,12 +113,23 @@
 		return "its queue has another service"
 	case st.spec.Gang && (st.gangRun != 0 || st.pendingTasks < st.unfinishedTasks):
 		return "runs of an earlier attempt have not ended"
+	case st.isDelayed(s.now):
+		return "a start was refused"
+	case !s.withinLimit(st, needed) && u.reservedFor != nil && u.reservedFor != st:
+		return "the limit of its team is reserved for another step"
 	case !s.withinLimit(st, needed):
 		return "the limit of its team is reached"
-	case s.terms(st.job).Advice != nil && st.adviceInFlight:
+	case needsAdvice && st.adviceInFlight:
 		return "advice was requested"
-	case s.terms(st.job).Advice != nil && fitting < needed:
+	case needsAdvice && fitting < needed && fittingUnreserved >= needed:
+		return "its valid permits do not suffice, as permits have expired or capacity is reserved for other gangs"
+	case needsAdvice && fitting < needed:
 		return "its valid permits do not suffice"
 	}
 	return "no capacity"
 }
+
+// isDelayed reports whether a task of a step may not be started again yet.
+func (st *step) isDelayed(now time.Time) bool {
+	return slices.ContainsFunc(st.tasks, func(t task) bool { return !t.done && now.Before(t.notBefore) })
+}
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -179,7 +179,8 @@
 	if !st.spec.Gang || st.gangRun == 0 || st.pendingTasks == 0 {
 		return
 	}
-	s.abortGang(st, "members are missing after the takeover")
+	missing := slices.IndexFunc(st.tasks, func(t task) bool { return !t.done && t.run == nil })
+	s.abortGang(st, "members are missing after the takeover", st.taskID(missing), "")
 }
 
 // isUsable reports whether a worker may be given new tasks.
