pool: repeat an unanswered start before its gang is stopped

Cause: one start without a reply within 0.9 s stopped the whole gang, since the time for its verification had passed by then; nothing asked again. The worker that did not answer was chosen again, and a member whose stop was not answered held up the gang for as long as holds renewed the lease of its worker. Change: an unanswered start is repeated once, which has no effect on a run that is there; a hold call follows at once, and the verification starts after the second one. A run that is being stopped is over if it is absent after its start request has expired on the worker's clock.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -365,7 +365,7 @@
 		}
 	}
 	for _, r := range sortedRuns(w) {
-		if reportedRuns[r.id] != r.number && r.absenceMeansEnded(e.SentAt) {
+		if reportedRuns[r.id] != r.number && (r.absenceMeansEnded(e.SentAt) || r.startIsTooLate(e.Reply)) {
 			s.markLost(r, "absent from the hold reply")
 		}
 	}
@@ -383,6 +383,12 @@
 	return false
 }
 
+// startIsTooLate reports whether a worker can no longer execute the start request of a run that is being stopped: it
+// refuses one whose lease is over on its clock.
+func (r *run) startIsTooLate(reply platform.HoldReply) bool {
+	return r.state == runStopping && r.start != nil && r.start.Request.Until > 0 && reply.Incarnation == r.start.Worker.Incarnation && reply.Clock > r.start.Request.Until
+}
+
 // unexpectedRun adopts a run of a previous owner, or stops a run that should not exist.
 func (s *Scheduler) unexpectedRun(w *worker, id workload.TaskID, tr platform.TaskRun) {
 	st := s.stepOf(id)
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -23,10 +23,11 @@
 	st.limitWaitSince = time.Time{}
 	s.metrics.starts.Inc(1)
 	s.metrics.wait.RecordDuration(s.now.Sub(st.job.arrivedAt))
-	s.emit(&SendStart{Worker: w.vm, Task: r.id, Request: platform.StartRequest{
+	r.start = &SendStart{Worker: w.vm, Task: r.id, Request: platform.StartRequest{
 		Task: r.id.String(), Run: number, Fence: s.fence(w), Spec: st.job.spec.Spec, Until: s.grantLease(w),
 		Checkpoint: st.tasks[index].checkpoint, Ticket: ticket,
-	}})
+	}}
+	s.emit(r.start)
 	s.cfg.Log.Info().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(number)).Str("worker", string(w.vm.ID)).
 		Dur("waited", s.now.Sub(st.job.arrivedAt)).Stringer("free", w.free()).Msg("pool: task placed")
 }
@@ -63,6 +64,11 @@
 		Stringer("reason", e.Reply.Refusal).Msg("pool: start refused")
 	s.metrics.refusals[e.Reply.Refusal].Inc(1)
 	st := r.step
+	if e.Reply.Refusal == platform.RefusedStaleRun && r.startRepeated {
+		// The first request was executed and the run may have ended; a hold reply tells how.
+		s.markUnconfirmed(r)
+		return
+	}
 	switch e.Reply.Refusal {
 	case platform.RefusedFence:
 		if !s.fenceOutdated(e.Worker, e.Fence) {
@@ -86,20 +92,39 @@
 // unhealthyQuarantineTime is how long a worker that refused a start as unhealthy gets no new tasks.
 const unhealthyQuarantineTime = 500 * time.Millisecond
 
-// startUnanswered keeps a run whose start request got no reply, as the worker may still carry it out, and calls
-// hold to find out. checkRuns stops the run, or its whole gang, if it remains unconfirmed.
+// startUnanswered keeps a run whose start request got no reply, as the worker may still carry it out. It repeats the
+// request once, which has no effect on a run that is there. After that checkRuns stops the run, or its whole gang,
+// unless a hold reply includes it.
 func (s *Scheduler) startUnanswered(r *run) {
 	if r.state != runStarting {
 		return
 	}
-	r.state = runUnconfirmed
-	r.worker.inSync = false
-	r.worker.nextHoldAt = s.now
-	if r.worker.holdInFlight {
-		s.sendHold(r.worker, true)
-	}
+	w := r.worker
 	s.cfg.Log.Warn().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(r.number)).
-		Str("worker", string(r.worker.vm.ID)).Msg("pool: no reply to a start request")
+		Str("worker", string(w.vm.ID)).Bool("repeated", r.startRepeated).Msg("pool: no reply to a start request")
+	w.inSync = false
+	if !r.startRepeated && r.start.Request.Fence == s.fence(w) {
+		r.startRepeated = true
+		s.emit(r.start)
+		s.requestSync(w)
+		return
+	}
+	s.quarantine(w, quarantineTime)
+	s.markUnconfirmed(r)
+}
+
+// markUnconfirmed marks a run as one that may or may not have started, and calls hold to find out.
+func (s *Scheduler) markUnconfirmed(r *run) {
+	r.state, r.unconfirmedAt = runUnconfirmed, s.now
+	s.requestSync(r.worker)
+}
+
+// requestSync calls hold on a worker as soon as possible.
+func (s *Scheduler) requestSync(w *worker) {
+	w.nextHoldAt = s.now
+	if w.holdInFlight {
+		s.sendHold(w, true)
+	}
 }
 
 // stopRun asks a worker to stop a run. The run's resources remain in use until the run is known to have
@@ -199,7 +224,7 @@
 // dueAction returns the action that is due for a run now.
 func (s *Scheduler) dueAction(r *run) runAction {
 	switch {
-	case r.state == runUnconfirmed && s.now.Sub(r.startSentAt) >= startVerifyDelay:
+	case r.state == runUnconfirmed && s.now.Sub(r.unconfirmedAt) >= startVerifyDelay:
 		return actionStopUnconfirmed
 	case s.stalled(r):
 		return actionStopStalled
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -17,6 +17,7 @@
 const (
 	simTick        = 5 * time.Millisecond
 	simLatency     = 10 * time.Millisecond
+	requestTimeout = 900 * time.Millisecond
 	testQueue      = cluster.QueueName("q")
 	testBatchQueue = cluster.QueueName("batch")
 	testService    = cluster.ServiceName("pool")
@@ -86,6 +87,10 @@
 	repliesLost, repliesLate bool
 	// misdirected is true if another worker answers at the address in the list.
 	misdirected bool
+	// ignoresStarts is true while the worker does not answer start requests and does not carry them out.
+	ignoresStarts bool
+	// ignoresStops is true while the worker does not answer stop requests and does not carry them out.
+	ignoresStops bool
 	// tasksStalled is true while the tasks on the worker make no progress.
 	tasksStalled       bool
 	fence              cluster.Epoch
@@ -259,7 +264,6 @@
 // sendRequest carries out a request at a worker. A random part of the requests is carried out late or gets no
 // reply.
 func (sim *simulation) sendRequest(owner *Scheduler, f *fakeWorker, request func(), result func(lost bool) Event) {
-	const timeout = 900 * time.Millisecond
 	executeRequest := func() bool {
 		// A restarted worker keeps its identifier, so requests reach the new incarnation.
 		if f.unreachable || f.gone {
@@ -270,7 +274,7 @@
 	}
 	switch x := sim.rnd.Float64(); {
 	case f.repliesLost:
-		sim.deliver(owner, timeout, result(true))
+		sim.deliver(owner, requestTimeout, result(true))
 		sim.scheduleAfter(simLatency, func() { executeRequest() })
 	case x < sim.delayRate:
 		delay := 2*time.Second + time.Duration(sim.rnd.Int64N(int64(10*time.Second)))
@@ -283,22 +287,22 @@
 				}
 			})
 		})
-		sim.deliver(owner, timeout, result(true))
+		sim.deliver(owner, requestTimeout, result(true))
 	case f.repliesLate, x < sim.delayRate+sim.replyLossRate:
-		sim.deliver(owner, timeout, result(true))
+		sim.deliver(owner, requestTimeout, result(true))
 		sim.scheduleAfter(simLatency, func() {
 			if !executeRequest() {
 				return
 			}
 			if late, ok := result(false).(*HoldAnswered); ok {
 				late.Late = true
-				sim.deliver(owner, timeout+time.Duration(sim.rnd.Int64N(int64(3*time.Second))), late)
+				sim.deliver(owner, requestTimeout+time.Duration(sim.rnd.Int64N(int64(3*time.Second))), late)
 			}
 		})
 	default:
 		sim.scheduleAfter(simLatency, func() {
 			if !executeRequest() {
-				sim.deliver(owner, timeout, result(true))
+				sim.deliver(owner, requestTimeout, result(true))
 				return
 			}
 			sim.deliver(owner, simLatency, result(false))
@@ -320,15 +324,25 @@
 	case *SendStart:
 		var reply platform.StartReply
 		f := sim.findWorker(v.Worker.ID)
-		sim.sendRequest(owner, f, func() { reply = sim.startTask(f, v) }, func(lost bool) Event {
+		result := func(lost bool) Event {
 			return &StartAnswered{Fence: v.Request.Fence, Task: v.Task, Run: v.Request.Run, Worker: v.Worker.ID, ReplyLost: lost, Reply: reply}
-		})
+		}
+		if f.ignoresStarts {
+			sim.deliver(owner, requestTimeout, result(true))
+			return
+		}
+		sim.sendRequest(owner, f, func() { reply = sim.startTask(f, v) }, result)
 	case *SendStop:
 		var reply platform.StopReply
 		f := sim.findWorker(v.Worker.ID)
-		sim.sendRequest(owner, f, func() { reply = sim.stopTask(f, v.Request) }, func(lost bool) Event {
+		result := func(lost bool) Event {
 			return &StopAnswered{Fence: v.Request.Fence, Task: v.Task, Run: v.Request.Run, Worker: v.Worker.ID, ReplyLost: lost, Reply: reply}
-		})
+		}
+		if f.ignoresStops {
+			sim.deliver(owner, requestTimeout, result(true))
+			return
+		}
+		sim.sendRequest(owner, f, func() { reply = sim.stopTask(f, v.Request) }, result)
 	case *SendHold:
 		var reply platform.HoldReply
 		f := sim.findWorker(v.Worker.ID)
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -132,6 +132,12 @@
 	size        cluster.Resources
 	state       runState
 	startSentAt time.Time
+	// start is the request that starts the run; nil for a run of a previous owner. startRepeated means that it was sent
+	// again because it got no reply.
+	start         *SendStart
+	startRepeated bool
+	// unconfirmedAt is when the run became unconfirmed.
+	unconfirmedAt time.Time
 	// confirmedAt is when the scheduler learned that the run had started.
 	confirmedAt time.Time
 	// reportedByWorker means that a hold reply of the worker's current incarnation included the run.
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		if r.state == runActive {
-			r.state, r.startSentAt = runUnconfirmed, s.now
+			r.state, r.unconfirmedAt = runUnconfirmed, s.now
 		}
 		r.confirmedAt, r.stopAnsweredAt = time.Time{}, time.Time{}
 	}
