pool: keep a limit only shortly for a gang that waits for workers

Cause: a gang that the limit had once held back kept its part of the limit for 10 s at a time, also while it waited for workers and nobody could use that part. Change: while it waits for workers it keeps the limit for 2 s at a time. Result: TestLimitIsNotKeptForGangWithoutWorkers failed on (no start within 3 s) and passes, and so do the tests of wide gangs behind a limit.

--- a/cluster/pool/limit_test.go
+++ b/cluster/pool/limit_test.go
@@ -75,6 +75,26 @@
 	is.Equal(sim.violations, nil)
 }
 
+// Guards against a gang that waits while its team uses nothing of its limit, because the limit is kept for an earlier
+// gang that waits for workers and not for the limit.
+func TestLimitIsNotKeptForGangWithoutWorkers(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 8)
+	sim.failureRate = 0
+	sim.runFor(200 * time.Millisecond)
+	submitBatch(sim, "0000000000000001", workload.Step{Tasks: 4, Size: limitTestSize, Estimate: time.Second, Label: "r1"})
+	// The limit is used when the gang arrives. Then it waits for the workers with its label, which are draining.
+	submitBatch(sim, "0000000000000002", workload.Step{Tasks: 4, Size: limitTestSize, Estimate: time.Second, Gang: true, Label: "r0"})
+	for _, f := range sim.workers[:4] {
+		f.vm.Draining = true
+	}
+	sim.runFor(2 * time.Second)
+	is.Equal(sim.runningTasks(), 0)
+	submitBatch(sim, "0000000000000003", workload.Step{Tasks: 3, Size: limitTestSize, Estimate: time.Second, Gang: true})
+	is.True(sim.startedWithin("0000000000000003", 3*time.Second)) // half of the pool and the whole limit are free
+	is.Equal(sim.violations, nil)
+}
+
 // Guards against a job that waits for the limit although it uses nothing of the limited resource.
 func TestReservedLimitHoldsBackOnlyWhatUsesIt(t *testing.T) {
 	is := is.New(t)
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -256,7 +256,7 @@
 			continue
 		}
 		if !s.fitsLimit(st, 1) {
-			s.reserveLimit(st, 1)
+			s.reserveLimit(st, 1, limitReservationTime)
 			return
 		}
 		best := s.bestFit(st, found)
@@ -322,7 +322,7 @@
 		}
 	}
 	if !s.fitsLimit(st, need) {
-		s.reserveLimit(st, need)
+		s.reserveLimit(st, need, limitReservationTime)
 		return
 	}
 	fitting := 0
@@ -331,7 +331,7 @@
 	}
 	if fitting < need {
 		if !st.limitWaitSince.IsZero() {
-			s.reserveLimit(st, need)
+			s.reserveLimit(st, need, limitCapacityWait)
 		}
 		s.requestMissingAdvice(st, need)
 		s.preempt(st, need)
--- a/cluster/pool/share.go
+++ b/cluster/pool/share.go
@@ -70,10 +70,15 @@
 // after that it keeps nothing, so that a step that can't start does not hold its team back for good.
 const limitReservationTime = 10 * time.Second
 
+// limitCapacityWait replaces limitReservationTime for a gang that fits its team's limit and waits for workers: what it
+// keeps is used by nobody. The platform expects work that fits to start within 3 s.
+const limitCapacityWait = 2 * time.Second
+
 // reserveLimit keeps the part of the team's limit that n more tasks of a step need from the steps that come later in
 // this pass. Otherwise these would take what becomes free, and a step that needs more at once would never start. Only
-// the first step of each team that waits for the limit keeps a part of it.
-func (s *Scheduler) reserveLimit(st *step, n int) {
+// the first step of each team that waits for the limit keeps a part of it, for the given time and then nothing for as
+// long.
+func (s *Scheduler) reserveLimit(st *step, n int, reservationTime time.Duration) {
 	team := s.snapshot.Teams[st.job.spec.Team]
 	if team == nil {
 		return
@@ -85,7 +90,7 @@
 	if u.reservedFor != nil || limitShare(size.Add(u.lasting), team.Limit) > WholeLimit {
 		return
 	}
-	if s.now.Sub(st.limitWaitSince)%(2*limitReservationTime) >= limitReservationTime {
+	if s.now.Sub(st.limitWaitSince)%(2*reservationTime) >= reservationTime {
 		return
 	}
 	u.reservedFor, u.reserved = st, size
