--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -32,10 +32,10 @@
 	for _, u := range s.teams {
 		u.reservedFor, u.reserved = nil, cluster.Resources{}
 	}
-	runOverdue := s.hasSpareCapacity()
+	pool := s.poolUse()
 	for _, st := range ready {
-		if st.urgency == overdue && !runOverdue {
-			break
+		if st.urgency == overdue && !pool.hasSpareCapacity(st) {
+			continue
 		}
 		if st.spec.Gang {
 			s.placeGang(st)
@@ -43,7 +43,7 @@
 			s.placeTasks(st)
 		}
 	}
-	s.reportWaiting(runOverdue)
+	s.reportWaiting()
 }
 
 // estimateUnconfirmed estimates what each team may be using on the inherited workers that have not replied: the
@@ -149,21 +149,37 @@
 
 func (s *Scheduler) rank(st *step) int { return s.terms(st.job).Rank }
 
-// hasSpareCapacity reports whether the utilization of the pool is so low that overdue steps do not delay
-// others.
-func (s *Scheduler) hasSpareCapacity() bool { return s.utilization() < maxSpareUtilization }
+// poolUse is the capacity of the usable workers and the part of it that is used.
+type poolUse struct{ used, capacity cluster.Resources }
 
-// utilization returns the used share of the usable workers' capacity, of the resource that is used most.
-func (s *Scheduler) utilization() float64 {
-	var used, capacity cluster.Resources
+func (s *Scheduler) poolUse() poolUse {
+	var u poolUse
 	for _, w := range s.sortedWorkers {
 		if w.usable {
-			used, capacity = used.Add(w.used), capacity.Add(w.vm.Capacity)
+			u.used, u.capacity = u.used.Add(w.used), u.capacity.Add(w.vm.Capacity)
 		}
 	}
-	return used.DominantShare(capacity)
+	return u
+}
+
+// utilization returns the used share of the capacity, of the resource that a step needs and that is used most.
+func (u poolUse) utilization(st *step) float64 {
+	used, size := u.used, accountedSize(st.spec)
+	if size.CPU == 0 {
+		used.CPU = 0
+	}
+	if size.Memory == 0 {
+		used.Memory = 0
+	}
+	if size.Accelerators == 0 {
+		used.Accelerators = 0
+	}
+	return used.DominantShare(u.capacity)
 }
 
+// hasSpareCapacity reports whether the utilization of the pool is so low that an overdue step does not delay others.
+func (u poolUse) hasSpareCapacity(st *step) bool { return u.utilization(st) < maxSpareUtilization }
+
 // candidate is a worker that may run a step, with the ticket for it.
 type candidate struct {
 	worker       *worker
--- a/cluster/pool/waiting.go
+++ b/cluster/pool/waiting.go
@@ -13,10 +13,10 @@
 
 // reportWaiting logs the due steps of which nothing has run for waitReportInterval although the pool has spare
 // capacity.
-func (s *Scheduler) reportWaiting(spareCapacity bool) {
-	waiting := 0
+func (s *Scheduler) reportWaiting() {
+	waiting, pool := 0, s.poolUse()
 	for _, st := range s.openSteps {
-		if !spareCapacity || !st.isIdle() || !s.isDue(st) {
+		if !st.isIdle() || !s.isDue(st) || !pool.hasSpareCapacity(st) {
 			st.idleSince, st.waitReportedAt = time.Time{}, time.Time{}
 			continue
 		}
@@ -29,7 +29,7 @@
 		waiting++
 		if s.now.Sub(st.waitReportedAt) >= waitReportInterval {
 			st.waitReportedAt = s.now
-			s.logWaiting(st)
+			s.logWaiting(st, pool.utilization(st))
 		}
 	}
 	s.metrics.waiting.Update(float64(waiting))
@@ -43,7 +43,7 @@
 	return st.pendingTasks > 0 && st.pendingTasks == st.unfinishedTasks
 }
 
-func (s *Scheduler) logWaiting(st *step) {
+func (s *Scheduler) logWaiting(st *step, utilization float64) {
 	valid, fitting, fittingNow, fittingUnreserved := 0, 0, 0, 0
 	for _, p := range st.permits {
 		if !p.worker.inPlatformList {
@@ -68,7 +68,7 @@
 	u := s.team(st.job.spec.Team)
 	line := s.cfg.Log.Warn().Str("job", string(st.id.Job)).Int("occurrence", st.id.Occurrence).Int("step", st.id.Step).Bool("gang", st.spec.Gang).
 		Str("reason", s.waitReason(st, fittingNow, fittingUnreserved)).Dur("idle", s.now.Sub(st.idleSince)).Stringer("urgency", s.urgency(st)).
-		Float64("utilization", s.utilization()).Int("reservations", s.reservations).Int("pending", st.pendingTasks).Int("unfinished", st.unfinishedTasks).
+		Float64("utilization", utilization).Int("reservations", s.reservations).Int("pending", st.pendingTasks).Int("unfinished", st.unfinishedTasks).
 		Uint64("run", uint64(st.gangRun)).Stringer("size", st.spec.Size).Str("team", string(st.job.spec.Team)).Stringer("teamUse", u.running)
 	if team := s.snapshot.Teams[st.job.spec.Team]; team != nil {
 		line = line.Stringer("teamLimit", team.Limit)
