pool: bound reservations of gangs whose workers are too few

Cause: a gang that is on time reserved its permitted workers for as long as it waited, also if they were too few for it when idle. Change: it reserves such workers for 2 s and then only asks about others.

--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
@@ -385,15 +386,36 @@
 	return list
 }
 
+// idleCapacity returns how many tasks of a size the permitted workers of a step can run when they are idle.
+func (s *Scheduler) idleCapacity(st *step, size cluster.Resources) int {
+	tasks := 0
+	for _, w := range s.permittedWorkers(st) {
+		if w.usable {
+			tasks += taskCapacity(w.vm.Capacity, size)
+		}
+	}
+	return tasks
+}
+
+// partialReservationTime is for how long a gang may reserve workers that are too few for it even when they are idle.
+// Others would wait for as long as it gets no permits for more.
+const partialReservationTime = 2 * time.Second
+
 // reserve keeps free capacity from the steps that come later in this pass, on as few workers as the gang needs.
 // It returns false if the gang may not reserve capacity.
 func (s *Scheduler) reserve(st *step) bool {
 	if st.urgency != onTime || s.reservations >= max(minReservations, len(s.sortedWorkers)/workersPerReservation) {
 		return false
 	}
+	size, need := accountedSize(st.spec), st.unfinishedTasks
+	if s.idleCapacity(st, size) >= need {
+		st.partialReservationSince = time.Time{}
+	} else if st.partialReservationSince.IsZero() {
+		st.partialReservationSince = s.now
+	} else if s.now.Sub(st.partialReservationSince) >= partialReservationTime {
+		return true // it still asks about more workers
+	}
 	s.reservations++
-	size := accountedSize(st.spec)
-	need := st.unfinishedTasks
 	for _, w := range s.reservableWorkers(st) {
 		if need <= 0 {
 			break
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -63,6 +63,8 @@
 	nextAdviceAt        time.Time
 	// nextSearchAt is the earliest time of the next search for further workers.
 	nextSearchAt time.Time
+	// partialReservationSince is since when the workers that a gang can reserve are too few for it; zero if they are not.
+	partialReservationSince time.Time
 	// gangRun is the run number that the members of a gang share; zero if the gang does not run.
 	gangRun platform.RunNumber
 	// gangStoppedAt is when the gang was stopped; zero if none of its members is being stopped.
