pool: start a job whose queue has moved to another service

Cause: the owner of the pool that accepted the job did not start it, as its queue names another service, and the owner of that service does not know it. Change: it stays in the pool that accepted it, where its progress is recorded. If no queue names the service any more, its shard gets no new owner, as before.

--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -72,12 +72,13 @@
 	}
 }
 
-// startable reports whether the tasks of a step may be started now.
+// startable reports whether the tasks of a step may be started now. A job whose queue has moved to another service stays
+// here, as its progress is recorded here.
 func (s *Scheduler) startable(st *step) bool {
 	if st.job.possiblyRunning && !s.takeoverComplete {
 		return false
 	}
-	return s.terms(st.job).Service == s.cfg.Service && s.isDue(st)
+	return s.isDue(st)
 }
 
 // isDue reports whether the scheduled start of a step has passed and the steps that it depends on are done.
--- a/cluster/pool/waiting.go
+++ b/cluster/pool/waiting.go
@@ -109,8 +109,6 @@
 	switch {
 	case st.job.possiblyRunning && !s.takeoverComplete:
 		return "the previous owner may have started it"
-	case s.terms(st.job).Service != s.cfg.Service:
-		return "its queue has another service"
 	case st.spec.Gang && (st.gangRun != 0 || st.pendingTasks < st.unfinishedTasks):
 		return "runs of an earlier attempt have not ended"
 	case st.isDelayed(s.now):
