cell: wait before a configuration that can't be read is requested again

Cause: only a request that failed was followed by a delay. A daemon that can't read the row of a newer configuration, as beside a later version of the program, had the request succeed and its version unchanged, and asked again at the next check. Callers would see: the row transferred, decoded and logged as an error ten times a second by each such daemon, on the links that carry holds and starts. Change: a request that leaves the version as it was is followed by configRetryDelay as well.

--- a/cluster/cell/configfetch.go
+++ b/cluster/cell/configfetch.go
@@ -200,9 +200,7 @@
 		data, err = parts.reply.decode(base.data)
 	}
 	if err != nil {
-		d.mu.Lock()
-		d.configRetryAt[from] = time.Now().Add(configRetryDelay)
-		d.mu.Unlock()
+		d.delayConfigRequests(from)
 		d.cfg.Metrics.Counter("config_request_failures").Inc(1)
 		d.cfg.Log.Info().Err(err).Str("peer", string(from)).Dur("took", time.Since(requestedAt)).Msg("cell: configuration could not be fetched")
 		return
@@ -213,9 +211,21 @@
 	if data != nil {
 		d.applyConfig(data, string(from))
 	}
-	if version := d.Snapshot().Version; version > 0 && uint64(version) == reply.Version {
+	version := d.Snapshot().Version
+	if version > 0 && uint64(version) == reply.Version {
 		d.advanceConfigAsOf(cluster.Version(reply.AsOf))
 	}
+	if version == base.snapshot.Version {
+		// The other daemon has no newer row, or one that can't be read here.
+		d.delayConfigRequests(from)
+	}
+}
+
+// delayConfigRequests makes the next request to another daemon wait for configRetryDelay.
+func (d *Daemon) delayConfigRequests(to cluster.DaemonID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.configRetryAt[to] = time.Now().Add(configRetryDelay)
 }
 
 // decode returns the row of the configuration; nil if it is the one of the request.
--- a/cluster/cell/configwatch_test.go
+++ b/cluster/cell/configwatch_test.go
@@ -74,6 +74,8 @@
 	requests []atomic.Int64
 	// answer makes the peers answer the requests with newConfig.
 	answer atomic.Bool
+	// unreadable makes the answers unreadable for the daemon.
+	unreadable atomic.Bool
 }
 
 // totalRequests returns the number of requests to all peers.
@@ -106,7 +108,11 @@
 				}
 				c.requests[i].Add(1)
 				if c.answer.Load() {
-					body := must(encode("test", &configReply{Data: configPut(newConfig).Value}))
+					data := configPut(newConfig).Value
+					if c.unreadable.Load() {
+						data = []byte("not a version")
+					}
+					body := must(encode("test", &configReply{Data: data}))
 					remote.Load().Send(from, &peer.Reply{ID: call.ID, Body: body})
 				}
 			},
@@ -153,6 +159,20 @@
 	is.Equal(c.totalRequests(), int64(1))
 }
 
+// Guards against a daemon that requests a configuration that it can't read, such as that of a later version of the
+// program, again without a delay.
+func TestUnreadableConfigIsRequestedAfterDelay(t *testing.T) {
+	is := is.New(t)
+	c := newConfigCell(t, "home")
+	c.answer.Store(true)
+	c.unreadable.Store(true)
+	c.store.unavailable.Store(true)
+	c.announced.Store(uint64(newConfig))
+	waitUntil(t, func() bool { return c.totalRequests() > 0 })
+	time.Sleep(2 * time.Second)
+	is.True(c.totalRequests() <= int64(1+2*time.Second/configRetryDelay))
+}
+
 // Guards against a configuration that is transferred between daemons although each reads it from the store.
 func TestConfigInReachableStoreIsNotRequested(t *testing.T) {
 	is := is.New(t)
