cell: let small relayed reads pass a load through the same daemon

Cause: the replies to all relayed reads became bulk messages, the small ones too: owner rows, changes of the cell, cancellations. They stood behind the parts of a shard in one queue, more than the 3.2 s after which the caller gives up. Callers would see: a daemon without the store that loads a shard through another one does not learn that the shard has a new owner and reads on, and cancellations are not read (bern-a-6 in learnt it after 13 s). Change: a reply is a bulk message if it has several parts or a large one.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -158,7 +158,7 @@
 		return
 	}
 	send := d.transport.Send
-	if c.Method == methodConfig || c.Method == methodRead {
+	if isLargeTransfer(c.Method, replies) {
 		send = d.transport.SendBulk
 	}
 	for _, reply := range replies {
@@ -169,6 +169,12 @@
 	}
 }
 
+// isLargeTransfer reports whether other messages should pass the replies to a call. Small replies, such as those of
+// relayed feeds and reads of an owner row, don't wait behind a shard that is loaded through this daemon.
+func isLargeTransfer(method string, replies []*peer.Reply) bool {
+	return (method == methodConfig || method == methodRead) && (len(replies) > 1 || len(replies[0].Body) > minPartBytes)
+}
+
 // maxFailureText bounds the error text in a reply; it is below the longest string of a frame.
 const maxFailureText = 500
 
