cell: notice sooner that the reader of the configuration gets no replies

Cause: a daemon that gets no replies from the store, although its connections stay open, notices it by its feeds only: after a wait of 1.5 s, 0.6 s until a probe and 0.8 s for the probe. Until then, and until its next ping, it stays the reader of its zone. Before there was one reader for each zone, each daemon had its own feed. Callers would see: a configuration in force after 3.05 s to 3.5 s (3.9 s with more than 28 daemons, where pings are 0.9 s apart) on daemons that can reach the store, if the readers of all zones are cut off or there is one zone. Change: the feed of the configuration waits for 0.7 s, so that a silent store is noticed after 2.1 s. Only the readers pay for the additional calls.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -43,8 +43,9 @@
 	largeCellReadDelay = 300 * time.Millisecond
 	// configFeedWait and jobFeedWait are the longest waits for a change in the other feeds. A read may not
 	// report a change before its wait ends, and a configuration must be in force and a cancellation carried out
-	// within 3 s.
-	configFeedWait = 1500 * time.Millisecond
+	// within 3 s. The daemon that reads the configuration for its zone must also be replaced within that time if it
+	// gets no replies, which it notices after configFeedWait, probeDelay and probeTimeout.
+	configFeedWait = 700 * time.Millisecond
 	jobFeedWait    = time.Second
 	// configCheckInterval is the time between two checks whether another daemon has a newer configuration.
 	configCheckInterval = 100 * time.Millisecond
--- /dev/null
+++ b/cluster/cell/configreader_test.go
@@ -0,0 +1,105 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// silentStore is a feedStore that may stop replying, and that records when the waits of its feeds started.
+type silentStore struct {
+	*feedStore
+	silent atomic.Bool
+
+	mu      sync.Mutex
+	waitsAt map[string]time.Time
+}
+
+func (s *silentStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	if req.Wait > 0 {
+		s.mu.Lock()
+		s.waitsAt[req.Prefixes[0]] = time.Now()
+		s.mu.Unlock()
+	}
+	reply, err := s.feedStore.Read(ctx, req)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return platform.ReadReply{}, &platform.Error{Op: "test", Kind: platform.KindUnknown, Err: ctx.Err()}
+	}
+	return reply, err
+}
+
+// waitedFor returns how long a feed has waited for a change.
+func (s *silentStore) waitedFor(prefix string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.waitsAt[prefix])
+}
+
+// Guards against a configuration that is in force too late on daemons that can reach the store, because the one that
+// reads it for their zone gets no replies and has not noticed yet.
+func TestConfigIsInForceInTimeWithoutReader(t *testing.T) {
+	is := is.New(t)
+	const (
+		daemons = 3
+		limit   = 3 * time.Second
+		// justStarted is the age of the feeds' waits from which the silence takes longest to be noticed.
+		justStarted = 150 * time.Millisecond
+	)
+	rows := &feedStore{rowStore: &rowStore{rows: map[string]platform.Row{}}}
+	_, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{configPut(oldConfig)}})
+	is.NoErr(err)
+	stores := map[*Daemon]*silentStore{}
+	for i := range daemons {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		store := &silentStore{feedStore: rows, waitsAt: map[string]time.Time{}}
+		d := newTestDaemon(t, store)
+		d.cfg.VM = fmt.Sprintf("vm-%d", i)
+		d.cfg.Self = NewID(d.cfg.VM, time.UnixMilli(1))
+		d.cfg.PeerAddr = netip.MustParseAddrPort(listener.Addr().String())
+		d.cfg.Listener = listener
+		d.cfg.Reader = versionReader{}
+		stores[d] = store
+	}
+	for d := range stores {
+		d.Start()
+		t.Cleanup(d.Close)
+	}
+	for d := range stores {
+		waitUntil(t, func() bool { return d.Snapshot().Version == oldConfig })
+	}
+	time.Sleep(2 * configFeedWait)
+	var readers []*Daemon
+	for d := range stores {
+		if d.leadsZone(true) {
+			readers = append(readers, d)
+		}
+	}
+	is.Equal(len(readers), 1)
+	store := stores[readers[0]]
+	waitUntil(t, func() bool {
+		return store.waitedFor(tablePrefix(versionReader{}.ConfigKey())) < justStarted && store.waitedFor(cellTable) < justStarted
+	})
+	store.silent.Store(true)
+	_, err = rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{configPut(newConfig)}})
+	is.NoErr(err)
+	writtenAt := time.Now()
+	for d := range stores {
+		if d != readers[0] {
+			waitUntil(t, func() bool { return d.Snapshot().Version == newConfig })
+		}
+	}
+	took := time.Since(writtenAt)
+	t.Logf("in force after %s", took.Round(10*time.Millisecond))
+	is.True(took < limit)
+}
