cell: end the load of a shard that another daemon has claimed

Cause: a daemon that loads a shard and whose reads fail read the missing parts again until its feed of the cell reported the next owner. That feed shares the link with the load, and the relays with it. Callers would see: small VMs near a superseded owner not ready for seconds, as they read the jobs for it (bern-a-6 in read on for 13 s after zuerich-a-1 had claimed the shard). Change: after each failed attempt the owner row is read; the load ends if it names a later epoch. Result: TestLoadEndsAfterShardIsClaimed failed before (the load went on 5 s after the claim) and passes.

--- a/cluster/cell/loadbound_test.go
+++ b/cluster/cell/loadbound_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,3 +85,36 @@
 		is.True(len(store.connections) <= connections/2)
 	})
 }
+
+// Guards against a daemon that goes on loading a shard, over links that other daemons need, after another one has
+// claimed it.
+func TestLoadEndsAfterShardIsClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows := &rowStore{rows: map[string]platform.Row{}}
+		d := newTestDaemon(t, rows)
+		defer d.wg.Wait()
+		defer d.stop()
+		rows.setPartsUnreachable(jobPartPrefix(0, 0))
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		var loaded atomic.Bool
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			_, ok := o.load()
+			loaded.Store(ok)
+		}()
+		time.Sleep(5 * time.Second)
+		row := ownerRow{Owner: "other@1", Epoch: 2}
+		_, err := d.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: ownerKey(testShard), Value: must(encode("test", &row))}}})
+		is.NoErr(err)
+		select {
+		case <-ended:
+		case <-time.After(5 * time.Second):
+			t.Error("the load goes on 5 s after the claim")
+			o.stop()
+			<-ended
+		}
+		is.True(!loaded.Load())
+	})
+}
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -124,11 +124,24 @@
 			return true
 		}
 		o.d.cfg.Log.Warn().Err(err).Stringer("shard", o.id).Msg("cell: rows of the shard can't be loaded; retrying")
+		if o.isSuperseded() {
+			o.endOwnership("another daemon claimed the shard while it was loaded")
+			return false
+		}
 		o.d.store.sleepUntilRecovered(o.ctx, delay)
 	}
 	return false
 }
 
+// isSuperseded reports whether the owner row names a later owner. The feed of the cell reports this too, but late if
+// the rows that are loaded fill the link.
+func (o *ownedShard) isSuperseded() bool {
+	ctx, cancel := context.WithTimeout(o.ctx, callTimeout)
+	defer cancel()
+	row, _, err := o.d.readOwner(ctx, ownerKey(o.id))
+	return err == nil && row.Epoch > uint64(o.epoch)
+}
+
 func (o *ownedShard) startScheduler(records loadedRecords, shares map[cluster.TeamName]int, jobs []platform.Row) {
 	workers := records.workers.recordedWorkers()
 	o.scheduler = pool.New(pool.Config{
