cell: let the hubs of a region read the configuration of a large cell

Cause: in a large cell a daemon knows and is connected to the hubs only, of which there are 16 in all zones together. Where its zone has none, or the last one does not respond, each daemon of the zone considered itself the reader: with 300 VMs in 6 zones about 50 copies of each version (a zone has no hub with a chance of (5/6)^16, 5%). Change: daemons that are not hubs leave the reading to any hub of their region that responds and reaches the store; hubs read for their zone as before. Result: TestLargeCellReadsConfigAtHubs failed before in the two cases of a hub in another zone of the region and passes.

--- a/cluster/cell/configreader.go
+++ b/cluster/cell/configreader.go
@@ -28,8 +28,9 @@
 }
 
 // leadsZone reports whether this daemon comes first among the responding daemons of its zone that are not leaving,
-// with needsStore only among those that can reach the store. It is safe to be wrong: then more than one daemon reads
-// the configuration.
+// with needsStore only among those that can reach the store. In a large cell, daemons that are not hubs count the hubs
+// of all zones of their region, as a zone may have no hub and they are not connected to one another. It is safe to be
+// wrong: then more than one daemon reads the configuration.
 func (d *Daemon) leadsZone(needsStore bool) bool {
 	if needsStore && !d.store.mayBeReachable() {
 		return false
@@ -37,10 +38,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	large := isLargeCell(d.members)
+	wholeRegion := large && !isHub(d.members, d.cfg.VM)
 	self := configReader{vm: d.cfg.VM, cores: d.cfg.Cores, hub: large && isCandidate(d.cfg.VM)}
 	leaving := d.leaving.Load()
 	for vm, m := range d.members {
-		if vm == d.cfg.VM || !d.inSameZone(m) || !d.acceptsShards(m) || needsStore && !d.digests[cluster.DaemonID(m.ID)].StoreVisible {
+		counts := d.inSameZone(m) || wholeRegion && cluster.Region(m.Region) == d.cfg.Place.Region
+		if vm == d.cfg.VM || !counts || !d.acceptsShards(m) || needsStore && !d.digests[cluster.DaemonID(m.ID)].StoreVisible {
 			continue
 		}
 		if leaving || compareConfigReaders(configReader{vm: vm, cores: m.Cores, hub: large && isCandidate(vm)}, self) < 0 {
--- a/cluster/cell/configreader_test.go
+++ b/cluster/cell/configreader_test.go
@@ -5,13 +5,18 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
@@ -103,3 +108,71 @@
 	t.Logf("in force after %s", took.Round(10*time.Millisecond))
 	is.True(took < limit)
 }
+
+// Guards against all daemons of a zone without a hub reading the configuration, as they are connected to none of
+// the others.
+func TestLargeCellReadsConfigAtHubs(t *testing.T) {
+	rows := memberRows(300)
+	hubs := connectedMembers(rows, nil)
+	isHub := func(vm string) bool {
+		return slices.ContainsFunc(hubs, func(m memberRow) bool { return m.ID == rows[vm].ID })
+	}
+	var otherCandidate, other string
+	for vm := range rows {
+		switch {
+		case !isCandidate(vm):
+			other = vm
+		case !isHub(vm):
+			otherCandidate = vm
+		}
+	}
+	hub, _, _ := strings.Cut(hubs[0].ID, daemonSeparator)
+	secondHub, _, _ := strings.Cut(hubs[1].ID, daemonSeparator)
+	for name, test := range map[string]struct {
+		vm       string
+		hubPlace cluster.Place
+		leads    bool
+	}{
+		"hub in the zone":           {vm: other, hubPlace: cluster.Place{Region: "home", Zone: "a"}},
+		"hub in the region":         {vm: other, hubPlace: cluster.Place{Region: "home", Zone: "b"}},
+		"candidate in the region":   {vm: otherCandidate, hubPlace: cluster.Place{Region: "home", Zone: "b"}},
+		"hub in another region":     {vm: other, hubPlace: cluster.Place{Region: "away", Zone: "c"}, leads: true},
+		"second hub of the zone":    {vm: secondHub, hubPlace: cluster.Place{Region: "home", Zone: "a"}},
+		"the hub of another zone":   {vm: secondHub, hubPlace: cluster.Place{Region: "home", Zone: "b"}, leads: true},
+		"the hub of another region": {vm: secondHub, hubPlace: cluster.Place{Region: "away", Zone: "c"}, leads: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			remote := peer.New(peer.Config{
+				Self: peer.Hello{From: cluster.DaemonID(rows[hub].ID)}, Listener: listener, Log: zerolog.Nop(), Handler: func(cluster.DaemonID, peer.Message) {},
+				Digest: func() peer.Digest { return peer.Digest{StoreVisible: true} },
+			})
+			t.Cleanup(remote.Close)
+			d := newTestDaemon(t, &slowStore{})
+			t.Cleanup(d.stop)
+			d.cfg.VM, d.cfg.Self, d.cfg.Cores = test.vm, cluster.DaemonID(rows[test.vm].ID), rows[test.vm].Cores
+			d.cfg.Place = cluster.Place{Region: "home", Zone: "a"}
+			d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.handleMessage, Digest: d.digest})
+			t.Cleanup(d.transport.Close)
+			var candidates []platform.Row
+			for vm, m := range rows {
+				m.Addr, m.Region, m.Zone = d.cfg.PeerAddr.String(), "home", "a"
+				if vm == hub {
+					m.Addr, m.Region, m.Zone = listener.Addr().String(), string(test.hubPlace.Region), string(test.hubPlace.Zone)
+				}
+				if isCandidate(vm) {
+					candidates = append(candidates, platform.Row{Key: memberKey(vm), Value: must(encode("test", &m))})
+				}
+			}
+			is.True(d.applyCellRows(candidates, true, isCandidate))
+			waitUntil(t, func() bool {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				return d.digests[cluster.DaemonID(rows[hub].ID)].StoreVisible
+			})
+			is.Equal(d.leadsZone(true), test.leads)
+		})
+	}
+}
--- a/cluster/cell/mesh.go
+++ b/cluster/cell/mesh.go
@@ -52,6 +52,21 @@
 	return slices.Concat(hubs, others)
 }
 
+// isHub reports whether a VM is one of the hubs of a large cell.
+func isHub(members map[string]memberRow, vm string) bool {
+	self, ok := members[vm]
+	if !ok || !isCandidate(vm) {
+		return false
+	}
+	before := 0
+	for other, m := range members {
+		if isCandidate(other) && compareMembers(m, self) < 0 {
+			before++
+		}
+	}
+	return before < numHubs
+}
+
 // compareMembers orders members by cores, those with the most first.
 func compareMembers(a, b memberRow) int {
 	return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(vmHash(a.ID), vmHash(b.ID)))
