--- a/cluster/cell/loadbound_test.go
+++ b/cluster/cell/loadbound_test.go
@@ -118,3 +118,34 @@
 		is.True(!loaded.Load())
 	})
 }
+
+// Guards against a shard that is never loaded over a slow link, as none of the parts that are read together arrives
+// within the timeout of a read.
+func TestShardLoadsOverSlowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const (
+			jobBytes = 64 << 10
+			// loadTime is how long the link takes to carry all parts once.
+			loadTime = 25 * time.Second
+		)
+		rows := &rowStore{rows: map[string]platform.Row{}}
+		link := &sharedLink{bytesPerSecond: jobParts * jobBytes / int(loadTime/time.Second)}
+		d := newTestDaemon(t, &linkedStore{feedStore: &feedStore{rowStore: rows}, link: link})
+		defer d.wg.Wait()
+		defer d.stop()
+		var puts []platform.Put
+		for part := range jobParts {
+			puts = append(puts, platform.Put{Key: jobKeyInPart(1, part, "job"), Value: make([]byte, jobBytes)})
+		}
+		_, err := rows.Commit(t.Context(), platform.Txn{Puts: puts})
+		is.NoErr(err)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		time.AfterFunc(4*loadTime, o.stop)
+		startedAt := time.Now()
+		_, loaded := o.load()
+		t.Logf("loaded: %t after %s; the link carried %.1f times the jobs", loaded, time.Since(startedAt), link.carried/(jobParts*jobBytes))
+		is.True(loaded)
+		is.True(time.Since(startedAt) < 2*loadTime)
+	})
+}
