--- a/cluster/cell/configreader_test.go
+++ b/cluster/cell/configreader_test.go
@@ -1,124 +1,178 @@
 package cell
 
 import (
-	"bytes"
+	"context"
 	"fmt"
-	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
-// randomText returns text that does not compress well.
-func randomText(size int) []byte {
-	random := rand.New(rand.NewPCG(1, 2))
-	text := make([]byte, size)
-	for i := range text {
-		text[i] = byte('!' + random.IntN(94))
-	}
-	return text
-}
-
-// fastLink is a rate in bytes per second that delays nothing.
-const fastLink = 1 << 30
+// silentStore is a feedStore that may stop replying, and that records when the waits of its feeds started.
+type silentStore struct {
+	*feedStore
+	silent atomic.Bool
 
-// readers returns the daemons that read the configuration from the store.
-func (c *spreadCell) readers() (readers []*Daemon) {
-	for _, d := range c.daemons {
-		if d.leadsZone(true) {
-			readers = append(readers, d)
-		}
-	}
-	return readers
+	mu      sync.Mutex
+	waitsAt map[string]time.Time
 }
 
-// Guards against a zone whose daemons keep an old configuration because the one that read it for them has failed.
-func TestConfigIsInForceInTimeAfterReaderFails(t *testing.T) {
-	is := is.New(t)
-	const limit = 3 * time.Second
-	c := newSpreadCell(t, fastLink, 3, 3)
-	c.write(t, 1, randomText(1<<10))
-	waitUntil(t, func() bool { return c.daemonsWith(1) == len(c.daemons) && len(c.readers()) == 2 })
-	for _, reader := range c.readers() {
-		reader.Close()
+func (s *silentStore) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	if req.Wait > 0 {
+		s.mu.Lock()
+		s.waitsAt[req.Prefixes[0]] = time.Now()
+		s.mu.Unlock()
+	}
+	reply, err := s.feedStore.Read(ctx, req)
+	if s.silent.Load() {
+		<-ctx.Done()
+		return platform.ReadReply{}, &platform.Error{Op: "test", Kind: platform.KindUnknown, Err: ctx.Err()}
 	}
-	failedAt := time.Now()
-	c.write(t, 2, randomText(1<<10))
-	waitUntil(t, func() bool { return c.daemonsWith(2) >= len(c.daemons)-2 })
-	t.Logf("in force after %s", time.Since(failedAt).Round(10*time.Millisecond))
-	is.True(time.Since(failedAt) < limit)
+	return reply, err
 }
 
-// Guards against a configuration that reaches no other daemon because it is larger than a message may be.
-func TestConfigLargerThanMessageReachesZone(t *testing.T) {
-	is := is.New(t)
-	c := newSpreadCell(t, fastLink, 2, 1)
-	for _, d := range c.daemons {
-		d.cfg.LinkRate = fastLink
-	}
-	c.write(t, 1, randomText(3<<20))
-	waitUntil(t, func() bool { return c.daemonsWith(1) == len(c.daemons) })
-	is.Equal(len(c.readers()), 2)
+// waitedFor returns how long a feed has waited for a change.
+func (s *silentStore) waitedFor(prefix string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.waitsAt[prefix])
 }
 
-// Guards against a patch that is applied to another configuration than it was made for.
-func TestPatchNeedsItsBase(t *testing.T) {
+// Guards against a configuration that is in force too late on daemons that can reach the store, because the one that
+// reads it for their zone gets no replies and has not noticed yet.
+func TestConfigIsInForceInTimeWithoutReader(t *testing.T) {
 	is := is.New(t)
-	base, other := randomText(64<<10), bytes.Repeat([]byte("other "), 10<<10)
-	data := bytes.Replace(bytes.Clone(base), base[1000:1008], []byte("changed!"), 1)
-	patch, err := encodeConfigUpdate(data, base)
+	const (
+		daemons = 3
+		limit   = 3 * time.Second
+		// justStarted is the age of the feeds' waits from which the silence takes longest to be noticed.
+		justStarted = 150 * time.Millisecond
+	)
+	rows := &feedStore{rowStore: &rowStore{rows: map[string]platform.Row{}}}
+	_, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{configPut(oldConfig)}})
 	is.NoErr(err)
-	is.True(len(patch) < 1<<10)
-	decoded, err := decodeConfigUpdate(patch, base, xxhash.Sum64(data))
+	stores := map[*Daemon]*silentStore{}
+	for i := range daemons {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		store := &silentStore{feedStore: rows, waitsAt: map[string]time.Time{}}
+		d := newTestDaemon(t, store)
+		d.cfg.VM = fmt.Sprintf("vm-%d", i)
+		d.cfg.Self = NewID(d.cfg.VM, time.UnixMilli(1))
+		d.cfg.PeerAddr = netip.MustParseAddrPort(listener.Addr().String())
+		d.cfg.Listener = listener
+		d.cfg.Reader = versionReader{}
+		stores[d] = store
+	}
+	for d := range stores {
+		d.Start()
+		t.Cleanup(d.Close)
+	}
+	for d := range stores {
+		waitUntil(t, func() bool { return d.Snapshot().Version == oldConfig })
+	}
+	time.Sleep(2 * configFeedWait)
+	var readers []*Daemon
+	for d := range stores {
+		if d.leadsZone(true) {
+			readers = append(readers, d)
+		}
+	}
+	is.Equal(len(readers), 1)
+	store := stores[readers[0]]
+	waitUntil(t, func() bool {
+		return store.waitedFor(tablePrefix(versionReader{}.ConfigKey())) < justStarted && store.waitedFor(cellTable) < justStarted
+	})
+	store.silent.Store(true)
+	_, err = rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{configPut(newConfig)}})
 	is.NoErr(err)
-	is.True(bytes.Equal(decoded, data))
-	_, err = decodeConfigUpdate(patch, other, xxhash.Sum64(data))
-	is.True(IsKind(err, KindMalformed))
-	_, err = decodeConfigUpdate(patch, nil, xxhash.Sum64(data))
-	is.True(IsKind(err, KindMalformed))
+	writtenAt := time.Now()
+	for d := range stores {
+		if d != readers[0] {
+			waitUntil(t, func() bool { return d.Snapshot().Version == newConfig })
+		}
+	}
+	took := time.Since(writtenAt)
+	t.Logf("in force after %s", took.Round(10*time.Millisecond))
+	is.True(took < limit)
 }
 
-// Guards against a daemon with a base that is not known any more, or with another row of the same version, which gets a
-// patch that it can't apply.
-func TestUnknownBaseGetsWholeConfig(t *testing.T) {
-	is := is.New(t)
-	d := newTestDaemon(t, &slowStore{})
-	defer d.stop()
-	d.cfg.Reader = paddedReader{}
-	padding := randomText(8 << 10)
-	for version := range maxConfigHistory + 3 {
-		d.applyConfig(append(fmt.Appendf(nil, "%d ", version+1), padding...), "test")
+// Guards against all daemons of a zone without a hub reading the configuration, as they are connected to none of
+// the others.
+func TestLargeCellReadsConfigAtHubs(t *testing.T) {
+	rows := memberRows(300)
+	hubs := connectedMembers(rows, nil)
+	isHub := func(vm string) bool {
+		return slices.ContainsFunc(hubs, func(m memberRow) bool { return m.ID == rows[vm].ID })
 	}
-	newest := d.config.Load()
-	for _, c := range []struct {
-		name  string
-		base  *configState
-		patch bool
+	var otherCandidate, other string
+	for vm := range rows {
+		switch {
+		case !isCandidate(vm):
+			other = vm
+		case !isHub(vm):
+			otherCandidate = vm
+		}
+	}
+	hub, _, _ := strings.Cut(hubs[0].ID, daemonSeparator)
+	secondHub, _, _ := strings.Cut(hubs[1].ID, daemonSeparator)
+	for name, test := range map[string]struct {
+		vm       string
+		hubPlace cluster.Place
+		leads    bool
 	}{
-		{name: "known", base: d.configHistory[0], patch: true},
-		{name: "forgotten", base: &configState{snapshot: cluster.Assemble(1, nil), hash: 1}},
-		{name: "other row", base: &configState{snapshot: d.configHistory[0].snapshot, hash: 1}},
-		{name: "none", base: &configState{snapshot: cluster.Assemble(0, nil)}},
+		"hub in the zone":           {vm: other, hubPlace: cluster.Place{Region: "home", Zone: "a"}},
+		"hub in the region":         {vm: other, hubPlace: cluster.Place{Region: "home", Zone: "b"}},
+		"candidate in the region":   {vm: otherCandidate, hubPlace: cluster.Place{Region: "home", Zone: "b"}},
+		"hub in another region":     {vm: other, hubPlace: cluster.Place{Region: "away", Zone: "c"}, leads: true},
+		"second hub of the zone":    {vm: secondHub, hubPlace: cluster.Place{Region: "home", Zone: "a"}},
+		"the hub of another zone":   {vm: secondHub, hubPlace: cluster.Place{Region: "home", Zone: "b"}, leads: true},
+		"the hub of another region": {vm: secondHub, hubPlace: cluster.Place{Region: "away", Zone: "c"}, leads: true},
 	} {
-		t.Run(c.name, func(t *testing.T) {
+		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			d.nextConfigSendAt = time.Time{}
-			parts, err := d.serveConfig(t.Context(), configRequest{Base: uint64(c.base.snapshot.Version), BaseHash: c.base.hash, MaxParts: maxConfigParts})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
-			is.Equal(parts[0].Patch, c.patch)
-			var collector configCollector
-			for i, part := range parts {
-				complete, err := collector.add(part)
-				is.NoErr(err)
-				is.Equal(complete, i == len(parts)-1)
+			remote := peer.New(peer.Config{
+				Self: peer.Hello{From: cluster.DaemonID(rows[hub].ID)}, Listener: listener, Log: zerolog.Nop(), Handler: func(cluster.DaemonID, peer.Message) {},
+				Digest: func() peer.Digest { return peer.Digest{StoreVisible: true} },
+			})
+			t.Cleanup(remote.Close)
+			d := newTestDaemon(t, &slowStore{})
+			t.Cleanup(d.stop)
+			d.cfg.VM, d.cfg.Self, d.cfg.Cores = test.vm, cluster.DaemonID(rows[test.vm].ID), rows[test.vm].Cores
+			d.cfg.Place = cluster.Place{Region: "home", Zone: "a"}
+			d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.handleMessage, Digest: d.digest})
+			t.Cleanup(d.transport.Close)
+			var candidates []platform.Row
+			for vm, m := range rows {
+				m.Addr, m.Region, m.Zone = d.cfg.PeerAddr.String(), "home", "a"
+				if vm == hub {
+					m.Addr, m.Region, m.Zone = listener.Addr().String(), string(test.hubPlace.Region), string(test.hubPlace.Zone)
+				}
+				if isCandidate(vm) {
+					candidates = append(candidates, platform.Row{Key: memberKey(vm), Value: must(encode("test", &m))})
+				}
 			}
-			data, err := collector.reply.decode(c.base.data)
-			is.NoErr(err)
-			is.True(bytes.Equal(data, newest.data))
+			is.True(d.applyCellRows(candidates, true, isCandidate))
+			waitUntil(t, func() bool {
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				return d.digests[cluster.DaemonID(rows[hub].ID)].StoreVisible
+			})
+			is.Equal(d.leadsZone(true), test.leads)
 		})
 	}
 }
