cell: announce the configuration without a check for the transport

Cause: the check was only needed by a test without members, for which nothing is sent anyway. Change: it is removed.

--- a/cluster/cell/configfetch.go
+++ b/cluster/cell/configfetch.go
@@ -56,9 +56,6 @@
 // announceConfig tells the other daemons of the zone that a version is in force here; the daemons of other zones learn
 // it from the pings.
 func (d *Daemon) announceConfig(version cluster.Version) {
-	if d.transport == nil {
-		return
-	}
 	body, err := encode("announce configuration", &configAnnouncement{Version: uint64(version)})
 	if err != nil {
 		d.cfg.Log.Error().Err(err).Msg("cell: announcement of the configuration can't be encoded")
