cell: leave late probes out of the latency of the store

Cause: a probe without a reply, while another reply is arriving, was recorded as a reply that took as long as the probe's timeout. Feeds don't change the mean latency, so that it stays until the next other calls. Callers would see: claims delayed by eight times the error, 2.6 s after four late probes, on daemons whose link was loaded; a shard without an owner waits. Change: such a probe leaves the mean latency as it is. Result: TestLateProbeDuringTransferKeepsStoreReachable, which now checks the latency, failed before (332 ms and not 1 ms) and passes.

--- a/cluster/cell/store.go
+++ b/cluster/cell/store.go
@@ -80,9 +80,13 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if mayBeUnreachable(err) && !(platform.IsKind(err, platform.KindUnknown) && s.receivesSince(startedAt)) {
-		s.markUnreachable(err)
-		return
+	if mayBeUnreachable(err) {
+		if !platform.IsKind(err, platform.KindUnknown) || !s.receivesSince(startedAt) {
+			s.markUnreachable(err)
+			return
+		}
+		// The probe had no reply; this leaves the mean latency unchanged.
+		startedAt = time.Now().Add(-s.latency)
 	}
 	s.probedAt = time.Now()
 	s.markReachable(startedAt)
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -103,14 +103,17 @@
 func TestLateProbeDuringTransferKeepsStoreReachable(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		store := &slowStore{}
+		store := &slowStore{commitDelay: time.Millisecond}
 		d := newTestDaemon(t, receivingStore{store})
 		defer d.stop()
 		_, err := d.store.Commit(t.Context(), platform.Txn{})
 		is.NoErr(err)
 		store.readDelay = -1
-		d.store.probe()
+		for range 4 {
+			d.store.probe()
+		}
 		is.True(d.store.reachable())
+		is.Equal(d.store.meanLatency(), store.commitDelay) // a longer one would delay claims
 		store.readErr, store.readDelay = &platform.Error{Op: "test", Kind: platform.KindUnavailable}, 0
 		d.store.probe()
 		is.True(!d.store.reachable()) // the store refuses calls
