cell: request the whole configuration after a patch that can't be applied

Cause: a patch that can't be applied was requested again with the same base. Change: the daemon requests the whole configuration from the same daemon at once. Result: TestWholeConfigFollowsUnusablePatch passes; without the second request the version stays as it was.

--- a/cluster/cell/configfetch.go
+++ b/cluster/cell/configfetch.go
@@ -187,14 +187,11 @@
 	ctx, cancel := context.WithTimeout(d.ctx, configFetchTimeout)
 	defer cancel()
 	requestedAt := time.Now()
-	d.cfg.Metrics.Counter("config_requests").Inc(1)
 	base := d.config.Load()
-	request := configRequest{Base: uint64(base.snapshot.Version), BaseHash: base.hash, MaxParts: maxConfigParts}
-	var parts configCollector
-	err := callForParts(ctx, d, from, methodConfig, &request, maxConfigParts, parts.add)
-	var data []byte
-	if err == nil {
-		data, err = parts.reply.decode(base.data)
+	reply, data, err := d.requestConfig(ctx, from, base)
+	if reply.Patch && IsKind(err, KindMalformed) {
+		d.cfg.Log.Warn().Err(err).Str("peer", string(from)).Msg("cell: patch of the configuration can't be applied; requesting all of it")
+		reply, data, err = d.requestConfig(ctx, from, &configState{snapshot: cluster.Assemble(0, nil)})
 	}
 	if err != nil {
 		d.delayConfigRequests(from)
@@ -202,7 +199,6 @@
 		d.cfg.Log.Info().Err(err).Str("peer", string(from)).Dur("took", time.Since(requestedAt)).Msg("cell: configuration could not be fetched")
 		return
 	}
-	reply := &parts.reply
 	d.cfg.Log.Info().Str("peer", string(from)).Uint64("version", reply.Version).Int("bytes", len(reply.Update)+len(reply.Data)).Bool("patch", reply.Patch).
 		Dur("took", time.Since(requestedAt)).Msg("cell: configuration fetched")
 	if data != nil {
@@ -218,6 +214,19 @@
 	}
 }
 
+// requestConfig requests the configuration of another daemon. It returns the reply, which may be a patch
+// of base, and the row; nil if the other daemon has the row of base.
+func (d *Daemon) requestConfig(ctx context.Context, from cluster.DaemonID, base *configState) (configReply, []byte, error) {
+	d.cfg.Metrics.Counter("config_requests").Inc(1)
+	request := configRequest{Base: uint64(base.snapshot.Version), BaseHash: base.hash, MaxParts: maxConfigParts}
+	var parts configCollector
+	if err := callForParts(ctx, d, from, methodConfig, &request, maxConfigParts, parts.add); err != nil {
+		return configReply{}, nil, err
+	}
+	data, err := parts.reply.decode(base.data)
+	return parts.reply, data, err
+}
+
 // delayConfigRequests makes the next request to another daemon wait for configRetryDelay.
 func (d *Daemon) delayConfigRequests(to cluster.DaemonID) {
 	d.mu.Lock()
--- a/cluster/cell/configupdate_test.go
+++ b/cluster/cell/configupdate_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 )
 
 // randomText returns text that does not compress well.
@@ -122,3 +123,32 @@
 		})
 	}
 }
+
+// Guards against a daemon that requests the same patch again and again although it can't apply it.
+func TestWholeConfigFollowsUnusablePatch(t *testing.T) {
+	is := is.New(t)
+	const other = cluster.DaemonID("other@1")
+	d := newTestDaemon(t, &slowStore{})
+	defer d.wg.Wait()
+	defer d.stop()
+	d.cfg.Reader = paddedReader{}
+	d.applyConfig([]byte("1 base"), "test")
+	whole := []byte("2 whole")
+	remote := make(chan *peer.Transport, 1)
+	remote <- connectPeer(t, d, other, func(m peer.Message) {
+		c, ok := m.(*peer.Call)
+		if !ok || c.Method != methodConfig {
+			return
+		}
+		request := must(decode[configRequest]("test", c.Body))
+		reply := configReply{Version: 2, Hash: xxhash.Sum64(whole), Update: []byte("no patch"), Patch: true, Parts: 1}
+		if request.Base == 0 {
+			reply.Update, reply.Patch = must(encodeConfigUpdate(whole, nil)), false
+		}
+		transport := <-remote
+		transport.Send(d.cfg.Self, &peer.Reply{ID: c.ID, Body: must(encode("test", &reply))})
+		remote <- transport
+	})
+	d.fetchConfig(other)
+	is.Equal(d.Snapshot().Version, cluster.Version(2))
+}
