--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -409,11 +409,12 @@
 		return false
 	}
 	size, need := accountedSize(st.spec), st.unfinishedTasks
-	if s.idleCapacity(st, size) >= need {
+	switch {
+	case s.idleCapacity(st, size) >= need:
 		st.partialReservationSince = time.Time{}
-	} else if st.partialReservationSince.IsZero() {
+	case st.partialReservationSince.IsZero():
 		st.partialReservationSince = s.now
-	} else if s.now.Sub(st.partialReservationSince) >= partialReservationTime {
+	case s.now.Sub(st.partialReservationSince) >= partialReservationTime:
 		return true // it still asks about more workers
 	}
 	s.reservations++
