cell: bound the states that are read from the store

Cause: while the owner of a shard answers late, each query of a state is read from the store, with three calls. The store then refuses calls of all daemons, those of the owner among them, which makes it later still. A probe that fails used to stop this by chance; since a reply that arrives shows that the store is reachable, it no longer does. Change: a daemon reads at most 8 states at a time from the store and refuses the others at once. A gang that reserves nothing counts as one of those that may, so that a placement pass looks at no more gangs than before. Result: TestStatesReadFromStoreAreBounded fails without the bound and passes.

--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -42,6 +42,8 @@
 	// lastWorkerCount is the length of the worker list at the last attempt to create the shard layout; only
 	// claimLoop uses it.
 	lastWorkerCount int
+	// storedStateReads holds an element for each state that is being read from the store.
+	storedStateReads chan struct{}
 	// configAnnounced receives a value after another daemon has announced a configuration.
 	configAnnounced chan struct{}
 	// configEncodeMu is held while the configuration is encoded, so that it is encoded once for several requests.
@@ -93,7 +95,8 @@
 		cfg: cfg, calls: newCallTable(), startedAt: time.Now(), cellLoaded: make(chan struct{}),
 		members: map[string]memberRow{}, owners: map[shardID]ownership{}, ownedShards: map[shardID]*ownedShard{},
 		digests: map[cluster.DaemonID]peer.Digest{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
-		configUpdates: map[cluster.Version]configUpdate{}, configRetryAt: map[cluster.DaemonID]time.Time{},
+		storedStateReads: make(chan struct{}, maxStoredStateReads),
+		configUpdates:    map[cluster.Version]configUpdate{}, configRetryAt: map[cluster.DaemonID]time.Time{},
 	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
 	d.store = newRelayStore(d, cfg.Store)
--- a/cluster/cell/status_test.go
+++ b/cluster/cell/status_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -66,3 +67,30 @@
 	is.Equal(state, workload.StateQueued)
 	is.NoErr(ctx.Err()) // there was time to read the store
 }
+
+// Guards against queries that use up the rate of the store while the owner of a shard is late, so that the calls of the
+// owner are refused.
+func TestStatesReadFromStoreAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		store := &slowStore{readDelay: 100 * time.Millisecond}
+		d := newTestDaemon(t, store)
+		defer d.stop()
+		const queries = 200
+		refused := make(chan bool, queries)
+		for range queries {
+			go func() {
+				_, err := d.State(t.Context(), recordedJob, "team", &cluster.Queue{Name: "q", Service: "s"})
+				refused <- IsKind(err, KindOverloaded)
+			}()
+		}
+		synctest.Wait()
+		is.Equal(len(refused), queries-maxStoredStateReads) // the others are refused at once
+		time.Sleep(time.Second)
+		for len(refused) > 0 {
+			<-refused
+		}
+		_, err := d.State(t.Context(), recordedJob, "team", &cluster.Queue{Name: "q", Service: "s"})
+		is.True(IsKind(err, KindNotFound)) // not refused any more
+	})
+}
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -408,6 +408,7 @@
 	if st.urgency != onTime || s.reservations >= max(minReservations, len(s.sortedWorkers)/workersPerReservation) {
 		return false
 	}
+	s.reservations++
 	size, need := accountedSize(st.spec), st.unfinishedTasks
 	switch {
 	case s.idleCapacity(st, size) >= need:
@@ -417,7 +418,6 @@
 	case s.now.Sub(st.partialReservationSince) >= partialReservationTime:
 		return true // it still asks about more workers
 	}
-	s.reservations++
 	for _, w := range s.reservableWorkers(st) {
 		if need <= 0 {
 			break
