pool: report waiting steps in bounded numbers

Change: steps that wait for the end of a takeover are left out, and a pass logs at most five; the others follow in the next passes. Result: the tests of waiting steps, gangs and limits pass. Not measured by itself.

--- a/cluster/pool/waiting.go
+++ b/cluster/pool/waiting.go
@@ -11,12 +11,15 @@
 // logged, and the time between two such lines of a step.
 const waitReportInterval = 2 * time.Second
 
-// reportWaiting logs the due steps of which nothing has run for waitReportInterval although the pool has spare
-// capacity.
+// maxWaitReports bounds the steps that are logged in one pass; the others follow in the next ones.
+const maxWaitReports = 5
+
+// reportWaiting logs the steps that may start and of which nothing has run for waitReportInterval although the pool has
+// spare capacity. Steps that wait for the end of a takeover are left out.
 func (s *Scheduler) reportWaiting() {
-	waiting, pool := 0, s.poolUse()
+	waiting, reports, pool := 0, 0, s.poolUse()
 	for _, st := range s.openSteps {
-		if !st.isIdle() || !s.isDue(st) || !pool.hasSpareCapacity(st) {
+		if !st.isIdle() || !pool.hasSpareCapacity(st) || !s.startable(st) {
 			st.idleSince, st.waitReportedAt = time.Time{}, time.Time{}
 			continue
 		}
@@ -27,7 +30,8 @@
 			continue
 		}
 		waiting++
-		if s.now.Sub(st.waitReportedAt) >= waitReportInterval {
+		if reports < maxWaitReports && s.now.Sub(st.waitReportedAt) >= waitReportInterval {
+			reports++
 			st.waitReportedAt = s.now
 			s.logWaiting(st, pool.utilization(st))
 		}
@@ -107,8 +111,6 @@
 	needsAdvice := s.terms(st.job).Advice != nil
 	u := s.team(st.job.spec.Team)
 	switch {
-	case st.job.possiblyRunning && !s.takeoverComplete:
-		return "the previous owner may have started it"
 	case st.spec.Gang && (st.gangRun != 0 || st.pendingTasks < st.unfinishedTasks):
 		return "runs of an earlier attempt have not ended"
 	case st.isDelayed(s.now):
