cell: limit the rate of states that are read from the store

Cause: eight states at a time on each of 42 daemons are still more calls than the store takes, so that an owner that is late once stays so. Change: a daemon reads at most 20 states a second from the store. Waiting steps are searched for four times a second and not in each step of the scheduler. Result: TestStatesReadFromStoreAreBounded fails without the rate and passes.

--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/sourcegraph/conc"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
@@ -44,6 +45,7 @@
 	lastWorkerCount int
 	// storedStateReads holds an element for each state that is being read from the store.
 	storedStateReads chan struct{}
+	storedStateLimit *rate.Limiter
 	// configAnnounced receives a value after another daemon has announced a configuration.
 	configAnnounced chan struct{}
 	// configEncodeMu is held while the configuration is encoded, so that it is encoded once for several requests.
@@ -96,6 +98,7 @@
 		members: map[string]memberRow{}, owners: map[shardID]ownership{}, ownedShards: map[shardID]*ownedShard{},
 		digests: map[cluster.DaemonID]peer.Digest{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
 		storedStateReads: make(chan struct{}, maxStoredStateReads),
+		storedStateLimit: rate.NewLimiter(storedStateRate, storedStateRate),
 		configUpdates:    map[cluster.Version]configUpdate{}, configRetryAt: map[cluster.DaemonID]time.Time{},
 	}
 	d.ctx, d.stop = context.WithCancel(context.Background())
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -84,9 +84,13 @@
 	return reply, err
 }
 
-// maxStoredStateReads bounds the states that a daemon reads from the store at a time. While an owner is late, all
-// queries come here, and the store would refuse the calls of the owner with them.
-const maxStoredStateReads = 8
+const (
+	// maxStoredStateReads bounds the states that a daemon reads from the store at a time, and storedStateRate those that
+	// it reads per second. While an owner is late, all queries come here, and the store would refuse the calls of the
+	// owner with them.
+	maxStoredStateReads = 8
+	storedStateRate     = 20
+)
 
 // storedState reads the state from the rows of a job.
 func (d *Daemon) storedState(ctx context.Context, id cluster.JobName, team cluster.TeamName, queue *cluster.Queue) (workload.State, error) {
@@ -96,6 +100,9 @@
 	default:
 		return 0, &Error{Op: "state", Kind: KindOverloaded}
 	}
+	if !d.storedStateLimit.Allow() {
+		return 0, &Error{Op: "state", Kind: KindOverloaded}
+	}
 	job, _, err := d.readJob(ctx, id)
 	if err != nil {
 		return 0, &Error{Op: "state", Kind: KindUnavailable, Err: err}
--- a/cluster/cell/status_test.go
+++ b/cluster/cell/status_test.go
@@ -92,5 +92,10 @@
 		}
 		_, err := d.State(t.Context(), recordedJob, "team", &cluster.Queue{Name: "q", Service: "s"})
 		is.True(IsKind(err, KindNotFound)) // not refused any more
+		store.readDelay = time.Millisecond
+		for range 10 * storedStateRate {
+			_, _ = d.State(t.Context(), recordedJob, "team", &cluster.Queue{Name: "q", Service: "s"})
+		}
+		is.True(store.reads.Load() <= 3*4*storedStateRate) // up to three reads for each state
 	})
 }
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -65,6 +65,8 @@
 	durationRatios map[cluster.QueueName]float64
 	// permitShares is the moving average of the share of workers that may run the steps of a queue.
 	permitShares map[cluster.QueueName]float64
+	// waitingCheckedAt is when waiting steps were last searched for.
+	waitingCheckedAt time.Time
 	// deferredEarlierEnds are the deferred run ends of workers that have restarted since.
 	deferredEarlierEnds []unacknowledgedEnd
 	metrics             *metrics
--- a/cluster/pool/waiting.go
+++ b/cluster/pool/waiting.go
@@ -11,12 +11,19 @@
 // logged, and the time between two such lines of a step.
 const waitReportInterval = 2 * time.Second
 
+// waitCheckInterval is the time between two searches for waiting steps.
+const waitCheckInterval = 250 * time.Millisecond
+
 // maxWaitReports bounds the steps that are logged in one pass; the others follow in the next ones.
 const maxWaitReports = 5
 
 // reportWaiting logs the steps that may start and of which nothing has run for waitReportInterval although the pool has
 // spare capacity. Steps that wait for the end of a takeover are left out.
 func (s *Scheduler) reportWaiting() {
+	if s.now.Sub(s.waitingCheckedAt) < waitCheckInterval {
+		return
+	}
+	s.waitingCheckedAt = s.now
 	waiting, reports, pool := 0, 0, s.poolUse()
 	for _, st := range s.openSteps {
 		if !st.isIdle() || !pool.hasSpareCapacity(st) || !s.startable(st) {
