cell: run all waiting queries between two steps of an owner

Cause: the control loop ran at most one query for each step. While steps are long, queries waited for more than 0.6 s, and callers asked again. Change: up to 256 waiting queries run between two steps. Result: TestWaitingQueriesRunInOneStep passes; it calls the new function.

--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -305,9 +305,11 @@
 			batch = append(batch, &pool.ConfigChanged{Snapshot: o.d.Snapshot()})
 		case query := <-o.queries:
 			query(o.scheduler)
+			o.runQueries()
 			continue
 		case <-stepTimer.C:
 		}
+		o.runQueries()
 		batch = o.appendQueued(batch)
 		now := time.Now()
 		if gap := now.Sub(lastStepAt); gap > maxStepGap && !o.confirmOwnership(gap) {
@@ -320,6 +322,21 @@
 	}
 }
 
+// maxQueriesPerStep bounds the queries that are run between two steps.
+const maxQueriesPerStep = 256
+
+// runQueries runs the waiting queries. One query per step would make them wait for as many steps while steps are long.
+func (o *ownedShard) runQueries() {
+	for range maxQueriesPerStep {
+		select {
+		case query := <-o.queries:
+			query(o.scheduler)
+		default:
+			return
+		}
+	}
+}
+
 // appendQueued appends the queued events to batch, so that one step handles them together.
 func (o *ownedShard) appendQueued(batch []pool.Event) []pool.Event {
 	for len(batch) < eventQueueLength {
--- a/cluster/cell/status_test.go
+++ b/cluster/cell/status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -99,3 +100,20 @@
 		is.True(store.reads.Load() <= 3*4*storedStateRate) // up to three reads for each state
 	})
 }
+
+// Guards against queries that time out because the control loop runs one of them for each step while steps are long.
+func TestWaitingQueriesRunInOneStep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, d := newStoreDaemon(t)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		const queries = 50
+		var ran atomic.Int64
+		for range queries {
+			go func() { o.queries <- func(*pool.Scheduler) { ran.Add(1) } }()
+		}
+		synctest.Wait()
+		o.runQueries()
+		is.Equal(ran.Load(), int64(queries))
+	})
+}
