pool: tell lost runs apart by reason and by what becomes of them

Change: a warning and a counter for a run that counted as lost and that its worker reports afterwards, with the reason and the time since the loss; lost_runs_total by reason; gauges of the run ends and the jobs that wait for a record; the repeated flag on refused starts; one line for each expiry of a worker's leases. No decision of the scheduler changes.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -188,6 +188,9 @@
 	s.cfg.Log.Info().Str("job", string(id.Job)).Str("task", e.Task).Uint64("run", uint64(e.Run)).Str("worker", string(w.vm.ID)).
 		Stringer("outcome", e.Outcome).Bool("known", known).Msg("pool: run ended")
 	s.metrics.ends[e.Outcome].Inc(1)
+	if !known {
+		s.lostRunReported(w, st, e.Task, id.Index, e.Run, e.Outcome.String())
+	}
 	if e.Checkpoint != "" {
 		st.saveCheckpoint(id.Index, e.Checkpoint)
 	}
@@ -329,18 +332,6 @@
 	}
 }
 
-// markLost releases a run whose end was not reported; a gang can't continue without it.
-func (s *Scheduler) markLost(r *run, reason string) {
-	s.cfg.Log.Info().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(r.number)).
-		Str("worker", string(r.worker.vm.ID)).Stringer("state", r.state).Str("reason", reason).Bool("listed", r.worker.inPlatformList).
-		Dur("sinceHeartbeat", s.now.Sub(r.worker.heartbeatSeenAt)).Msg("pool: run lost")
-	s.metrics.lost.Inc(1)
-	s.releaseRun(r)
-	if st := r.step; st.spec.Gang && st.gangRun == r.number {
-		s.abortGang(st, reason, r.id, r.worker.vm.ID)
-	}
-}
-
 // readRunning compares the runs in a hold reply with the known ones.
 func (s *Scheduler) readRunning(w *worker, e *HoldAnswered) {
 	reportedRuns := make(map[workload.TaskID]platform.RunNumber, len(e.Reply.Running))
@@ -366,7 +357,7 @@
 	}
 	for _, r := range sortedRuns(w) {
 		if reportedRuns[r.id] != r.number && (r.absenceMeansEnded(e.SentAt) || r.startIsTooLate(e.Reply)) {
-			s.markLost(r, "absent from the hold reply")
+			s.markLost(r, lostByAbsence)
 		}
 	}
 }
@@ -403,6 +394,9 @@
 	}
 	s.cfg.Log.Warn().Str("job", string(id.Job)).Stringer("task", id).Uint64("run", uint64(tr.Run)).Str("worker", string(w.vm.ID)).
 		Msg("pool: stopping an unexpected run")
+	if st != nil {
+		s.lostRunReported(w, st, tr.Task, id.Index, tr.Run, "running")
+	}
 	if st != nil && w.runs[id] == nil {
 		s.stopRun(s.trackRun(w, st, id.Index, tr.Run))
 		return
--- /dev/null
+++ b/cluster/pool/loss.go
@@ -0,0 +1,56 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+)
+
+// lossReason is why a run counts as over although its end was not reported.
+type lossReason int
+
+const (
+	lostByRestart lossReason = iota
+	lostByLease
+	lostByRefusal
+	lostByAbsence
+	numLossReasons
+)
+
+var lossReasonNames = [...]string{"worker restarted", "lease expired", "start refused", "absent from the hold reply"}
+
+// String returns the reason as it is logged.
+func (r lossReason) String() string { return lossReasonNames[r] }
+
+// lostRun is the last run of a task that was lost. If the worker reports the run afterwards, the loss was wrong, or the
+// run went on until its lease expired.
+type lostRun struct {
+	number platform.RunNumber
+	reason lossReason
+	lostAt time.Time
+}
+
+// markLost releases a run whose end was not reported; a gang can't continue without it.
+func (s *Scheduler) markLost(r *run, reason lossReason) {
+	s.cfg.Log.Info().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(r.number)).
+		Str("worker", string(r.worker.vm.ID)).Stringer("state", r.state).Stringer("reason", reason).Bool("repeated", r.startRepeated).
+		Bool("listed", r.worker.inPlatformList).Dur("sinceHeartbeat", s.now.Sub(r.worker.heartbeatSeenAt)).Msg("pool: run lost")
+	s.metrics.lost[reason].Inc(1)
+	r.step.tasks[r.id.Index].lost = lostRun{number: r.number, reason: reason, lostAt: s.now}
+	s.releaseRun(r)
+	if st := r.step; st.spec.Gang && st.gangRun == r.number {
+		s.abortGang(st, reason.String(), r.id, r.worker.vm.ID)
+	}
+}
+
+// lostRunReported logs and counts that a worker reports a run that counted as lost.
+func (s *Scheduler) lostRunReported(w *worker, st *step, task string, index int, number platform.RunNumber, state string) {
+	t := &st.tasks[index]
+	if t.lost.number == 0 || t.lost.number != number {
+		return
+	}
+	s.cfg.Log.Warn().Str("job", string(st.id.Job)).Str("task", task).Uint64("run", uint64(number)).Str("worker", string(w.vm.ID)).
+		Str("state", state).Stringer("reason", t.lost.reason).Dur("sinceLoss", s.now.Sub(t.lost.lostAt)).Bool("startedAgain", t.run != nil).
+		Msg("pool: a worker reports a run that counted as lost")
+	s.metrics.reportedLost[t.lost.reason].Inc(1)
+}
--- a/cluster/pool/metrics.go
+++ b/cluster/pool/metrics.go
@@ -13,7 +13,13 @@
 	ends     [platform.NumRunOutcomes]tally.Counter
 	refusals [platform.NumStartRefusals]tally.Counter
 	starts   tally.Counter
-	lost     tally.Counter
+	lost     [numLossReasons]tally.Counter
+	// reportedLost counts the lost runs that their worker reported afterwards.
+	reportedLost [numLossReasons]tally.Counter
+	// unrecordedEnds is the number of run ends that were read and can't be acknowledged yet, changedJobs that of the jobs
+	// whose progress waits to be recorded.
+	unrecordedEnds tally.Gauge
+	changedJobs    tally.Gauge
 	// stoppedGangs counts the attempts of gangs that were stopped, gangEnd is the time until their last member ended.
 	stoppedGangs tally.Counter
 	gangEnd      tally.Histogram
@@ -33,10 +39,15 @@
 
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
-		starts: scope.Counter("task_starts_total"), lost: scope.Counter("lost_runs_total"), preempted: scope.Counter("preempted_runs_total"),
+		starts: scope.Counter("task_starts_total"), preempted: scope.Counter("preempted_runs_total"),
 		wait: scope.Histogram("task_wait_seconds", waitBuckets), open: scope.Gauge("open_steps"),
 		waiting: scope.Gauge("waiting_steps"), stoppedGangs: scope.Counter("stopped_gangs_total"),
-		gangEnd: scope.Histogram("stopped_gang_end_seconds", waitBuckets),
+		gangEnd: scope.Histogram("stopped_gang_end_seconds", waitBuckets), unrecordedEnds: scope.Gauge("unrecorded_run_ends"),
+		changedJobs: scope.Gauge("unrecorded_jobs"),
+	}
+	for i := range m.lost {
+		tagged := scope.Tagged(map[string]string{"reason": lossReason(i).String()})
+		m.lost[i], m.reportedLost[i] = tagged.Counter("lost_runs_total"), tagged.Counter("reported_lost_runs_total")
 	}
 	for i := range m.ends {
 		m.ends[i] = scope.Tagged(map[string]string{"outcome": platform.RunOutcome(i).String()}).Counter("run_ends_total")
--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -18,6 +18,7 @@
 	if s.recordInFlight || s.now.Sub(s.lastRecordAt) < recordInterval {
 		return
 	}
+	s.updateRecordMetrics()
 	s.expireJobs()
 	if len(s.dirtyJobs) == 0 && !s.workersDirty && !s.hasUnrecordedEnds() && len(s.expiredJobs) == 0 {
 		return
@@ -58,6 +59,15 @@
 	s.emit(r)
 }
 
+func (s *Scheduler) updateRecordMetrics() {
+	ends := 0
+	for _, w := range s.sortedWorkers {
+		ends += len(w.unrecordedEnds)
+	}
+	s.metrics.unrecordedEnds.Update(float64(ends))
+	s.metrics.changedJobs.Update(float64(len(s.dirtyJobs)))
+}
+
 // hasUnrecordedEnds reports whether run ends, also ones that changed no job, wait to be acknowledged.
 func (s *Scheduler) hasUnrecordedEnds() bool {
 	for _, w := range s.sortedWorkers {
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -61,7 +61,7 @@
 		return
 	}
 	s.cfg.Log.Info().Str("job", string(e.Task.Job)).Stringer("task", e.Task).Uint64("run", uint64(e.Run)).Str("worker", string(e.Worker)).
-		Stringer("reason", e.Reply.Refusal).Msg("pool: start refused")
+		Stringer("reason", e.Reply.Refusal).Bool("repeated", r.startRepeated).Msg("pool: start refused")
 	s.metrics.refusals[e.Reply.Refusal].Inc(1)
 	st := r.step
 	if e.Reply.Refusal == platform.RefusedStaleRun && r.startRepeated {
@@ -86,7 +86,7 @@
 		s.sendHold(w, true)
 	}
 	st.tasks[r.id.Index].notBefore = s.now.Add(refusedStartDelay)
-	s.markLost(r, "start refused")
+	s.markLost(r, lostByRefusal)
 }
 
 // unhealthyQuarantineTime is how long a worker that refused a start as unhealthy gets no new tasks.
@@ -166,7 +166,8 @@
 			continue
 		}
 		expired := !w.inSync && !s.now.Before(w.leaseExpiry)
-		if expired && w.fenceAccepted {
+		if expired && w.fenceAccepted && w.reportedExpiry != w.leaseExpiry {
+			w.reportedExpiry = w.leaseExpiry
 			s.cfg.Log.Warn().Str("worker", string(w.vm.ID)).Int("runs", len(w.runs)).Msg("pool: leases of an unresponsive worker have expired")
 		}
 		if !expired && !s.hasDueAction(w) {
@@ -177,7 +178,7 @@
 			case !expired:
 				s.runDueAction(r)
 			case !s.awaitsEnd(r):
-				s.markLost(r, "lease expired")
+				s.markLost(r, lostByLease)
 			}
 		}
 	}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -104,6 +104,7 @@
 	checkpoint string
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
+	lost      lostRun
 }
 
 // runState is the state of a run as known to the scheduler.
@@ -186,6 +187,8 @@
 	clockReadAt  time.Time
 	// leaseExpiry is when every lease granted so far has expired.
 	leaseExpiry time.Time
+	// reportedExpiry is the last value of leaseExpiry whose passing was logged.
+	reportedExpiry time.Time
 	// holdInFlight means that the periodic hold call is in flight, nextHoldAt is the earliest time of the next
 	// one; extra calls are not counted.
 	holdInFlight bool
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -95,7 +95,7 @@
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
 		if r.reportedByWorker {
-			s.markLost(r, "worker restarted")
+			s.markLost(r, lostByRestart)
 			continue
 		}
 		if r.state == runActive {
