pool: test starts whose repeat is refused

Change: fake workers can lose, delay and refuse single start requests, and refuse a share of them as unhealthy.

--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -111,6 +111,9 @@
 
 func (sim *simulation) startTask(f *fakeWorker, v *SendStart) platform.StartReply {
 	req := v.Request
+	if sim.refusalRate > 0 && sim.rnd.Float64() < sim.refusalRate {
+		return platform.StartReply{Refusal: platform.RefusedUnhealthy}
+	}
 	if req.Fence < f.fence {
 		return platform.StartReply{Refusal: platform.RefusedFence}
 	}
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -64,6 +64,8 @@
 	// replyLossRate is the fraction of requests whose reply is lost, delayRate that of requests carried out
 	// only seconds later.
 	replyLossRate, delayRate float64
+	// refusalRate is the fraction of start requests that the workers refuse as unhealthy.
+	refusalRate float64
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
 	// teamLimit is the limit of the team.
@@ -91,6 +93,9 @@
 	ignoresStarts bool
 	// ignoresStops is true while the worker does not answer stop requests and does not carry them out.
 	ignoresStops bool
+	// startFaults holds what becomes of the next start requests, one entry for each; the requests after them are
+	// carried out.
+	startFaults []startFault
 	// tasksStalled is true while the tasks on the worker make no progress.
 	tasksStalled       bool
 	fence              cluster.Epoch
@@ -101,6 +106,16 @@
 	lastEndNumber      uint64
 }
 
+// startFault is what becomes of a start request instead of being carried out and answered.
+type startFault struct {
+	// executed means that the worker carries out the request, executedAfter later.
+	executed      bool
+	executedAfter time.Duration
+	// replyLost means that no reply arrives; otherwise the reply is a refusal.
+	replyLost bool
+	refusal   platform.StartRefusal
+}
+
 type fakeRun struct {
 	run       platform.RunNumber
 	remaining time.Duration
@@ -331,6 +346,20 @@
 			sim.deliver(owner, requestTimeout, result(true))
 			return
 		}
+		if len(f.startFaults) > 0 {
+			fault := f.startFaults[0]
+			f.startFaults = f.startFaults[1:]
+			if fault.executed {
+				sim.scheduleAfter(simLatency+fault.executedAfter, func() { sim.startTask(f, v) })
+			}
+			if fault.replyLost {
+				sim.deliver(owner, requestTimeout, result(true))
+				return
+			}
+			reply.Refusal = fault.refusal
+			sim.deliver(owner, 2*simLatency, result(false))
+			return
+		}
 		sim.sendRequest(owner, f, func() { reply = sim.startTask(f, v) }, result)
 	case *SendStop:
 		var reply platform.StopReply
