pool: keep stopping a run whose repeated start is refused as old

Callers saw tasks of a cancelled job run on. Cause: the repeat of a start was refused as old after the job was cancelled, and the run became unconfirmed again, whatever its state was. If the stop request had been lost, the next hold reply made the run an active one, and nothing stopped it any more.

Change: only a run that is starting becomes unconfirmed. A run that is being stopped stays so, and its stop is repeated until the worker answers it; one that a hold reply lists stays active.

--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -113,9 +113,12 @@
 	s.markUnconfirmed(r)
 }
 
-// markUnconfirmed marks a run as one that may or may not have started, and calls hold to find out.
+// markUnconfirmed marks a run as one that may or may not have started, and calls hold to find out. A run that is known
+// to have started, or that is being stopped, stays so.
 func (s *Scheduler) markUnconfirmed(r *run) {
-	r.state, r.unconfirmedAt = runUnconfirmed, s.now
+	if r.state == runStarting {
+		r.state, r.unconfirmedAt = runUnconfirmed, s.now
+	}
 	s.requestSync(r.worker)
 }
 
