pool: don't take the refusal of a repeated start as the end of the run

Callers saw tasks that ran twice at the same time or started again after they were done (TWICE), and more tasks of a step on one worker than it allows (ROUTE). Cause: a start without a reply is sent again, and any refusal of the second request but old released the run, which the first request had started or started later. That included a repeat that could not be sent, and a run that a hold reply had listed before.

Change: a run counts the start requests without a reply. A refusal ends it only if none is left; otherwise the run stays unconfirmed until it appears in a hold reply, its end is reported, its stop is answered and it is absent, its start has expired on the worker's clock, or the leases of the worker have expired. This is kept instead of a revert of the repeat, without which one lost reply stops a whole gang.

Why it works: none of these signs can be followed by the start of the run. A start that follows a stop is refused, and so is one whose lease is over.

Measured: TestRefusedRepeatKeepsRun, TestRefusedRepeatOfDoneTaskStartsNoRun, TestLateStartAfterRefusedRepeat, TestOutdatedRepeatKeepsRunOfNewIncarnation and TestRandomRefusals failed on the parent and pass.

--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -27,11 +27,16 @@
 		Task: r.id.String(), Run: number, Fence: s.fence(w), Spec: st.job.spec.Spec, Until: s.grantLease(w),
 		Checkpoint: st.tasks[index].checkpoint, Ticket: ticket,
 	}}
-	s.emit(r.start)
+	s.sendStart(r)
 	s.cfg.Log.Info().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(number)).Str("worker", string(w.vm.ID)).
 		Dur("waited", s.now.Sub(st.job.arrivedAt)).Stringer("free", w.free()).Msg("pool: task placed")
 }
 
+func (s *Scheduler) sendStart(r *run) {
+	r.unansweredStarts++
+	s.emit(r.start)
+}
+
 // findRun returns the run of a task on a worker, or nil if the scheduler does not track it.
 func (s *Scheduler) findRun(id cluster.WorkerID, task workload.TaskID, number platform.RunNumber) *run {
 	w := s.workers[id]
@@ -44,7 +49,8 @@
 	return nil
 }
 
-// startAnswered applies the reply to a start request. A refused run is released, so that its task is pending again.
+// startAnswered applies the reply to a start request. The refusal of the only request frees the task at once. That of a
+// repeat tells nothing about the first request, which the worker may have carried out or may still carry out.
 func (s *Scheduler) startAnswered(e *StartAnswered) {
 	r := s.findRun(e.Worker, e.Task, e.Run)
 	if r == nil {
@@ -55,6 +61,7 @@
 		s.startUnanswered(r)
 		return
 	}
+	r.unansweredStarts--
 	s.checkClock(w, e.Reply.Clock)
 	if e.Reply.Refusal == platform.StartAccepted {
 		s.confirmRun(r)
@@ -64,11 +71,6 @@
 		Stringer("reason", e.Reply.Refusal).Bool("repeated", r.startRepeated).Msg("pool: start refused")
 	s.metrics.refusals[e.Reply.Refusal].Inc(1)
 	st := r.step
-	if e.Reply.Refusal == platform.RefusedStaleRun && r.startRepeated {
-		// The first request was executed and the run may have ended; a hold reply tells how.
-		s.markUnconfirmed(r)
-		return
-	}
 	switch e.Reply.Refusal {
 	case platform.RefusedFence:
 		if !s.fenceOutdated(e.Worker, e.Fence) {
@@ -86,6 +88,10 @@
 		s.sendHold(w, true)
 	}
 	st.tasks[r.id.Index].notBefore = s.now.Add(refusedStartDelay)
+	if r.unansweredStarts > 0 {
+		s.markUnconfirmed(r)
+		return
+	}
 	s.markLost(r, lostByRefusal)
 }
 
@@ -105,7 +111,7 @@
 	w.inSync = false
 	if !r.startRepeated && r.start.Request.Fence == s.fence(w) {
 		r.startRepeated = true
-		s.emit(r.start)
+		s.sendStart(r)
 		s.requestSync(w)
 		return
 	}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -139,6 +139,9 @@
 	// again because it got no reply.
 	start         *SendStart
 	startRepeated bool
+	// unansweredStarts is the number of requests that start the run and have got no reply. The worker may have carried
+	// them out, or may carry them out later.
+	unansweredStarts int
 	// unconfirmedAt is when the run became unconfirmed.
 	unconfirmedAt time.Time
 	// confirmedAt is when the scheduler learned that the run had started.
