pool: keep a run with an unanswered start when its worker restarts

Cause: a restart ended every run that a hold reply had listed. If the first start request got no reply, the repeat may be on the way at that moment. It names the worker by its id only, so the new incarnation carries it out until a hold call has raised its fencing token; the task then runs on two workers.

Change: a run with an unanswered start request stays unconfirmed after a restart. Why it works: the first hold call to the new incarnation carries a higher fencing token, so no start request of the run has an effect after it, and its reply lists the run if one had.

--- a/cluster/pool/restart_test.go
+++ b/cluster/pool/restart_test.go
@@ -183,3 +183,38 @@
 	state, _, _, _ := s.State(job)
 	is.Equal(state, workload.StateCompleted)
 }
+
+// Guards against a task that runs twice: its worker restarted after it had reported the run, and the repeat of the start
+// request, which was still on the way, reached the new incarnation.
+func TestRestartKeepsRunWhoseRepeatIsInFlight(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 2)
+	sim.failureRate = 0
+	sim.runFor(500 * time.Millisecond)
+	const inFlight = 100 * time.Millisecond
+	for _, f := range sim.workers {
+		f.startFaults = []startFault{{executed: true, replyLost: true}, {executed: true, executedAfter: inFlight, replyLost: true}}
+	}
+	sim.submit(&workload.Job{ID: singleTaskJob, Steps: []workload.Step{{Tasks: 1, Size: cluster.Resources{CPU: cluster.Core}, Estimate: 3 * time.Second}}})
+	var f *fakeWorker
+	for f == nil {
+		sim.tick()
+		for _, other := range sim.workers {
+			if len(other.startFaults) == 0 {
+				f = other
+			}
+		}
+	}
+	for _, other := range sim.workers {
+		other.startFaults = nil
+	}
+	sim.runFor(inFlight)
+	is.Equal(len(f.running), 1)
+	sim.restart(f)
+	sim.lastListAt = time.Time{} // the restart is listed at once
+	sim.runFor(6 * time.Second)
+	state, _, _, _ := sim.owner.State(singleTaskJob)
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(sim.owner.lastRunCounter, uint64(1)) // the task was started once
+	is.Equal(sim.violations, nil)
+}
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -75,8 +75,8 @@
 }
 
 // workerRestarted handles the restart of a worker: runs of earlier incarnations have ended. A run that no hold
-// reply included may belong to the new incarnation, as the start request may have reached it before the restart
-// was noticed, or may still reach it.
+// reply included, or one with an unanswered start request, may belong to the new incarnation, as the request may have
+// reached it before the restart was noticed, or may still reach it.
 func (s *Scheduler) workerRestarted(w *worker, incarnation platform.Incarnation) {
 	known := w.vm.Incarnation != 0
 	if known {
@@ -94,13 +94,14 @@
 	w.lastEndRead, w.lastEndRecorded, w.unrecordedEnds, w.deferredEnds = 0, 0, nil, nil
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
-		if r.reportedByWorker {
+		if r.reportedByWorker && r.unansweredStarts == 0 {
 			s.markLost(r, lostByRestart)
 			continue
 		}
 		if r.state == runActive {
 			r.state, r.unconfirmedAt = runUnconfirmed, s.now
 		}
+		r.reportedByWorker = false
 		r.confirmedAt, r.stopAnsweredAt = time.Time{}, time.Time{}
 	}
 	if known && w.holdInFlight {
