pool: show that a run behind the listed ends counts as lost

Cause: a worker lists 500 ended runs at a time. A run that has ended and whose end is behind these is in neither list of a hold reply. The scheduler takes it as absent, so its task starts again although it is done. The stand-ins of the worker listed all ends, so that no test could see it.

--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -151,6 +151,9 @@
 	return platform.StopReply{}
 }
 
+// maxListedEnds is the number of run ends that a worker lists in a reply, the oldest first.
+const maxListedEnds = 500
+
 func (sim *simulation) hold(f *fakeWorker, req platform.HoldRequest) platform.HoldReply {
 	if f.misdirected {
 		return platform.HoldReply{Restarted: true}
@@ -161,7 +164,8 @@
 	f.fence = req.Fence
 	f.extendLease(sim, req.Until)
 	f.unacknowledgedEnds = slices.DeleteFunc(f.unacknowledgedEnds, func(e platform.RunEnd) bool { return e.Number <= req.Acknowledge })
-	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(f.unacknowledgedEnds)}
+	listed := f.unacknowledgedEnds[:min(len(f.unacknowledgedEnds), maxListedEnds)]
+	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(listed)}
 	for _, name := range slices.Sorted(maps.Keys(f.running)) {
 		reply.Running = append(reply.Running, platform.TaskRun{Task: name, Run: f.running[name].run, Percent: f.running[name].percent()})
 	}
