pool: take a missing run as ended only in a complete hold reply

Cause: a worker lists 500 ended runs at a time. readRunning took a run that is in neither list of a hold reply as over, also if the list of ends was cut and the end of the run was behind it.

Change: HoldReply.MoreEnds says that the list of ends may be cut. Absence from such a reply proves nothing, neither for an active run nor for one that is being stopped, also if its start is too late by now.

Why it works: the ends are listed in their order, and each reply repeats those that are not acknowledged. A run that has ended is listed in some reply before the first one that is complete, so it is absent from both lists of a complete reply only if the worker does not have it.

--- a/cluster/platform/workers.go
+++ b/cluster/platform/workers.go
@@ -152,8 +152,10 @@
 	// Clock is the time on the worker's clock.
 	Clock   time.Duration
 	Running []TaskRun
-	// Ended holds the ended runs that are not acknowledged.
-	Ended []RunEnd
+	// Ended holds the ended runs that are not acknowledged, the oldest first. MoreEnds means that it may be cut: a run that
+	// is in neither list may have ended after the last one in Ended.
+	Ended    []RunEnd
+	MoreEnds bool
 }
 
 // TaskRun is an active run on a worker.
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -355,6 +355,10 @@
 			r.step.saveCheckpoint(id.Index, tr.Checkpoint)
 		}
 	}
+	if e.Reply.MoreEnds {
+		// The runs that are absent may have ended as well; a later reply tells how.
+		return
+	}
 	for _, r := range sortedRuns(w) {
 		if reportedRuns[r.id] != r.number && (r.absenceMeansEnded(e.SentAt) || r.startIsTooLate(e.Reply)) {
 			s.markLost(r, lostByAbsence)
@@ -362,8 +366,8 @@
 	}
 }
 
-// absenceMeansEnded reports whether the run is over if it is absent from the reply to a hold call sent at the
-// given time.
+// absenceMeansEnded reports whether the run is over if it is absent from both lists of a complete reply to a hold call
+// sent at the given time.
 func (r *run) absenceMeansEnded(holdSentAt time.Time) bool {
 	switch r.state {
 	case runActive:
--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -165,7 +165,7 @@
 	f.extendLease(sim, req.Until)
 	f.unacknowledgedEnds = slices.DeleteFunc(f.unacknowledgedEnds, func(e platform.RunEnd) bool { return e.Number <= req.Acknowledge })
 	listed := f.unacknowledgedEnds[:min(len(f.unacknowledgedEnds), maxListedEnds)]
-	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(listed)}
+	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(listed), MoreEnds: len(listed) == maxListedEnds}
 	for _, name := range slices.Sorted(maps.Keys(f.running)) {
 		reply.Running = append(reply.Running, platform.TaskRun{Task: name, Run: f.running[name].run, Percent: f.running[name].percent()})
 	}
