pool: show that a takeover does not wait for ends that are not listed

Cause: the first hold reply of a worker to a new owner counts as all that is to know of the runs of the previous owner, also if its list of ends is cut.

--- a/cluster/pool/cutends_test.go
+++ b/cluster/pool/cutends_test.go
@@ -79,3 +79,48 @@
 		})
 	}
 }
+
+// Guards against a task of a previous owner that starts again after a takeover although its run is done: the end of the
+// run is behind the ends that the worker lists in its first reply to the new owner.
+func TestTakeoverWaitsForCutEnds(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		earlierEnds int
+		recordDelay time.Duration
+		gang        bool
+	}{
+		{name: "task", earlierEnds: maxListedEnds},
+		{name: "gang", earlierEnds: maxListedEnds, gang: true},
+		// The ends are acknowledged only after the leases that the previous owner granted have expired.
+		{name: "slow store", earlierEnds: 10 * maxListedEnds, recordDelay: time.Second},
+	} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("%s/%d", c.name, seed), func(t *testing.T) {
+				is := is.New(t)
+				sim := newSimulation(seed, 2)
+				sim.failureRate = 0
+				sim.submit(&workload.Job{ID: singleTaskJob, Steps: []workload.Step{{
+					Tasks: 2, Size: cluster.Resources{CPU: 5 * cluster.Core}, Estimate: time.Minute, Gang: c.gang,
+				}}})
+				sim.runFor(500 * time.Millisecond)
+				for _, f := range sim.workers {
+					is.Equal(len(f.running), 1)
+					sim.endOtherRuns(f, c.earlierEnds)
+				}
+				for _, f := range sim.workers {
+					for name, r := range f.running {
+						sim.completeRun(name, r.run, r.gangSize)
+					}
+				}
+				sim.takeOver()
+				sim.recordDelay = c.recordDelay
+				sim.runFor(30 * time.Second)
+				is.Equal(sim.violations, nil)
+				is.Equal(sim.owner.lastRunCounter, uint64(0)) // no task was started again
+				is.True(sim.owner.takeoverComplete)
+				state, _, _, _ := sim.owner.State(singleTaskJob)
+				is.Equal(state, workload.StateCompleted)
+			})
+		}
+	}
+}
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -64,6 +64,8 @@
 	// replyLossRate is the fraction of requests whose reply is lost, delayRate that of requests carried out
 	// only seconds later.
 	replyLossRate, delayRate float64
+	// recordDelay is how much longer than usual a record takes.
+	recordDelay time.Duration
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
 	// teamLimit is the limit of the team.
@@ -370,7 +372,7 @@
 			sim.events = append(sim.events, &AdviceAnswered{Step: v.Step, ReceivedAt: sim.now, Advice: advice})
 		})
 	case *WriteRecord:
-		sim.scheduleAfter(2*simLatency, func() {
+		sim.scheduleAfter(2*simLatency+sim.recordDelay, func() {
 			if sim.owner != owner {
 				return
 			}
