pool: complete a takeover only after complete lists of runs

Cause: the first hold reply of a worker to a new owner took the worker off the inherited ones. If its list of ends was cut, the takeover was complete although ends of runs of the previous owner were not listed yet. An idle worker whose listed ends were recorded was not even called again.

What callers saw: after a takeover, tasks that were done started again.

Change: a worker remains inherited until a reply with a complete list, or until its leases have expired, also those that this owner has renewed meanwhile. A worker whose list was cut is not idle.

Why it works: tasks that the previous owner may have started wait for the end of the takeover. When a worker leaves the inherited ones, each run of the previous owner on it was listed as running or ended, or its lease has expired.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -63,7 +63,10 @@
 		s.assumeMaxLease(w)
 	}
 	w.fenceAccepted = true
-	delete(s.inheritedWorkers, w.vm.ID)
+	w.moreEnds = e.Reply.MoreEnds
+	if !w.moreEnds {
+		delete(s.inheritedWorkers, w.vm.ID)
+	}
 	s.readEnds(w, e.Reply.Ended)
 	s.readRunning(w, e)
 }
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -47,8 +47,8 @@
 	s.reportWaiting()
 }
 
-// estimateUnconfirmed estimates what each team may be using on the inherited workers that have not replied: the
-// sum of its pending tasks that the previous owner may have started, limited to the capacity of those workers.
+// estimateUnconfirmed estimates what each team may be using on the inherited workers that have not listed all their
+// runs: the sum of its pending tasks that the previous owner may have started, limited to the capacity of those workers.
 func (s *Scheduler) estimateUnconfirmed() {
 	for _, u := range s.teams {
 		u.unconfirmed = cluster.Resources{}
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -30,7 +30,7 @@
 	inheritedWorkers map[cluster.WorkerID]inheritedWorker
 	// restarts counts the observed restarts of each worker.
 	restarts map[cluster.WorkerID]uint16
-	// takeoverComplete is true once every inherited worker has replied or its leases have expired.
+	// takeoverComplete is true once every inherited worker has listed all its runs or its leases have expired.
 	takeoverComplete bool
 	// stopped is set when a later owner has superseded this one.
 	stopped bool
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -198,6 +198,8 @@
 	lastEndRead     uint64
 	lastEndRecorded uint64
 	unrecordedEnds  []unrecordedEnd
+	// moreEnds means that the list of run ends in the last reply may have been cut.
+	moreEnds bool
 	// deferredEnds are the run ends that are applied later; see mayBelongToLaterJob.
 	deferredEnds []platform.RunEnd
 	// consecutiveFailures counts the runs of different jobs that failed in a row.
@@ -226,8 +228,8 @@
 	LeaseExpiry time.Time
 }
 
-// inheritedWorker is a worker that may have received requests from a previous owner and has not replied to this
-// owner yet.
+// inheritedWorker is a worker that may have received requests from a previous owner and has not listed all its runs to
+// this owner yet.
 type inheritedWorker struct {
 	// leaseExpiry is when all leases of the worker have expired.
 	leaseExpiry time.Time
@@ -239,7 +241,7 @@
 	running cluster.Resources
 	// lasting is the part of running that belongs to long-running tasks.
 	lasting cluster.Resources
-	// unconfirmed is what the team may be using on inherited workers that have not replied since the takeover.
+	// unconfirmed is what the team may be using on inherited workers that have not listed all their runs since the takeover.
 	unconfirmed cluster.Resources
 	// tokens is the number of jobs that the team may submit now without exceeding its job rate.
 	tokens          float64
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -91,7 +91,7 @@
 	for _, e := range w.deferredEnds {
 		s.deferredEarlierEnds = append(s.deferredEarlierEnds, unacknowledgedEnd{worker: w, end: e})
 	}
-	w.lastEndRead, w.lastEndRecorded, w.unrecordedEnds, w.deferredEnds = 0, 0, nil, nil
+	w.lastEndRead, w.lastEndRecorded, w.moreEnds, w.unrecordedEnds, w.deferredEnds = 0, 0, false, nil, nil
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
 		if r.reportedByWorker {
@@ -158,17 +158,21 @@
 // checkTakeover drops the inherited workers whose leases have expired, and completes the takeover when none is
 // left.
 func (s *Scheduler) checkTakeover() {
-	for id, w := range s.inheritedWorkers {
-		if !s.now.Before(w.leaseExpiry) && !s.mayReportEnds(s.workers[id], w.leaseExpiry) {
+	for id, inherited := range s.inheritedWorkers {
+		w, expiry := s.workers[id], inherited.leaseExpiry
+		if w != nil && w.moreEnds && w.leaseExpiry.After(expiry) {
+			expiry = w.leaseExpiry // renewed by this owner
+		}
+		if !s.now.Before(expiry) && !s.mayReportEnds(w, expiry) {
 			delete(s.inheritedWorkers, id)
-			s.cfg.Log.Warn().Str("worker", string(id)).Msg("pool: an inherited worker did not answer; its leases have expired")
+			s.cfg.Log.Warn().Str("worker", string(id)).Msg("pool: an inherited worker did not list all its runs; its leases have expired")
 		}
 	}
 	if s.takeoverComplete || len(s.inheritedWorkers) > 0 {
 		return
 	}
 	s.takeoverComplete = true
-	s.cfg.Log.Info().Dur("took", s.now.Sub(s.cfg.Now)).Int("jobs", len(s.jobs)).Msg("pool: takeover complete; every inherited worker has replied or its leases have expired")
+	s.cfg.Log.Info().Dur("took", s.now.Sub(s.cfg.Now)).Int("jobs", len(s.jobs)).Msg("pool: takeover complete; every inherited worker has listed all its runs or its leases have expired")
 	for _, st := range s.openSteps {
 		s.checkGang(st)
 	}
@@ -218,7 +222,7 @@
 		if w.holdInFlight || s.now.Before(w.nextHoldAt) {
 			continue
 		}
-		idle := len(w.runs) == 0 && len(w.unrecordedEnds) == 0
+		idle := len(w.runs) == 0 && len(w.unrecordedEnds) == 0 && !w.moreEnds
 		if w.fenceAccepted && w.inSync && idle && w.lastEndRead == w.lastEndRecorded {
 			continue
 		}
