pool: show that ends are not acknowledged while jobs wait for a record

Cause: a record holds 80 jobs. As long as one changed job is left over, all unrecorded ends wait for the next record, also those of the jobs that were written.

Change: a test in which the runs of 120 jobs end before each of 20 records. The simulation checks that no done run is acknowledged before the store holds it.

--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -163,7 +163,13 @@
 	}
 	f.fence = req.Fence
 	f.extendLease(sim, req.Until)
-	f.unacknowledgedEnds = slices.DeleteFunc(f.unacknowledgedEnds, func(e platform.RunEnd) bool { return e.Number <= req.Acknowledge })
+	f.unacknowledgedEnds = slices.DeleteFunc(f.unacknowledgedEnds, func(e platform.RunEnd) bool {
+		if e.Number > req.Acknowledge {
+			return false
+		}
+		sim.checkAcknowledged(f, e)
+		return true
+	})
 	listed := f.unacknowledgedEnds[:min(len(f.unacknowledgedEnds), maxListedEnds)]
 	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(listed), MoreEnds: len(listed) == maxListedEnds}
 	for _, name := range slices.Sorted(maps.Keys(f.running)) {
@@ -244,6 +250,18 @@
 	}
 }
 
+// checkAcknowledged checks that the store holds what an acknowledged end changed.
+func (sim *simulation) checkAcknowledged(f *fakeWorker, e platform.RunEnd) {
+	id, _ := workload.ParseTaskID(e.Task)
+	job, row := sim.jobs[id.Job], sim.progress[id.Job]
+	if job == nil || e.Outcome != platform.RunDone || job.Steps[id.Step].LongRunning {
+		return
+	}
+	if row == nil || !row.State.Final() && !row.IsDone(job.TaskIndex(id)) {
+		sim.reportViolation("the end of run %d of %s on %s was acknowledged before it was recorded", e.Run, e.Task, f.vm.ID)
+	}
+}
+
 // checkLimits checks the capacity of every worker and the limit of the team.
 func (sim *simulation) checkLimits() {
 	var team cluster.Resources
--- a/cluster/pool/record_test.go
+++ b/cluster/pool/record_test.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
@@ -34,3 +36,117 @@
 	is.Equal(len(p.recorded), count)
 	is.True(p.largestRecord <= transactionBytes)
 }
+
+// busyPool is a pool of two workers on which runs of many jobs end in each step, so that more jobs change between two
+// records than fit into one.
+type busyPool struct {
+	scheduler *Scheduler
+	now       time.Time
+	events    []Event
+	workers   []cluster.WorkerID
+	ends      map[cluster.WorkerID][]platform.RunEnd
+	jobs      int
+	// recorded holds the jobs whose progress was written.
+	recorded map[cluster.JobName]bool
+	// writing is the record in flight, holds are the hold calls of the last step.
+	writing *WriteRecord
+	holds   []*SendHold
+}
+
+func newBusyPool() *busyPool {
+	p := &busyPool{
+		now: time.Unix(1_800_000_000, 0), workers: []cluster.WorkerID{"w0", "w1"}, ends: map[cluster.WorkerID][]platform.RunEnd{},
+		recorded: map[cluster.JobName]bool{},
+	}
+	p.scheduler = New(Config{Service: testService, Epoch: 1, Now: p.now, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	list := &WorkersListed{Advisors: 1}
+	for _, id := range p.workers {
+		list.Workers = append(list.Workers, platform.WorkerVM{ID: id, Service: testService, Incarnation: 1, Capacity: cluster.Resources{CPU: cluster.Core}})
+	}
+	p.events = append(p.events, list)
+	return p
+}
+
+// endJob lets the run of a new job end on a worker. The job itself does not start here.
+func (p *busyPool) endJob(id cluster.WorkerID) {
+	p.jobs++
+	job := &workload.Job{
+		ID: cluster.JobName(fmt.Sprintf("%016x", p.jobs)), Team: testTeam, Queue: testQueue, AcceptedAt: p.now, Terms: workload.Terms{Service: testService},
+		Steps: []workload.Step{{Tasks: 1, Estimate: time.Second, Label: "missing"}},
+	}
+	p.events = append(p.events, &JobAccepted{Job: job})
+	p.ends[id] = append(p.ends[id], platform.RunEnd{
+		Number: uint64(len(p.ends[id]) + 1), Task: workload.TaskID{Job: job.ID}.String(), Run: 1<<runCounterBits | platform.RunNumber(p.jobs), Outcome: platform.RunDone,
+	})
+}
+
+// step runs one step. The workers list all their ends, also without a call, and MoreEnds as given.
+func (p *busyPool) step(moreEnds bool) {
+	for _, id := range p.workers {
+		answered := &HoldAnswered{
+			Worker: id, Fence: p.scheduler.cfg.Epoch << restartBits, SentAt: p.now, ReceivedAt: p.now, Extra: true,
+			Reply: platform.HoldReply{Incarnation: 1, Clock: time.Hour, Ended: p.ends[id], MoreEnds: moreEnds},
+		}
+		for _, h := range p.holds {
+			if h.Worker.ID == id {
+				answered.Extra = answered.Extra && h.Extra
+			}
+		}
+		p.events = append(p.events, answered)
+	}
+	effects := p.scheduler.Step(p.now, p.events)
+	p.events, p.holds = nil, nil
+	for _, e := range effects {
+		switch v := e.(type) {
+		case *WriteRecord:
+			p.writing = v
+		case *SendHold:
+			p.holds = append(p.holds, v)
+		}
+	}
+	p.now = p.now.Add(recordInterval)
+}
+
+// writeRecord completes the record in flight.
+func (p *busyPool) writeRecord() {
+	for _, j := range p.writing.Progress {
+		p.recorded[j.ID] = true
+	}
+	p.events = append(p.events, &RecordWritten{Generation: p.writing.Generation})
+	p.writing = nil
+}
+
+// acknowledgeable returns the number of the last end of a worker up to which the progress of all jobs is written.
+func (p *busyPool) acknowledgeable(id cluster.WorkerID) uint64 {
+	for _, e := range p.ends[id] {
+		if task, _ := workload.ParseTaskID(e.Task); !p.recorded[task.Job] {
+			return e.Number - 1
+		}
+	}
+	return uint64(len(p.ends[id]))
+}
+
+// Guards against run ends that are never acknowledged while more jobs change between two records than fit into one. They
+// stay in the lists of the workers, until later ends are not listed any more.
+func TestRunEndsAreAcknowledgedWhileJobsWaitForRecord(t *testing.T) {
+	is := is.New(t)
+	const records = 20
+	p := newBusyPool()
+	for n := range records {
+		for range maxRecordRows {
+			p.endJob("w0")
+		}
+		for range maxRecordRows / 2 {
+			p.endJob("w1")
+		}
+		for range 2 { // the step after that in which a record is written emits the next one
+			p.step(false)
+			for _, id := range p.workers {
+				is.Equal(p.scheduler.workers[id].lastEndRecorded, p.acknowledgeable(id)) // exactly the ends of the written jobs are acknowledged
+			}
+		}
+		is.True(p.writing != nil)
+		p.writeRecord()
+		is.Equal(len(p.recorded), maxRecordRows*(n+1))
+	}
+}
