pool: test random faults while the ends that workers list are cut

Cause: the simulated workers have few ends at a time, so that the random runs never meet a cut list.

--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -170,8 +170,8 @@
 		sim.checkAcknowledged(f, e)
 		return true
 	})
-	listed := f.unacknowledgedEnds[:min(len(f.unacknowledgedEnds), maxListedEnds)]
-	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(listed), MoreEnds: len(listed) == maxListedEnds}
+	listed := f.unacknowledgedEnds[:min(len(f.unacknowledgedEnds), sim.listedEnds)]
+	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(listed), MoreEnds: len(listed) == sim.listedEnds}
 	for _, name := range slices.Sorted(maps.Keys(f.running)) {
 		reply.Running = append(reply.Running, platform.TaskRun{Task: name, Run: f.running[name].run, Percent: f.running[name].percent()})
 	}
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -64,6 +64,8 @@
 	// replyLossRate is the fraction of requests whose reply is lost, delayRate that of requests carried out
 	// only seconds later.
 	replyLossRate, delayRate float64
+	// listedEnds is the number of run ends that a worker lists in a reply, maxListedEnds by default.
+	listedEnds int
 	// recordDelay is how much longer than usual a record takes.
 	recordDelay time.Duration
 	// failureRate is the fraction of runs that fail.
@@ -119,6 +121,7 @@
 		rnd: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_800_000_000, 0), jobs: map[cluster.JobName]*workload.Job{},
 		cancellations: map[cluster.JobName]time.Time{}, progress: map[cluster.JobName]*workload.Progress{}, doneTasks: map[string]bool{}, everDoneTasks: map[string]bool{}, failures: map[string]int{},
 		maxAttempts: 3, requestedShares: map[cluster.TeamName]int{}, advisors: 1, failureRate: 0.05, teamLimit: testTeamLimit,
+		listedEnds: maxListedEnds,
 	}
 	sim.snapshot = cluster.Assemble(1, []cluster.Entity{
 		&cluster.Queue{Name: testQueue, Service: testService, MaxAttempts: sim.maxAttempts, Stretch: 2, Target: time.Second},
