pool: acknowledge an end once the record of its job is written

Cause: a record holds 80 jobs. postponeUnrecordedEnds moved all unrecorded run ends to the next record as long as one changed job was left over. While more than 80 jobs changed between two records, no end was acknowledged at all, and the lists of the workers grew until they were cut.

Change: an unrecorded end knows its job. Only the ends of the jobs that do not fit into a record wait for the next one.

Why it works: changed jobs are written in the order in which they changed, so an end waits for as many records as the jobs before its own fill. The number up to which a worker's ends are acknowledged stops at the first end whose record is not written, deferred ends included, as before.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -129,10 +129,19 @@
 			continue
 		}
 		s.applyEnd(w, e)
-		w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{number: e.Number, generation: s.generation + 1})
+		w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{number: e.Number, job: s.jobOf(e), generation: s.generation + 1})
 	}
 }
 
+// jobOf returns the job of a run end, or nil if it is not known.
+func (s *Scheduler) jobOf(e platform.RunEnd) *job {
+	id, ok := workload.ParseTaskID(e.Task)
+	if !ok {
+		return nil
+	}
+	return s.jobs[id.Job]
+}
+
 // deferredGeneration is the generation of a run end that is not applied yet. It keeps the end, and those after it, from
 // being acknowledged.
 const deferredGeneration = math.MaxUint64
@@ -160,7 +169,7 @@
 			s.applyEnd(w, e)
 			for i := range w.unrecordedEnds {
 				if w.unrecordedEnds[i].number == e.Number {
-					w.unrecordedEnds[i].generation = s.generation + 1
+					w.unrecordedEnds[i].job, w.unrecordedEnds[i].generation = s.jobOf(e), s.generation+1
 				}
 			}
 			return true
--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -44,7 +44,6 @@
 	}
 	s.dirtyJobs = append([]*job(nil), s.dirtyJobs[n:]...)
 	if len(s.dirtyJobs) > 0 {
-		// The run ends of the jobs that do not fit into the record are recorded with a later generation.
 		s.postponeUnrecordedEnds()
 	}
 	if s.workersDirty {
@@ -78,12 +77,12 @@
 	return false
 }
 
-// postponeUnrecordedEnds moves the run ends of the current generation to the next one.
+// postponeUnrecordedEnds moves the run ends of the jobs that do not fit into the record to the next generation.
 func (s *Scheduler) postponeUnrecordedEnds() {
 	for _, w := range s.sortedWorkers {
 		for i := range w.unrecordedEnds {
-			if w.unrecordedEnds[i].generation == s.generation {
-				w.unrecordedEnds[i].generation++
+			if e := &w.unrecordedEnds[i]; e.generation == s.generation && e.job != nil && e.job.dirty {
+				e.generation++
 			}
 		}
 	}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -214,9 +214,11 @@
 }
 
 // unrecordedEnd is a run end that may be acknowledged to the worker once the record of the given generation is
-// written.
+// written. While the job waits for a record, the generation is that of the next one.
 type unrecordedEnd struct {
-	number     uint64
+	number uint64
+	// job is nil for the end of an unknown run.
+	job        *job
 	generation uint64
 }
 
