pool: call hold at once while a worker has more ends than it lists

A hold call could also wait for the end of a run on a worker that had not listed all ends yet.

What callers saw: tasks that count as running after they are done.

Change: while the list may be cut, a call follows as soon as it acknowledges something, and it asks the worker not to wait.

Measured: TestCutEndsAreAcknowledgedOnceRecorded and TestHoldDoesNotWaitWhileEndsAreCut fail before and pass; both check that nothing changes while the list is complete.

--- a/cluster/pool/cutends_test.go
+++ b/cluster/pool/cutends_test.go
@@ -124,3 +124,18 @@
 		}
 	}
 }
+
+// Guards against a hold call that waits for the end of a run although the worker has ends that it has not listed yet.
+func TestHoldDoesNotWaitWhileEndsAreCut(t *testing.T) {
+	for _, moreEnds := range []bool{false, true} {
+		t.Run(fmt.Sprintf("moreEnds=%t", moreEnds), func(t *testing.T) {
+			is := is.New(t)
+			sim := newSimulation(1, 1)
+			r, _ := sim.submitSingleTask(time.Minute)
+			r.worker.moreEnds = moreEnds
+			sim.owner.sendHold(r.worker, false)
+			hold := sim.owner.effects[len(sim.owner.effects)-1].(*SendHold)
+			is.Equal(hold.Request.Wait == 0, moreEnds)
+		})
+	}
+}
--- a/cluster/pool/record_test.go
+++ b/cluster/pool/record_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -150,3 +151,30 @@
 		is.Equal(len(p.recorded), maxRecordRows*(n+1))
 	}
 }
+
+// Guards against a list of ends that is cut for longer than necessary: the call that acknowledges the recorded part of it
+// waits until the other ends are recorded too.
+func TestCutEndsAreAcknowledgedOnceRecorded(t *testing.T) {
+	for _, moreEnds := range []bool{false, true} {
+		t.Run(fmt.Sprintf("moreEnds=%t", moreEnds), func(t *testing.T) {
+			is := is.New(t)
+			p := newBusyPool()
+			for p.scheduler.recordedGeneration == 0 {
+				p.step(false)
+				if p.writing != nil {
+					p.writeRecord()
+				}
+			}
+			for range 2 * maxRecordRows {
+				p.endJob("w0")
+			}
+			for p.writing == nil {
+				p.step(moreEnds)
+			}
+			p.writeRecord()
+			p.step(moreEnds)
+			called := slices.ContainsFunc(p.holds, func(h *SendHold) bool { return h.Worker.ID == "w0" && h.Request.Acknowledge == maxRecordRows })
+			is.Equal(called, moreEnds) // no call is added while the list is complete
+		})
+	}
+}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -194,10 +194,11 @@
 	holdInFlight bool
 	nextHoldAt   time.Time
 	// lastEndRead is the number of the last run end that was read, lastEndRecorded that of the last one that is
-	// in the store and may be acknowledged.
-	lastEndRead     uint64
-	lastEndRecorded uint64
-	unrecordedEnds  []unrecordedEnd
+	// in the store and may be acknowledged, lastEndAcknowledged that of the last one that a hold call acknowledged.
+	lastEndRead         uint64
+	lastEndRecorded     uint64
+	lastEndAcknowledged uint64
+	unrecordedEnds      []unrecordedEnd
 	// moreEnds means that the list of run ends in the last reply may have been cut.
 	moreEnds bool
 	// deferredEnds are the run ends that are applied later; see mayBelongToLaterJob.
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -91,7 +91,8 @@
 	for _, e := range w.deferredEnds {
 		s.deferredEarlierEnds = append(s.deferredEarlierEnds, unacknowledgedEnd{worker: w, end: e})
 	}
-	w.lastEndRead, w.lastEndRecorded, w.moreEnds, w.unrecordedEnds, w.deferredEnds = 0, 0, false, nil, nil
+	w.lastEndRead, w.lastEndRecorded, w.lastEndAcknowledged = 0, 0, 0
+	w.moreEnds, w.unrecordedEnds, w.deferredEnds = false, nil, nil
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
 		if r.reportedByWorker {
@@ -229,11 +230,13 @@
 		if !w.inPlatformList && len(w.runs) == 0 && !s.isInherited(w) {
 			continue
 		}
-		if w.fenceAccepted && w.inSync && len(w.unrecordedEnds) == 0 && w.allRunsStarting() {
+		if w.fenceAccepted && w.inSync && len(w.unrecordedEnds) == 0 && !w.moreEnds && w.allRunsStarting() {
 			// The reply to the start request shows whether the worker has restarted.
 			continue
 		}
-		if len(w.unrecordedEnds) > 0 && s.now.Before(w.nextHoldAt.Add(maxHoldDelay)) {
+		// Only the ends that a call acknowledges make room for those that the last reply did not list.
+		listsFurtherEnds := w.moreEnds && w.lastEndAcknowledged < w.lastEndRecorded
+		if len(w.unrecordedEnds) > 0 && !listsFurtherEnds && s.now.Before(w.nextHoldAt.Add(maxHoldDelay)) {
 			continue
 		}
 		if !w.fenceAccepted {
@@ -267,12 +270,13 @@
 	// A restarted worker numbers its run ends from one again.
 	if w.inSync {
 		req.Acknowledge = w.lastEndRecorded
+		w.lastEndAcknowledged = w.lastEndRecorded
 	}
 	// An unresponsive worker gets no longer lease; otherwise its runs would never count as expired.
 	if w.fenceAccepted && w.inSync && !w.recordedUnresponsive {
 		req.Until = s.grantLease(w)
 	}
-	if w.fenceAccepted && w.inSync && !extra && len(w.unrecordedEnds) == 0 && len(w.runs) > 0 {
+	if w.fenceAccepted && w.inSync && !extra && len(w.unrecordedEnds) == 0 && !w.moreEnds && len(w.runs) > 0 {
 		req.Wait = holdMaxWait
 	}
 	if !extra {
