pool: don't take a run as stalled while its end may not be listed

Cause: a run that is absent from a reply with a cut list of ends stays active until its end is listed. Its last reported progress does not change meanwhile, so that after 2.5 s it counted as stalled.

What callers saw: a healthy worker gets no new tasks for 5 s, and a stop request for a run that is done; for a gang, stop requests for all members.

Change: a run counts as stalled only if the last reply of its worker had a complete list.

--- a/cluster/pool/cutends_test.go
+++ b/cluster/pool/cutends_test.go
@@ -139,3 +139,19 @@
 		})
 	}
 }
+
+// Guards against a worker that gets no tasks because a run that is done, but whose end is not listed yet, counts as
+// stalled.
+func TestRunBehindListedEndsIsNotStalled(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 2)
+	sim.failureRate = 0
+	r, f := sim.submitSingleTask(time.Minute)
+	sim.recordDelay = time.Second
+	sim.endOtherRuns(f, 10*maxListedEnds)
+	sim.completeRun(r.id.String(), r.number, 0)
+	sim.runFor(30 * time.Second)
+	is.Equal(sim.violations, nil)
+	is.True(r.stopSentAt.IsZero())
+	is.True(r.worker.quarantinedUntil.IsZero())
+}
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -251,9 +251,9 @@
 }
 
 // stalled reports whether a run makes no progress on a worker that is in sync. A member of a gang that has
-// finished its own work waits for the others and does not count as stalled.
+// finished its own work waits for the others and does not count as stalled, nor does a run that may have ended.
 func (s *Scheduler) stalled(r *run) bool {
-	if r.state != runActive || r.step.spec.LongRunning || r.step.spec.BestEffortCPU || !r.worker.inSync || r.percent >= 100 {
+	if r.state != runActive || r.step.spec.LongRunning || r.step.spec.BestEffortCPU || !r.worker.inSync || r.worker.moreEnds || r.percent >= 100 {
 		return false
 	}
 	limit := max(minStallTime, time.Duration(stallShare*float64(r.step.spec.Estimate)))
