--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -63,7 +63,10 @@
 		s.assumeMaxLease(w)
 	}
 	w.fenceAccepted = true
-	delete(s.inheritedWorkers, w.vm.ID)
+	w.moreEnds = e.Reply.MoreEnds
+	if !w.moreEnds {
+		delete(s.inheritedWorkers, w.vm.ID)
+	}
 	s.readEnds(w, e.Reply.Ended)
 	s.readRunning(w, e)
 }
@@ -126,10 +129,19 @@
 			continue
 		}
 		s.applyEnd(w, e)
-		w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{number: e.Number, generation: s.generation + 1})
+		w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{number: e.Number, job: s.jobOf(e), generation: s.generation + 1})
 	}
 }
 
+// jobOf returns the job of a run end, or nil if it is not known.
+func (s *Scheduler) jobOf(e platform.RunEnd) *job {
+	id, ok := workload.ParseTaskID(e.Task)
+	if !ok {
+		return nil
+	}
+	return s.jobs[id.Job]
+}
+
 // deferredGeneration is the generation of a run end that is not applied yet. It keeps the end, and those after it, from
 // being acknowledged.
 const deferredGeneration = math.MaxUint64
@@ -157,7 +169,7 @@
 			s.applyEnd(w, e)
 			for i := range w.unrecordedEnds {
 				if w.unrecordedEnds[i].number == e.Number {
-					w.unrecordedEnds[i].generation = s.generation + 1
+					w.unrecordedEnds[i].job, w.unrecordedEnds[i].generation = s.jobOf(e), s.generation+1
 				}
 			}
 			return true
@@ -355,6 +367,10 @@
 			r.step.saveCheckpoint(id.Index, tr.Checkpoint)
 		}
 	}
+	if e.Reply.MoreEnds {
+		// The runs that are absent may have ended as well; a later reply tells how.
+		return
+	}
 	for _, r := range sortedRuns(w) {
 		if reportedRuns[r.id] != r.number && (r.absenceMeansEnded(e.SentAt) || r.startIsTooLate(e.Reply)) {
 			s.markLost(r, lostByAbsence)
@@ -362,8 +378,8 @@
 	}
 }
 
-// absenceMeansEnded reports whether the run is over if it is absent from the reply to a hold call sent at the
-// given time.
+// absenceMeansEnded reports whether the run is over if it is absent from both lists of a complete reply to a hold call
+// sent at the given time.
 func (r *run) absenceMeansEnded(holdSentAt time.Time) bool {
 	switch r.state {
 	case runActive:
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -66,6 +66,10 @@
 	replyLossRate, delayRate float64
 	// refusalRate is the fraction of start requests that the workers refuse as unhealthy.
 	refusalRate float64
+	// listedEnds is the number of run ends that a worker lists in a reply, maxListedEnds by default.
+	listedEnds int
+	// recordDelay is how much longer than usual a record takes.
+	recordDelay time.Duration
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
 	// teamLimit is the limit of the team.
@@ -132,6 +136,7 @@
 		rnd: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_800_000_000, 0), jobs: map[cluster.JobName]*workload.Job{},
 		cancellations: map[cluster.JobName]time.Time{}, progress: map[cluster.JobName]*workload.Progress{}, doneTasks: map[string]bool{}, everDoneTasks: map[string]bool{}, failures: map[string]int{},
 		maxAttempts: 3, requestedShares: map[cluster.TeamName]int{}, advisors: 1, failureRate: 0.05, teamLimit: testTeamLimit,
+		listedEnds: maxListedEnds,
 	}
 	sim.snapshot = cluster.Assemble(1, []cluster.Entity{
 		&cluster.Queue{Name: testQueue, Service: testService, MaxAttempts: sim.maxAttempts, Stretch: 2, Target: time.Second},
@@ -399,7 +404,7 @@
 			sim.events = append(sim.events, &AdviceAnswered{Step: v.Step, ReceivedAt: sim.now, Advice: advice})
 		})
 	case *WriteRecord:
-		sim.scheduleAfter(2*simLatency, func() {
+		sim.scheduleAfter(2*simLatency+sim.recordDelay, func() {
 			if sim.owner != owner {
 				return
 			}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -197,10 +197,13 @@
 	holdInFlight bool
 	nextHoldAt   time.Time
 	// lastEndRead is the number of the last run end that was read, lastEndRecorded that of the last one that is
-	// in the store and may be acknowledged.
-	lastEndRead     uint64
-	lastEndRecorded uint64
-	unrecordedEnds  []unrecordedEnd
+	// in the store and may be acknowledged, lastEndAcknowledged that of the last one that a hold call acknowledged.
+	lastEndRead         uint64
+	lastEndRecorded     uint64
+	lastEndAcknowledged uint64
+	unrecordedEnds      []unrecordedEnd
+	// moreEnds means that the list of run ends in the last reply may have been cut.
+	moreEnds bool
 	// deferredEnds are the run ends that are applied later; see mayBelongToLaterJob.
 	deferredEnds []platform.RunEnd
 	// consecutiveFailures counts the runs of different jobs that failed in a row.
@@ -215,9 +218,11 @@
 }
 
 // unrecordedEnd is a run end that may be acknowledged to the worker once the record of the given generation is
-// written.
+// written. While the job waits for a record, the generation is that of the next one.
 type unrecordedEnd struct {
-	number     uint64
+	number uint64
+	// job is nil for the end of an unknown run.
+	job        *job
 	generation uint64
 }
 
@@ -229,8 +234,8 @@
 	LeaseExpiry time.Time
 }
 
-// inheritedWorker is a worker that may have received requests from a previous owner and has not replied to this
-// owner yet.
+// inheritedWorker is a worker that may have received requests from a previous owner and has not listed all its runs to
+// this owner yet.
 type inheritedWorker struct {
 	// leaseExpiry is when all leases of the worker have expired.
 	leaseExpiry time.Time
@@ -242,7 +247,7 @@
 	running cluster.Resources
 	// lasting is the part of running that belongs to long-running tasks.
 	lasting cluster.Resources
-	// unconfirmed is what the team may be using on inherited workers that have not replied since the takeover.
+	// unconfirmed is what the team may be using on inherited workers that have not listed all their runs since the takeover.
 	unconfirmed cluster.Resources
 	// tokens is the number of jobs that the team may submit now without exceeding its job rate.
 	tokens          float64
