pool: test a run that a new owner reads before its job

A previous owner that is still active learns of a job and starts it while the new owner loads the shard. The first hold reply of the worker then lists a run whose job the change feed has not delivered to the new owner yet. The end of such a run is deferred until the job arrives; a run that is still going on is stopped without being tracked.

TestRunReadBeforeJobIsAdopted fails: the task starts a second time while the worker still lists its first run.

--- a/cluster/pool/ends_test.go
+++ b/cluster/pool/ends_test.go
@@ -22,6 +22,8 @@
 	// replies holds the reply of each worker to hold calls; a worker without one does not answer.
 	replies map[cluster.WorkerID]*platform.HoldReply
 	starts  []*SendStart
+	// stops counts the stop requests, which have no effect.
+	stops int
 }
 
 func newEndPool(epoch cluster.Epoch, workers ...cluster.WorkerID) *endPool {
@@ -69,6 +71,8 @@
 					reply.Running = append(reply.Running, platform.TaskRun{Task: v.Request.Task, Run: v.Request.Run})
 				}
 				p.events = append(p.events, &StartAnswered{Fence: v.Request.Fence, Task: v.Task, Run: v.Request.Run, Worker: v.Worker.ID})
+			case *SendStop:
+				p.stops++
 			case *WriteRecord:
 				p.events = append(p.events, &RecordWritten{Generation: v.Generation})
 			case *SendHold:
@@ -151,3 +155,31 @@
 	is.True(!p.scheduler.takeoverComplete)
 	is.Equal(len(p.starts), 0) // the task may run on w0
 }
+
+// Guards against a task that runs twice at the same time after a takeover: its worker lists the run of the previous owner
+// before the change feed brings the job.
+func TestRunReadBeforeJobIsAdopted(t *testing.T) {
+	is := is.New(t)
+	p := newEndPool(2, "w0", "w1")
+	p.replies["w0"].Running = []platform.TaskRun{{Task: workload.TaskID{Job: singleTaskJob}.String(), Run: 1<<runCounterBits | 1}}
+	p.runFor(time.Second)
+	is.True(p.scheduler.takeoverComplete)
+	p.submit()
+	p.runFor(time.Second)
+	is.Equal(len(p.starts), 0) // the task runs on w0
+	is.Equal(p.stops, 0)
+	p.replies["w0"].Running, p.replies["w0"].Ended = nil, endOfPreviousOwner()
+	p.runFor(time.Second)
+	state, _, _, _ := p.scheduler.State(singleTaskJob)
+	is.Equal(state, workload.StateCompleted)
+	is.Equal(len(p.starts), 0)
+}
+
+// Guards against a run of a previous owner whose job does not exist and that is never stopped.
+func TestRunOfUnknownJobIsStopped(t *testing.T) {
+	is := is.New(t)
+	p := newEndPool(2, "w0")
+	p.replies["w0"].Running = []platform.TaskRun{{Task: workload.TaskID{Job: singleTaskJob}.String(), Run: 1<<runCounterBits | 1}}
+	p.runFor(takeoverFeedDelay + 2*holdMaxWait)
+	is.True(p.stops > 0)
+}
