pool: adopt runs whose job is received after them

Cause: after a takeover, a hold reply may list a run of a previous owner whose job the change feed has not delivered to the new owner yet. It was stopped with a request that nothing tracked. When the job arrived, its task was pending and was started elsewhere while the worker still ran it or took its time to stop it; a lost stop request was not repeated.

What callers saw: a task that runs twice at the same time (TWICE), and work that was thrown away.

Change: such runs are kept with the worker until the job arrives, like ends are, and then adopted or stopped. The worker's leases are renewed meanwhile. Each hold reply replaces them, so a run that ends before is not adopted for longer than one reply. After takeoverFeedDelay they are stopped as before.

Measured: TestRunReadBeforeJobIsAdopted failed before (1 start instead of 0) and passes; TestRunOfUnknownJobIsStopped passes before and after; the random tests of cluster/pool pass.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -64,6 +64,7 @@
 	}
 	w.fenceAccepted = true
 	delete(s.inheritedWorkers, w.vm.ID)
+	w.deferredRuns = nil
 	s.readEnds(w, e.Reply.Ended)
 	s.readRunning(w, e)
 }
@@ -120,7 +121,7 @@
 			continue
 		}
 		w.lastEndRead = e.Number
-		if s.mayBelongToLaterJob(e) {
+		if s.mayBelongToLaterJob(e.Task, e.Run) {
 			w.deferredEnds = append(w.deferredEnds, e)
 			w.unrecordedEnds = append(w.unrecordedEnds, unrecordedEnd{number: e.Number, generation: deferredGeneration})
 			continue
@@ -143,7 +144,7 @@
 // applyDeferredEnds applies the deferred run ends whose job has been received or is no longer expected.
 func (s *Scheduler) applyDeferredEnds() {
 	s.deferredEarlierEnds = slices.DeleteFunc(s.deferredEarlierEnds, func(e unacknowledgedEnd) bool {
-		if s.mayBelongToLaterJob(e.end) {
+		if s.mayBelongToLaterJob(e.end.Task, e.end.Run) {
 			return false
 		}
 		s.applyEnd(e.worker, e.end)
@@ -151,7 +152,7 @@
 	})
 	for _, w := range s.sortedWorkers {
 		w.deferredEnds = slices.DeleteFunc(w.deferredEnds, func(e platform.RunEnd) bool {
-			if s.mayBelongToLaterJob(e) {
+			if s.mayBelongToLaterJob(e.Task, e.Run) {
 				return false
 			}
 			s.applyEnd(w, e)
@@ -167,14 +168,29 @@
 
 // mayBelongToLaterJob reports whether a run of a previous owner may belong to a job that this owner has not received
 // yet: the previous owner may have learned of the job before the change feed delivers it here.
-func (s *Scheduler) mayBelongToLaterJob(e platform.RunEnd) bool {
-	if uint64(e.Run)>>runCounterBits >= uint64(s.cfg.Epoch) || s.now.Sub(s.cfg.Now) >= takeoverFeedDelay {
+func (s *Scheduler) mayBelongToLaterJob(task string, run platform.RunNumber) bool {
+	if uint64(run)>>runCounterBits >= uint64(s.cfg.Epoch) || s.now.Sub(s.cfg.Now) >= takeoverFeedDelay {
 		return false
 	}
-	id, ok := workload.ParseTaskID(e.Task)
+	id, ok := workload.ParseTaskID(task)
 	return ok && s.jobs[id.Job] == nil
 }
 
+// readDeferredRuns adopts or stops the deferred runs of a job that has been received. A run that has ended meanwhile is
+// absent from the next hold reply.
+func (s *Scheduler) readDeferredRuns(j *job) {
+	for _, w := range s.sortedWorkers {
+		w.deferredRuns = slices.DeleteFunc(w.deferredRuns, func(tr platform.TaskRun) bool {
+			id, _ := workload.ParseTaskID(tr.Task)
+			if id.Job != j.spec.ID {
+				return false
+			}
+			s.unexpectedRun(w, id, tr)
+			return true
+		})
+	}
+}
+
 // applyEnd applies the end of one run.
 func (s *Scheduler) applyEnd(w *worker, e platform.RunEnd) {
 	id, ok := workload.ParseTaskID(e.Task)
@@ -382,6 +398,10 @@
 
 // unexpectedRun adopts a run of a previous owner, or stops a run that should not exist.
 func (s *Scheduler) unexpectedRun(w *worker, id workload.TaskID, tr platform.TaskRun) {
+	if s.mayBelongToLaterJob(tr.Task, tr.Run) {
+		w.deferredRuns = append(w.deferredRuns, tr)
+		return
+	}
 	st := s.stepOf(id)
 	fromPreviousOwner := uint64(tr.Run)>>runCounterBits < uint64(s.cfg.Epoch)
 	if st != nil && fromPreviousOwner && !st.closed() {
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -213,10 +213,12 @@
 	if j.progress.State.Final() {
 		j.visibleState = j.progress.State
 		s.endedJobs = append(s.endedJobs, j)
+		s.readDeferredRuns(j)
 		return
 	}
 	j.surplus = !s.consumeToken(spec.Team)
 	s.buildSteps(j)
+	s.readDeferredRuns(j)
 	s.cfg.Log.Info().Str("job", string(spec.ID)).Str("queue", string(spec.Queue)).Str("team", string(spec.Team)).
 		Int("tasks", j.unfinishedTasks).Bool("surplus", j.surplus).Bool("exposed", j.possiblyRunning).Msg("pool: job accepted")
 	if j.unfinishedTasks == 0 {
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -200,6 +200,8 @@
 	unrecordedEnds  []unrecordedEnd
 	// deferredEnds are the run ends that are applied later; see mayBelongToLaterJob.
 	deferredEnds []platform.RunEnd
+	// deferredRuns are the runs in the last hold reply that are adopted or stopped later; see mayBelongToLaterJob.
+	deferredRuns []platform.TaskRun
 	// consecutiveFailures counts the runs of different jobs that failed in a row.
 	consecutiveFailures int
 	lastFailedJob       cluster.JobName
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -91,7 +91,7 @@
 	for _, e := range w.deferredEnds {
 		s.deferredEarlierEnds = append(s.deferredEarlierEnds, unacknowledgedEnd{worker: w, end: e})
 	}
-	w.lastEndRead, w.lastEndRecorded, w.unrecordedEnds, w.deferredEnds = 0, 0, nil, nil
+	w.lastEndRead, w.lastEndRecorded, w.unrecordedEnds, w.deferredEnds, w.deferredRuns = 0, 0, nil, nil, nil
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
 		if r.reportedByWorker {
@@ -189,6 +189,9 @@
 		!s.now.Before(w.quarantinedUntil)
 }
 
+// hasRuns reports whether the worker has runs that a hold reply may report on.
+func (w *worker) hasRuns() bool { return len(w.runs) > 0 || len(w.deferredRuns) > 0 }
+
 func (w *worker) free() cluster.Resources { return w.vm.Capacity.Sub(w.used).Sub(w.reserved) }
 
 // grantLease returns the end of a lease that starts now, on the worker's clock, and updates the worker's lease
@@ -218,11 +221,11 @@
 		if w.holdInFlight || s.now.Before(w.nextHoldAt) {
 			continue
 		}
-		idle := len(w.runs) == 0 && len(w.unrecordedEnds) == 0
+		idle := !w.hasRuns() && len(w.unrecordedEnds) == 0
 		if w.fenceAccepted && w.inSync && idle && w.lastEndRead == w.lastEndRecorded {
 			continue
 		}
-		if !w.inPlatformList && len(w.runs) == 0 && !s.isInherited(w) {
+		if !w.inPlatformList && !w.hasRuns() && !s.isInherited(w) {
 			continue
 		}
 		if w.fenceAccepted && w.inSync && len(w.unrecordedEnds) == 0 && w.allRunsStarting() {
@@ -268,7 +271,7 @@
 	if w.fenceAccepted && w.inSync && !w.recordedUnresponsive {
 		req.Until = s.grantLease(w)
 	}
-	if w.fenceAccepted && w.inSync && !extra && len(w.unrecordedEnds) == 0 && len(w.runs) > 0 {
+	if w.fenceAccepted && w.inSync && !extra && len(w.unrecordedEnds) == 0 && w.hasRuns() {
 		req.Wait = holdMaxWait
 	}
 	if !extra {
