pool: test the lease of an adopted run

A worker that answers the hold call of a new owner once is no longer inherited. From then on only leases that the new owner has granted count. It grants none while the worker is recorded as unresponsive, so a run that it adopts has no lease for it, although that of the previous owner may last for another 4 s.

TestAdoptedRunKeepsLeaseOfPreviousOwner fails: after one lost reply the run counts as lost and its task starts on another worker.

--- a/cluster/pool/unreachable_test.go
+++ b/cluster/pool/unreachable_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -85,3 +86,31 @@
 	is.Equal(state, workload.StateCompleted)
 	is.Equal(sim.owner.lastRunCounter, uint64(0))
 }
+
+func isReplyOf(e Event, id cluster.WorkerID) bool {
+	reply, ok := e.(*HoldAnswered)
+	return ok && reply.Worker == id && !reply.ReplyLost
+}
+
+// Guards against a task that runs twice at the same time after a takeover: its worker answers one hold call of the new
+// owner, which has recorded it as unresponsive, and the next reply is lost while the leases of the previous owner last.
+func TestAdoptedRunKeepsLeaseOfPreviousOwner(t *testing.T) {
+	is := is.New(t)
+	p := newEndPool(2, "w0", "w1")
+	takenOverAt := p.now
+	w0 := *p.replies["w0"]
+	w0.Running = []platform.TaskRun{{Task: workload.TaskID{Job: singleTaskJob}.String(), Run: 1<<runCounterBits | 1}}
+	p.submit()
+	p.replies["w0"] = nil
+	p.runFor(500 * time.Millisecond)
+	is.True(p.scheduler.workers["w0"].recordedUnresponsive)
+	p.replies["w0"] = &w0
+	for !slices.ContainsFunc(p.events, func(e Event) bool { return isReplyOf(e, "w0") }) {
+		p.runFor(20 * time.Millisecond)
+	}
+	p.replies["w0"] = nil
+	p.runFor(DefaultLease - p.now.Sub(takenOverAt))
+	is.Equal(len(p.starts), 0) // the task may run on w0
+	p.runFor(2 * time.Second)
+	is.Equal(len(p.starts), 1)
+}
