pool: count the leases of previous owners for adopted runs

Cause: the first reply of a worker to a new owner ended its inheritance and with it the time at which the leases of previous owners have expired. A new owner grants its first lease with the next hold call, but none to a worker that it has recorded as unresponsive until a later record is written. If the worker did not answer that call, its adopted runs counted as lost at once, as their lease was zero.

Change: the worker keeps the later one of its own and the inherited expiry, so that a run which it reports counts until the leases of all owners are over. That is also the base of the wait for the report of an end.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -63,7 +63,7 @@
 		s.assumeMaxLease(w)
 	}
 	w.fenceAccepted = true
-	delete(s.inheritedWorkers, w.vm.ID)
+	s.keepInheritedLease(w)
 	w.deferredRuns = nil
 	s.readEnds(w, e.Reply.Ended)
 	s.readRunning(w, e)
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -260,6 +260,15 @@
 	return ok
 }
 
+// keepInheritedLease ends the inheritance of a worker that has replied. The leases that previous owners have granted still
+// count for the runs that it reports.
+func (s *Scheduler) keepInheritedLease(w *worker) {
+	if inherited, ok := s.inheritedWorkers[w.vm.ID]; ok && inherited.leaseExpiry.After(w.leaseExpiry) {
+		w.leaseExpiry = inherited.leaseExpiry
+	}
+	delete(s.inheritedWorkers, w.vm.ID)
+}
+
 // sendHold calls hold on a worker. An extra call is answered immediately and does not affect the periodic one.
 func (s *Scheduler) sendHold(w *worker, extra bool) {
 	req := platform.HoldRequest{Fence: s.fence(w)}
