cell: test claims after an owner that never ran, or only briefly

A claim considers only the last owner: if that one has released the shard, its process has stopped or it is this daemon, all owners count as stopped. The one before it may still be active, as a claim allows it to be for 2 s. This happens if owners are stopped in series, and if the write of a claim is carried out late, so that the daemon finds itself as the owner and claims again.

The flag PreviousOwnerStopped becomes the time PreviousOwnersActiveUntil, with the same values.

--- a/cluster/cell/advise_test.go
+++ b/cluster/cell/advise_test.go
@@ -77,7 +77,7 @@
 		d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop(), Handler: d.handleMessage, Digest: d.digest})
 		defer d.transport.Close()
 		d.cfg.Advice = panickingAdvice{}
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		o.executeEffects([]pool.Effect{&pool.RequestAdvice{Step: pool.StepID{Job: recordedJob}, Workers: []cluster.WorkerID{"w"}, ResponseTime: time.Second}})
 		_ = o.goroutines.WaitAndRecover()
 		is.True(o.ctx.Err() != nil || len(o.events) == 1) // the request failed, or another owner takes over
--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 )
 
 // shardFromKey returns the shard that is named by the part of a key.
@@ -159,6 +160,10 @@
 	previousOwnerStopped := d.ownerStopped(o)
 	d.mu.Unlock()
 	claimedAt := time.Now()
+	previousOwnersActiveUntil := claimedAt
+	if !previousOwnerStopped {
+		previousOwnersActiveUntil = claimedAt.Add(pool.PreviousOwnerGrace)
+	}
 	version, err := d.store.Commit(d.ctx, platform.Txn{
 		Checks: []platform.Check{{Key: key, Version: o.version}},
 		Puts:   []platform.Put{{Key: key, Value: data}},
@@ -173,7 +178,7 @@
 	d.cfg.Log.Info().Stringer("shard", id).Uint64("epoch", row.Epoch).Str("before", o.row.Owner).
 		Dur("sinceSeen", time.Since(o.seenAt)).Msg("cell: shard claimed")
 	d.mu.Lock()
-	owned := newOwnedShard(d, id, cluster.Epoch(row.Epoch), version, claimedAt, previousOwnerStopped)
+	owned := newOwnedShard(d, id, cluster.Epoch(row.Epoch), version, claimedAt, previousOwnersActiveUntil)
 	if d.owners[id].version < version {
 		d.owners[id] = ownership{row: row, version: version, seenAt: time.Now()}
 	}
--- a/cluster/cell/claim_test.go
+++ b/cluster/cell/claim_test.go
@@ -128,6 +128,88 @@
 		d.claim(testShard, ownership{row: ownerRow{Owner: previous, Epoch: 1}, version: version})
 		owned := d.lookupShard(testShard)
 		is.True(owned != nil)
-		is.True(!owned.previousOwnerStopped)
+		is.True(owned.previousOwnersActiveUntil.After(owned.ownedSince))
+	})
+}
+
+// Guards against a claim that counts requests of an earlier owner as sent before the claim: the last owner of the shard
+// has stopped, but it owned the shard only for a moment, or its claim was written late and it never ran.
+func TestEarlierOwnerCountsAsActive(t *testing.T) {
+	const previous = "other@1"
+	for _, c := range []struct {
+		name string
+		// owned leaves the shard with the owner row that the next claim finds.
+		owned func(t *testing.T, d *Daemon, rows *rowStore)
+	}{
+		{
+			name: "last owner released the shard",
+			owned: func(t *testing.T, d *Daemon, _ *rowStore) {
+				owned := d.lookupShard(testShard)
+				time.Sleep(100 * time.Millisecond)
+				owned.release(t.Context())
+			},
+		},
+		{
+			name: "last owner restarted",
+			owned: func(_ *testing.T, d *Daemon, _ *rowStore) {
+				owned := d.lookupShard(testShard)
+				owned.endOwnership("test")
+				<-owned.done
+				d.cfg.Self = cluster.DaemonID(string(d.cfg.VM) + "@later")
+				d.members[string(d.cfg.VM)] = memberRow{ID: string(d.cfg.Self)}
+			},
+		},
+		{
+			name: "claim of this daemon was confirmed late",
+			owned: func(_ *testing.T, d *Daemon, _ *rowStore) {
+				owned := d.lookupShard(testShard)
+				owned.endOwnership("test")
+				<-owned.done
+			},
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rows, d := newStoreDaemon(t)
+				d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+				key := ownerKey(testShard)
+				_, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key, Value: must(encode("test", &ownerRow{Owner: previous, Epoch: 1}))}}})
+				is.NoErr(err)
+				claim := func() *ownedShard {
+					row, version, err := d.readOwner(t.Context(), key)
+					is.NoErr(err)
+					d.claim(testShard, ownership{row: row, version: version, seenAt: time.Now()})
+					return d.lookupShard(testShard)
+				}
+				first := claim() // the previous owner does not respond
+				is.True(first != nil)
+				activeUntil := first.previousOwnersActiveUntil
+				c.owned(t, d, rows)
+				second := claim()
+				is.True(second != nil)
+				is.True(!second.previousOwnersActiveUntil.Before(activeUntil))
+			})
+		})
+	}
+}
+
+// Guards against a takeover that waits for an owner which has stopped.
+func TestStoppedOwnerCountsAsInactive(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		_, d := newStoreDaemon(t)
+		d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+		d.claim(testShard, ownership{})
+		owned := d.lookupShard(testShard)
+		is.True(owned != nil)
+		is.True(!owned.previousOwnersActiveUntil.After(owned.ownedSince))
+		time.Sleep(time.Second)
+		owned.release(t.Context())
+		row, version, err := d.readOwner(t.Context(), ownerKey(testShard))
+		is.NoErr(err)
+		d.claim(testShard, ownership{row: row, version: version, seenAt: time.Now()})
+		owned = d.lookupShard(testShard)
+		is.True(!owned.previousOwnersActiveUntil.After(owned.ownedSince))
 	})
 }
--- a/cluster/cell/loadbound_test.go
+++ b/cluster/cell/loadbound_test.go
@@ -43,7 +43,7 @@
 		is.NoErr(err)
 		rows.setPartsUnreachable(jobPartPrefix(0, 0))
 		time.AfterFunc(5*time.Second, func() { rows.setPartsUnreachable() })
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		_, loaded := o.load()
 		is.True(loaded)
 		t.Logf("read %.1f times the jobs of the shard", float64(store.bytesRead)/(jobParts*jobBytes))
@@ -79,7 +79,7 @@
 		d := newTestDaemon(t, store)
 		defer d.wg.Wait()
 		defer d.stop()
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		d.wg.Go(func() { _, _ = newPartReads(jobParts, o.readJobPart).readMissing() })
 		synctest.Wait()
 		is.True(len(store.connections) <= connections/2)
@@ -96,7 +96,7 @@
 		defer d.wg.Wait()
 		defer d.stop()
 		rows.setPartsUnreachable(jobPartPrefix(0, 0))
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		var loaded atomic.Bool
 		ended := make(chan struct{})
 		go func() {
@@ -140,7 +140,7 @@
 		}
 		_, err := rows.Commit(t.Context(), platform.Txn{Puts: puts})
 		is.NoErr(err)
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		time.AfterFunc(4*loadTime, o.stop)
 		startedAt := time.Now()
 		_, loaded := o.load()
--- a/cluster/cell/loadretry_test.go
+++ b/cluster/cell/loadretry_test.go
@@ -48,7 +48,7 @@
 	store.setPartsUnreachable(part)
 	time.AfterFunc(outage/2, during)
 	time.AfterFunc(outage, func() { store.setPartsUnreachable() })
-	o := newOwnedShard(d, testShard, epoch, 1, time.Now(), true)
+	o := newOwnedShard(d, testShard, epoch, 1, time.Now(), time.Time{})
 	version, loaded := o.load()
 	if !loaded {
 		t.Fatal("shard not loaded")
@@ -150,7 +150,7 @@
 		key := jobKey(1, recordedJob)
 		_, err := d.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key}}})
 		is.NoErr(err)
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		store.setPartsUnreachable(jobPartPrefix(0, alternatePart(jobPart(recordedJob))))
 		_, err = o.readJobs()
 		is.True(err != nil)
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -25,11 +25,11 @@
 	version cluster.Version
 	// ownedSince is when the claim of the shard was sent to the store.
 	ownedSince time.Time
-	// previousOwnerStopped means that the previous owner sent no requests after ownedSince.
-	previousOwnerStopped bool
-	ctx                  context.Context
-	stop                 context.CancelFunc
-	goroutines           conc.WaitGroup
+	// previousOwnersActiveUntil is until when previous owners may have sent requests.
+	previousOwnersActiveUntil time.Time
+	ctx                       context.Context
+	stop                      context.CancelFunc
+	goroutines                conc.WaitGroup
 	// loaded is closed when the rows have been loaded and the control loop is about to run.
 	loaded chan struct{}
 	// done is closed when run returns.
@@ -55,9 +55,9 @@
 // eventQueueLength bounds the events that wait for the control loop.
 const eventQueueLength = 4096
 
-func newOwnedShard(d *Daemon, id shardID, epoch cluster.Epoch, version cluster.Version, ownedSince time.Time, previousOwnerStopped bool) *ownedShard {
+func newOwnedShard(d *Daemon, id shardID, epoch cluster.Epoch, version cluster.Version, ownedSince, previousOwnersActiveUntil time.Time) *ownedShard {
 	o := &ownedShard{
-		d: d, id: id, epoch: epoch, version: version, ownedSince: ownedSince, previousOwnerStopped: previousOwnerStopped,
+		d: d, id: id, epoch: epoch, version: version, ownedSince: ownedSince, previousOwnersActiveUntil: previousOwnersActiveUntil,
 		loaded: make(chan struct{}), done: make(chan struct{}), events: make(chan pool.Event, eventQueueLength), queries: make(chan func(*pool.Scheduler)),
 		configUpdates: make(chan struct{}, 1),
 	}
@@ -146,7 +146,7 @@
 	workers := records.workers.recordedWorkers()
 	o.scheduler = pool.New(pool.Config{
 		Service: o.id.Service, Shard: o.id.Index, Shards: o.d.shardCount(), Epoch: o.epoch, Now: o.ownedSince, MaxLease: o.d.cfg.MaxLease,
-		InheritedWorkers: workers, PreviousOwnerStopped: o.previousOwnerStopped, Log: o.d.cfg.Log, Metrics: o.d.cfg.Metrics,
+		InheritedWorkers: workers, PreviousOwnersActiveUntil: o.previousOwnersActiveUntil, Log: o.d.cfg.Log, Metrics: o.d.cfg.Metrics,
 	})
 	events := []pool.Event{&pool.ConfigChanged{Snapshot: o.d.Snapshot()}, &pool.SharesChanged{Shares: shares}}
 	events = append(events, o.jobEvents(jobs, records.progress)...)
--- a/cluster/cell/ownedshard_test.go
+++ b/cluster/cell/ownedshard_test.go
@@ -19,7 +19,7 @@
 // start requests.
 func countStarts(service cluster.ServiceName, events []pool.Event) int {
 	now := time.Now()
-	s := pool.New(pool.Config{Service: service, Epoch: 1, Now: now, PreviousOwnerStopped: true})
+	s := pool.New(pool.Config{Service: service, Epoch: 1, Now: now})
 	events = append(events, &pool.WorkersListed{Advisors: 1, Workers: []platform.WorkerVM{
 		{ID: "w", Service: service, Incarnation: 1, Capacity: cluster.Resources{CPU: cluster.Core}},
 	}})
@@ -59,7 +59,7 @@
 			snapshot := cluster.Assemble(1, []cluster.Entity{&cluster.Queue{Name: "q", Service: c.service}, &cluster.Team{Name: "team"}})
 			starts := 0
 			for _, service := range []cluster.ServiceName{"s", "moved"} {
-				o := newOwnedShard(d, shardID{Service: service}, 1, 1, time.Now(), true)
+				o := newOwnedShard(d, shardID{Service: service}, 1, 1, time.Now(), time.Time{})
 				starts += countStarts(service, append([]pool.Event{&pool.ConfigChanged{Snapshot: snapshot}}, o.jobEvents(rows, nil)...))
 			}
 			is.True(starts > 0)
@@ -122,7 +122,7 @@
 func TestQueryEndsWithPanic(t *testing.T) {
 	is := is.New(t)
 	_, d := newStoreDaemon(t)
-	o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+	o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 	o.scheduler = pool.New(pool.Config{Service: testShard.Service, Epoch: 1, Now: time.Now()})
 	close(o.loaded)
 	var loop conc.WaitGroup
--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -23,7 +23,7 @@
 // newRecordOwner returns an owner that has loaded its records and has no scheduler.
 func newRecordOwner(t *testing.T, d *Daemon, epoch cluster.Epoch) (*ownedShard, loadedRecords) {
 	t.Helper()
-	o := newOwnedShard(d, testShard, epoch, 1, time.Now(), true)
+	o := newOwnedShard(d, testShard, epoch, 1, time.Now(), time.Time{})
 	loaded, err := o.loadRecords()
 	if err != nil {
 		t.Fatal(err)
@@ -76,7 +76,7 @@
 	store, d := newStoreDaemon(t)
 	for part := range recordParts {
 		store.setPartsUnreachable(recordPartPrefix(testShard, part))
-		_, err := newOwnedShard(d, testShard, 1, 1, time.Now(), true).loadRecords()
+		_, err := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{}).loadRecords()
 		is.True(err != nil)
 	}
 }
@@ -113,7 +113,7 @@
 		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
 		is.NoErr(err)
 		later, _ := newRecordOwner(t, d, 3)
-		_, err = newOwnedShard(d, testShard, 2, 1, time.Now(), true).loadRecords()
+		_, err = newOwnedShard(d, testShard, 2, 1, time.Now(), time.Time{}).loadRecords()
 		is.True(err != nil)
 		later.writeRecord(recordOfDoneTasks(t, 1, 0))
 		is.NoErr(later.ctx.Err()) // the later owner keeps the shard
@@ -153,7 +153,7 @@
 		store.betweenPages = nil
 		first.writeRecord(recordOfDoneTasks(t, 1, 0))
 	}
-	second := newOwnedShard(d, testShard, 2, 1, time.Now(), true)
+	second := newOwnedShard(d, testShard, 2, 1, time.Now(), time.Time{})
 	loaded, err := second.fencePart(0)
 	is.NoErr(err)
 	is.Equal(len(first.events), 0) // the run end is not acknowledged
@@ -263,7 +263,7 @@
 
 		store.setPartsUnreachable()
 		is.NoErr(d.Submit(t.Context(), job)) // a repeated submission
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		rows, err := o.readJobs()
 		is.NoErr(err)
 		s := pool.New(pool.Config{Service: "s", Now: time.Now()})
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -108,7 +108,7 @@
 // newShardOwner returns an owner of a shard with a running control loop, a team that has a limit, and no jobs.
 func newShardOwner(t *testing.T, d *Daemon, index int, epoch cluster.Epoch) *ownedShard {
 	t.Helper()
-	o := newOwnedShard(d, shardID{Service: "s", Index: index}, epoch, 1, time.Now(), true)
+	o := newOwnedShard(d, shardID{Service: "s", Index: index}, epoch, 1, time.Now(), time.Time{})
 	shares, err := o.claimShares()
 	if err != nil {
 		t.Fatal(err)
@@ -199,9 +199,9 @@
 func TestEarlierOwnerDoesNotClaimShares(t *testing.T) {
 	is := is.New(t)
 	store, d := newThreeShardDaemon(t)
-	_, err := newOwnedShard(d, shardID{Service: "s"}, 3, 1, time.Now(), true).claimShares()
+	_, err := newOwnedShard(d, shardID{Service: "s"}, 3, 1, time.Now(), time.Time{}).claimShares()
 	is.NoErr(err)
-	_, err = newOwnedShard(d, shardID{Service: "s"}, 2, 1, time.Now(), true).claimShares()
+	_, err = newOwnedShard(d, shardID{Service: "s"}, 2, 1, time.Now(), time.Time{}).claimShares()
 	is.True(err != nil)
 	row, err := decode[sharesRow]("test", store.rows[sharesKey("s")].Value)
 	is.NoErr(err)
@@ -366,7 +366,7 @@
 		defer d.wg.Wait()
 		defer d.stop()
 		d.layout.Store(&layoutRow{Shards: 3})
-		d.wg.Go(func() { _, _ = newOwnedShard(d, testShard, 1, 1, time.Now(), true).claimShares() })
+		d.wg.Go(func() { _, _ = newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{}).claimShares() })
 		const duration = time.Second
 		time.Sleep(duration)
 		is.True(store.commits.Load() > 1)
--- a/cluster/cell/status_test.go
+++ b/cluster/cell/status_test.go
@@ -106,7 +106,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		_, d := newStoreDaemon(t)
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		const queries = 50
 		var ran atomic.Int64
 		for range queries {
--- a/cluster/cell/workercalls_test.go
+++ b/cluster/cell/workercalls_test.go
@@ -57,7 +57,7 @@
 				is := is.New(t)
 				_, d := newStoreDaemon(t)
 				d.cfg.Workers = panickingWorkers{}
-				o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+				o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 				o.executeEffects([]pool.Effect{c.effect})
 				is.Equal(o.goroutines.WaitAndRecover(), nil) // the daemon can still be stopped
 				is.NoErr(o.ctx.Err())
@@ -81,7 +81,7 @@
 		d.store = newRelayStore(d, panickingCommits{rows})
 		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
 		is.NoErr(err)
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		o.executeEffects([]pool.Effect{recordOfDoneTasks(t, 1, 0)})
 		is.Equal(o.goroutines.WaitAndRecover(), nil) // the daemon can still be stopped
 		is.True(o.ctx.Err() != nil)
@@ -97,7 +97,7 @@
 		d.store = newRelayStore(d, panickingCommits{rows})
 		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
 		is.NoErr(err)
-		o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+		o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 		o.deleteExpiredJobs([]cluster.JobName{recordedJob})
 		is.Equal(o.goroutines.WaitAndRecover(), nil) // the daemon can still be stopped
 		is.NoErr(o.ctx.Err())
@@ -141,7 +141,7 @@
 				d := newTestDaemon(t, &slowStore{})
 				defer d.stop()
 				d.cfg.Workers = slowWorker{delay: c.delay, reply: platform.HoldReply{Ended: []platform.RunEnd{{Number: 1, Outcome: platform.RunDone}}}}
-				o := newOwnedShard(d, testShard, 1, 1, time.Now(), true)
+				o := newOwnedShard(d, testShard, 1, 1, time.Now(), time.Time{})
 				o.sendHold(&pool.SendHold{})
 				var unanswered, read bool
 				for len(o.events) > 0 {
--- a/cluster/pool/bench_test.go
+++ b/cluster/pool/bench_test.go
@@ -71,7 +71,7 @@
 		&cluster.Queue{Name: "batch", Service: testService, Rank: 2, MaxAttempts: 2, Stretch: 4, Target: 3 * time.Second, Advice: advice},
 		&cluster.Team{Name: testTeam},
 	})
-	p.owner = New(Config{Service: testService, Epoch: 1, Now: p.now, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	p.owner = New(Config{Service: testService, Epoch: 1, Now: p.now, Log: zerolog.Nop()})
 	list := &WorkersListed{Advisors: 30}
 	for i := range benchWorkers {
 		id := cluster.WorkerID(fmt.Sprintf("i-%010x", i))
--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -48,9 +48,9 @@
 	startVerifyDelay = 400 * time.Millisecond
 	// stopRetryDelay is the time between two stop requests for one run.
 	stopRetryDelay = 500 * time.Millisecond
-	// previousOwnerGrace is how long a previous owner that has not noticed the takeover may keep sending
+	// PreviousOwnerGrace is how long after a claim a previous owner that has not noticed the takeover may keep sending
 	// requests.
-	previousOwnerGrace = 2 * time.Second
+	PreviousOwnerGrace = 2 * time.Second
 	// takeoverFeedDelay is how long after a claim the change feed may deliver a job that the previous owner knew.
 	takeoverFeedDelay = 5 * time.Second
 	// clockReadTolerance is how far the clock in a reply may lag behind its expected value, because of the
@@ -59,8 +59,8 @@
 	// recentRestartTime is how long a previous owner may have been unaware of the restart of a worker: after that
 	// time it counts as failed itself and is replaced.
 	recentRestartTime = 10 * time.Second
-	// maxClockSkew is the largest difference between the clocks of two daemons.
-	maxClockSkew = 2500 * time.Millisecond
+	// MaxClockSkew is the largest difference between the clocks of two daemons.
+	MaxClockSkew = 2500 * time.Millisecond
 	// minStallTime is how long a run may make no progress before it counts as stalled. For a run so long that
 	// one percent takes more time, the limit is stallShare of its estimate.
 	minStallTime = 2500 * time.Millisecond
@@ -98,8 +98,8 @@
 	Now time.Time
 	// InheritedWorkers lists the workers that may have received requests from previous owners.
 	InheritedWorkers []RecordedWorker
-	// PreviousOwnerStopped means that the previous owner is known to send no more requests.
-	PreviousOwnerStopped bool
-	Log                  zerolog.Logger
-	Metrics              tally.Scope
+	// PreviousOwnersActiveUntil is until when previous owners may have sent requests. A time before Now counts as Now.
+	PreviousOwnersActiveUntil time.Time
+	Log                       zerolog.Logger
+	Metrics                   tally.Scope
 }
--- a/cluster/pool/dropped_test.go
+++ b/cluster/pool/dropped_test.go
@@ -113,7 +113,7 @@
 	p := &gangPool{
 		now: time.Unix(1_800_000_000, 0), size: 2, members: map[cluster.WorkerID]gangMember{}, ended: map[cluster.WorkerID][]platform.RunEnd{},
 	}
-	p.scheduler = New(Config{Service: testService, Epoch: 1, Now: p.now, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	p.scheduler = New(Config{Service: testService, Epoch: 1, Now: p.now, Log: zerolog.Nop()})
 	snapshot := cluster.Assemble(1, []cluster.Entity{
 		&cluster.Queue{
 			Name: adviceQueue, Service: testService, Stretch: 2, Target: 20 * time.Second,
--- a/cluster/pool/ends_test.go
+++ b/cluster/pool/ends_test.go
@@ -41,7 +41,7 @@
 		})
 		p.replies[id] = &platform.HoldReply{Incarnation: 1, Clock: time.Hour}
 	}
-	p.scheduler = New(Config{Service: testService, Epoch: epoch, Now: p.now, InheritedWorkers: inherited, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	p.scheduler = New(Config{Service: testService, Epoch: epoch, Now: p.now, InheritedWorkers: inherited, Log: zerolog.Nop()})
 	p.events = []Event{&ConfigChanged{Snapshot: p.snapshot}}
 	p.list()
 	return p
@@ -142,13 +142,13 @@
 func TestLateJobWaitsForInheritedWorkers(t *testing.T) {
 	is := is.New(t)
 	p := newEndPool(2, "w0", "w1")
-	p.scheduler = New(Config{Service: testService, Epoch: 2, Now: p.now, InheritedWorkers: []RecordedWorker{{ID: "w0"}, {ID: "w1"}}, Log: zerolog.Nop()})
+	p.scheduler = New(Config{Service: testService, Epoch: 2, Now: p.now, InheritedWorkers: []RecordedWorker{{ID: "w0"}, {ID: "w1"}}, PreviousOwnersActiveUntil: p.now.Add(PreviousOwnerGrace), Log: zerolog.Nop()})
 	p.replies["w0"] = nil
 	p.runFor(time.Second)
 	p.submit() // accepted now; the previous owner does not know of the takeover yet
 	job := p.events[len(p.events)-1]
 	p.events = p.events[:len(p.events)-1]
-	p.runFor(previousOwnerGrace)
+	p.runFor(PreviousOwnerGrace)
 	is.True(!p.scheduler.takeoverComplete)
 	p.events = append(p.events, job)
 	p.runFor(500 * time.Millisecond)
--- a/cluster/pool/expired.go
+++ b/cluster/pool/expired.go
@@ -58,7 +58,7 @@
 // one with the same identifier.
 func (d *deletedJobs) contains(spec *workload.Job) bool {
 	deletedAt, ok := d.deletedAt[spec.ID]
-	return ok && spec.AcceptedAt.Before(deletedAt.Add(-maxClockSkew))
+	return ok && spec.AcceptedAt.Before(deletedAt.Add(-MaxClockSkew))
 }
 
 // prune forgets the jobs that were deleted more than deletedJobRetention ago.
--- a/cluster/pool/expired_test.go
+++ b/cluster/pool/expired_test.go
@@ -26,7 +26,7 @@
 
 func newExpiryPool() *expiryPool {
 	p := &expiryPool{now: time.Unix(1_800_000_000, 0)}
-	p.scheduler = New(Config{Service: testService, Epoch: 1, Now: p.now, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	p.scheduler = New(Config{Service: testService, Epoch: 1, Now: p.now, Log: zerolog.Nop()})
 	p.events = append(p.events, &WorkersListed{Advisors: 1, Workers: []platform.WorkerVM{
 		{ID: "w", Service: testService, Incarnation: 1, Capacity: cluster.Resources{CPU: cluster.Core}},
 	}})
--- a/cluster/pool/random_advice_test.go
+++ b/cluster/pool/random_advice_test.go
@@ -283,7 +283,7 @@
 // settleTime returns how long a job may take to end without faults: the expiry of the leases that the faults left
 // behind, and for each step in turn all attempts, each with a search for workers and the quarantine of a worker.
 func (sim *simulation) settleTime(j *workload.Job) time.Duration {
-	settle := previousOwnerGrace + 2*maxLeaseDuration(DefaultMaxLease)
+	settle := PreviousOwnerGrace + 2*maxLeaseDuration(DefaultMaxLease)
 	for i := range j.Steps {
 		attempt := j.Steps[i].Estimate + quarantineTime + startVerifyDelay + 2*stopRetryDelay + maxLeaseDuration(DefaultLease) + ticketTTL
 		settle += time.Duration(sim.maxAttempts) * attempt
--- a/cluster/pool/random_test.go
+++ b/cluster/pool/random_test.go
@@ -238,7 +238,7 @@
 	for !sim.owner.takeoverComplete {
 		sim.tick()
 	}
-	is.True(sim.now.Sub(takeoverStart) < maxLeaseDuration(DefaultLease)+previousOwnerGrace)
+	is.True(sim.now.Sub(takeoverStart) < maxLeaseDuration(DefaultLease)+PreviousOwnerGrace)
 	sim.runFor(40 * time.Second)
 	is.Equal(sim.violations, nil)
 	state, _, _, _ := sim.owner.State("0000000000000001")
--- a/cluster/pool/restart_test.go
+++ b/cluster/pool/restart_test.go
@@ -17,7 +17,7 @@
 func TestRunOfNewIncarnationIsKept(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	s := New(Config{Service: testService, Epoch: 1, Now: now, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	s := New(Config{Service: testService, Epoch: 1, Now: now, Log: zerolog.Nop()})
 	list := func(incarnation platform.Incarnation) *WorkersListed {
 		l := &WorkersListed{Advisors: 1}
 		for _, id := range []cluster.WorkerID{"w0", "w1"} {
@@ -84,7 +84,7 @@
 func TestClockRegressionSuspendsAcknowledgement(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	s := New(Config{Service: testService, Epoch: 1, Now: now, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	s := New(Config{Service: testService, Epoch: 1, Now: now, Log: zerolog.Nop()})
 	vm := platform.WorkerVM{ID: "w0", Service: testService, Incarnation: 1, Capacity: cluster.Resources{CPU: 8 * cluster.Core, Memory: cluster.GiB}}
 	snapshot := cluster.Assemble(1, []cluster.Entity{
 		&cluster.Queue{Name: testQueue, Service: testService, MaxAttempts: 3, Stretch: 2, Target: time.Second}, &cluster.Team{Name: testTeam},
@@ -144,7 +144,7 @@
 	is := is.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	const job = cluster.JobName("0000000000000001")
-	s := New(Config{Service: testService, Epoch: 2, Now: now, InheritedWorkers: []RecordedWorker{{ID: "w0"}}, Log: zerolog.Nop()})
+	s := New(Config{Service: testService, Epoch: 2, Now: now, InheritedWorkers: []RecordedWorker{{ID: "w0"}}, PreviousOwnersActiveUntil: now.Add(PreviousOwnerGrace), Log: zerolog.Nop()})
 	snapshot := cluster.Assemble(1, []cluster.Entity{
 		&cluster.Queue{Name: testQueue, Service: testService, MaxAttempts: 3, Stretch: 2, Target: time.Second}, &cluster.Team{Name: testTeam},
 	})
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -101,13 +101,13 @@
 		metrics:          newMetrics(cfg.Metrics),
 	}
 	s.previousOwnerActiveUntil = cfg.Now
-	if !cfg.PreviousOwnerStopped {
-		s.previousOwnerActiveUntil = cfg.Now.Add(previousOwnerGrace)
+	if cfg.PreviousOwnersActiveUntil.After(cfg.Now) {
+		s.previousOwnerActiveUntil = cfg.PreviousOwnersActiveUntil
 	}
 	latestExpiry := s.previousOwnerActiveUntil.Add(maxLeaseDuration(cfg.Lease))
 	for _, recorded := range cfg.InheritedWorkers {
 		w := inheritedWorker{leaseExpiry: latestExpiry}
-		if expiry := recorded.LeaseExpiry.Add(maxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(latestExpiry) {
+		if expiry := recorded.LeaseExpiry.Add(MaxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(latestExpiry) {
 			w.leaseExpiry = expiry
 		}
 		s.inheritedWorkers[recorded.ID] = w
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -144,7 +144,8 @@
 func (sim *simulation) takeOver() {
 	sim.epoch++
 	sim.owner = New(Config{
-		Service: testService, Epoch: sim.epoch, Now: sim.now, InheritedWorkers: sim.recordedWorkers, PreviousOwnerStopped: sim.rnd.IntN(2) == 0, Log: sim.logger(),
+		Service: testService, Epoch: sim.epoch, Now: sim.now, InheritedWorkers: sim.recordedWorkers,
+		PreviousOwnersActiveUntil: sim.now.Add(time.Duration(sim.rnd.IntN(2)) * PreviousOwnerGrace), Log: sim.logger(),
 	})
 	sim.events = []Event{&ConfigChanged{Snapshot: sim.snapshot}}
 	for _, id := range sortedKeys(sim.jobs) {
--- a/cluster/pool/unreachable_test.go
+++ b/cluster/pool/unreachable_test.go
@@ -59,7 +59,7 @@
 	f.repliesLost = true
 	sim.runFor(time.Second)
 	sim.takeOver()
-	sim.runFor(previousOwnerGrace + DefaultLease + time.Second)
+	sim.runFor(PreviousOwnerGrace + DefaultLease + time.Second)
 	is.True(listsEndOfTask(f))
 	is.Equal(sim.owner.lastRunCounter, uint64(0)) // the new owner has not started the task
 	f.repliesLost = false
@@ -78,7 +78,7 @@
 	sim.runFor(300 * time.Millisecond) // the run has not ended yet
 	is.Equal(len(f.running), 1)
 	sim.takeOver()
-	sim.runFor(previousOwnerGrace + DefaultLease + time.Second)
+	sim.runFor(PreviousOwnerGrace + DefaultLease + time.Second)
 	is.Equal(sim.owner.lastRunCounter, uint64(0)) // the new owner has not started the task
 	f.repliesLate = false
 	sim.runFor(DefaultLease)
