cell: carry over how long earlier owners of a shard may be active

Cause: a claim took the state of the last owner for that of all. An owner that does not respond may send requests for 2 s after the claim that replaces it. If the new owner is stopped, or released the shard, within that time, or if its claim was written late so that it never ran, the next claim counted all owners as stopped at once. It then took leases of the first owner as expired up to 2 s early, and jobs that this owner may have started as not started.

Change: the owner row has the time until which earlier owners may be active. A claim takes it over while it is not past, plus the largest difference between the clocks of two daemons; a release keeps it. A claim of a shard whose row names the same daemon treats the owner before as active. The confirmation of a claim compares owner and epoch only.

--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -149,21 +149,26 @@
 // claim writes this daemon as the owner of a shard, with the next epoch.
 func (d *Daemon) claim(id shardID, o ownership) {
 	row := ownerRow{Owner: string(d.cfg.Self), Epoch: o.row.Epoch + 1}
+	// The previous owner must have stopped before claimedAt; it may still send requests while the claim is written. If
+	// the row names this daemon, an earlier claim was written late, and the owner before it may be active.
+	d.mu.Lock()
+	previousOwnerStopped := d.ownerStopped(o) && o.row.Owner != string(d.cfg.Self)
+	d.mu.Unlock()
+	claimedAt := time.Now()
+	previousOwnersActiveUntil := o.row.earlierOwnersActiveUntil()
+	switch {
+	case !previousOwnerStopped:
+		previousOwnersActiveUntil = claimedAt.Add(pool.PreviousOwnerGrace)
+		row.EarlierOwnersActiveUntil = previousOwnersActiveUntil.UnixMilli()
+	case claimedAt.Before(previousOwnersActiveUntil):
+		row.EarlierOwnersActiveUntil = o.row.EarlierOwnersActiveUntil
+	}
 	data, err := encode("claim", &row)
 	if err != nil {
 		d.cfg.Log.Error().Err(err).Msg("cell: owner row can't be encoded")
 		return
 	}
 	key := ownerKey(id)
-	// The previous owner must have stopped before claimedAt; it may still send requests while the claim is written.
-	d.mu.Lock()
-	previousOwnerStopped := d.ownerStopped(o)
-	d.mu.Unlock()
-	claimedAt := time.Now()
-	previousOwnersActiveUntil := claimedAt
-	if !previousOwnerStopped {
-		previousOwnersActiveUntil = claimedAt.Add(pool.PreviousOwnerGrace)
-	}
 	version, err := d.store.Commit(d.ctx, platform.Txn{
 		Checks: []platform.Check{{Key: key, Version: o.version}},
 		Puts:   []platform.Put{{Key: key, Value: data}},
@@ -179,6 +184,7 @@
 		Dur("sinceSeen", time.Since(o.seenAt)).Msg("cell: shard claimed")
 	d.mu.Lock()
 	owned := newOwnedShard(d, id, cluster.Epoch(row.Epoch), version, claimedAt, previousOwnersActiveUntil)
+	owned.earlierOwnersActiveUntil = row.EarlierOwnersActiveUntil
 	if d.owners[id].version < version {
 		d.owners[id] = ownership{row: row, version: version, seenAt: time.Now()}
 	}
@@ -195,7 +201,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if stored != row {
+	if stored.Owner != row.Owner || stored.Epoch != row.Epoch {
 		return 0, &Error{Op: "claim", Kind: KindUnknown}
 	}
 	return version, nil
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -27,9 +27,11 @@
 	ownedSince time.Time
 	// previousOwnersActiveUntil is until when previous owners may have sent requests.
 	previousOwnersActiveUntil time.Time
-	ctx                       context.Context
-	stop                      context.CancelFunc
-	goroutines                conc.WaitGroup
+	// earlierOwnersActiveUntil is the same time in the owner row.
+	earlierOwnersActiveUntil int64
+	ctx                      context.Context
+	stop                     context.CancelFunc
+	goroutines               conc.WaitGroup
 	// loaded is closed when the rows have been loaded and the control loop is about to run.
 	loaded chan struct{}
 	// done is closed when run returns.
@@ -376,7 +378,7 @@
 	case <-ctx.Done():
 	}
 	key := ownerKey(o.id)
-	data, err := encode("release", &ownerRow{Epoch: uint64(o.epoch)})
+	data, err := encode("release", &ownerRow{Epoch: uint64(o.epoch), EarlierOwnersActiveUntil: o.earlierOwnersActiveUntil})
 	if err == nil {
 		_, err = o.d.store.Commit(ctx, platform.Txn{
 			Checks: []platform.Check{{Key: key, Version: o.version}},
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -124,6 +124,18 @@
 type ownerRow struct {
 	Owner string `msgpack:"Owner"`
 	Epoch uint64 `msgpack:"Epoch"`
+	// EarlierOwnersActiveUntil is until when the owners before this one may have sent requests, in Unix milliseconds; 0
+	// if they had stopped before its claim.
+	EarlierOwnersActiveUntil int64 `msgpack:"EarlierUntil"`
+}
+
+// earlierOwnersActiveUntil returns until when the owners before this one may have sent requests. The clock of the daemon
+// that wrote the row may be behind.
+func (r *ownerRow) earlierOwnersActiveUntil() time.Time {
+	if r.EarlierOwnersActiveUntil == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(r.EarlierOwnersActiveUntil).Add(pool.MaxClockSkew)
 }
 
 // sequenceRow identifies the last record in a part of a shard's records.
