cell: test a claim that a slow store writes late

The 2 s for which an owner that does not respond may go on are counted from the moment at which the claim is sent. A slow store may write it 2 s later, and that owner learns of it after that.

--- a/cluster/cell/claim_test.go
+++ b/cluster/cell/claim_test.go
@@ -14,6 +14,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 )
 
 // connectPeer connects a daemon to a new peer and waits for the peer's first message. handle gets the messages
@@ -132,6 +133,31 @@
 	})
 }
 
+// Guards against a claim whose slow write takes up the time for which an owner that does not respond may be active. That
+// owner learns of the claim only after it is written.
+func TestGraceOfPreviousOwnerFollowsClaim(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, d := newStoreDaemon(t)
+		d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+		var writtenAt time.Time
+		d.store = newRelayStore(d, &hookStore{rowStore: rows, beforeCommit: func() {
+			if writtenAt.IsZero() {
+				time.Sleep(2 * time.Second) // a slow store
+				writtenAt = time.Now()
+			}
+		}})
+		key := ownerKey(testShard)
+		row := ownerRow{Owner: "other@1", Epoch: 1}
+		version, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key, Value: must(encode("test", &row))}}})
+		is.NoErr(err)
+		d.claim(testShard, ownership{row: row, version: version})
+		owned := d.lookupShard(testShard)
+		is.True(owned != nil)
+		is.True(!owned.previousOwnersActiveUntil.Before(writtenAt.Add(pool.PreviousOwnerGrace)))
+	})
+}
+
 // Guards against a claim that counts requests of an earlier owner as sent before the claim: the last owner of the shard
 // has stopped, but it owned the shard only for a moment, or its claim was written late and it never ran.
 func TestEarlierOwnerCountsAsActive(t *testing.T) {
