cell: count the grace of the previous owner from the written claim

Cause: an owner that does not respond to the daemon which replaces it may be alive and learns of the claim when it is written. The 2 s that it is given began when the claim was sent; a slow store writes it up to 2.6 s later.

Change: the grace begins when the claim is known to be written. The owner row holds the time from before the claim, as it is written with it.

Measured: TestGraceOfPreviousOwnerFollowsClaim failed before and passes, and so do the other tests of claims.

--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -158,8 +158,7 @@
 	previousOwnersActiveUntil := o.row.earlierOwnersActiveUntil()
 	switch {
 	case !previousOwnerStopped:
-		previousOwnersActiveUntil = claimedAt.Add(pool.PreviousOwnerGrace)
-		row.EarlierOwnersActiveUntil = previousOwnersActiveUntil.UnixMilli()
+		row.EarlierOwnersActiveUntil = claimedAt.Add(pool.PreviousOwnerGrace).UnixMilli()
 	case claimedAt.Before(previousOwnersActiveUntil):
 		row.EarlierOwnersActiveUntil = o.row.EarlierOwnersActiveUntil
 	}
@@ -180,6 +179,9 @@
 		d.cfg.Log.Info().Err(err).Stringer("shard", id).Uint64("epoch", row.Epoch).Msg("cell: shard not claimed")
 		return
 	}
+	if !previousOwnerStopped {
+		previousOwnersActiveUntil = time.Now().Add(pool.PreviousOwnerGrace)
+	}
 	d.cfg.Log.Info().Stringer("shard", id).Uint64("epoch", row.Epoch).Str("before", o.row.Owner).
 		Dur("sinceSeen", time.Since(o.seenAt)).Msg("cell: shard claimed")
 	d.mu.Lock()
