--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 )
 
 // shardFromKey returns the shard that is named by the part of a key.
@@ -148,17 +149,25 @@
 // claim writes this daemon as the owner of a shard, with the next epoch.
 func (d *Daemon) claim(id shardID, o ownership) {
 	row := ownerRow{Owner: string(d.cfg.Self), Epoch: o.row.Epoch + 1}
+	// The previous owner must have stopped before claimedAt; it may still send requests while the claim is written. If
+	// the row names this daemon, an earlier claim was written late, and the owner before it may be active.
+	d.mu.Lock()
+	previousOwnerStopped := d.ownerStopped(o) && o.row.Owner != string(d.cfg.Self)
+	d.mu.Unlock()
+	claimedAt := time.Now()
+	previousOwnersActiveUntil := o.row.earlierOwnersActiveUntil()
+	switch {
+	case !previousOwnerStopped:
+		row.EarlierOwnersActiveUntil = claimedAt.Add(pool.PreviousOwnerGrace).UnixMilli()
+	case claimedAt.Before(previousOwnersActiveUntil):
+		row.EarlierOwnersActiveUntil = o.row.EarlierOwnersActiveUntil
+	}
 	data, err := encode("claim", &row)
 	if err != nil {
 		d.cfg.Log.Error().Err(err).Msg("cell: owner row can't be encoded")
 		return
 	}
 	key := ownerKey(id)
-	// The previous owner must have stopped before claimedAt; it may still send requests while the claim is written.
-	d.mu.Lock()
-	previousOwnerStopped := d.ownerStopped(o)
-	d.mu.Unlock()
-	claimedAt := time.Now()
 	version, err := d.store.Commit(d.ctx, platform.Txn{
 		Checks: []platform.Check{{Key: key, Version: o.version}},
 		Puts:   []platform.Put{{Key: key, Value: data}},
@@ -170,10 +179,14 @@
 		d.cfg.Log.Info().Err(err).Stringer("shard", id).Uint64("epoch", row.Epoch).Msg("cell: shard not claimed")
 		return
 	}
+	if !previousOwnerStopped {
+		previousOwnersActiveUntil = time.Now().Add(pool.PreviousOwnerGrace)
+	}
 	d.cfg.Log.Info().Stringer("shard", id).Uint64("epoch", row.Epoch).Str("before", o.row.Owner).
 		Dur("sinceSeen", time.Since(o.seenAt)).Msg("cell: shard claimed")
 	d.mu.Lock()
-	owned := newOwnedShard(d, id, cluster.Epoch(row.Epoch), version, claimedAt, previousOwnerStopped)
+	owned := newOwnedShard(d, id, cluster.Epoch(row.Epoch), version, claimedAt, previousOwnersActiveUntil)
+	owned.earlierOwnersActiveUntil = row.EarlierOwnersActiveUntil
 	if d.owners[id].version < version {
 		d.owners[id] = ownership{row: row, version: version, seenAt: time.Now()}
 	}
@@ -190,7 +203,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if stored != row {
+	if stored.Owner != row.Owner || stored.Epoch != row.Epoch {
 		return 0, &Error{Op: "claim", Kind: KindUnknown}
 	}
 	return version, nil
--- a/cluster/pool/record_test.go
+++ b/cluster/pool/record_test.go
@@ -59,7 +59,7 @@
 		now: time.Unix(1_800_000_000, 0), workers: []cluster.WorkerID{"w0", "w1"}, ends: map[cluster.WorkerID][]platform.RunEnd{},
 		recorded: map[cluster.JobName]bool{},
 	}
-	p.scheduler = New(Config{Service: testService, Epoch: 1, Now: p.now, PreviousOwnerStopped: true, Log: zerolog.Nop()})
+	p.scheduler = New(Config{Service: testService, Epoch: 1, Now: p.now, Log: zerolog.Nop()})
 	list := &WorkersListed{Advisors: 1}
 	for _, id := range p.workers {
 		list.Workers = append(list.Workers, platform.WorkerVM{ID: id, Service: testService, Incarnation: 1, Capacity: cluster.Resources{CPU: cluster.Core}})
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -101,13 +101,13 @@
 		metrics:          newMetrics(cfg.Metrics),
 	}
 	s.previousOwnerActiveUntil = cfg.Now
-	if !cfg.PreviousOwnerStopped {
-		s.previousOwnerActiveUntil = cfg.Now.Add(previousOwnerGrace)
+	if cfg.PreviousOwnersActiveUntil.After(cfg.Now) {
+		s.previousOwnerActiveUntil = cfg.PreviousOwnersActiveUntil
 	}
 	latestExpiry := s.previousOwnerActiveUntil.Add(maxLeaseDuration(cfg.Lease))
 	for _, recorded := range cfg.InheritedWorkers {
 		w := inheritedWorker{leaseExpiry: latestExpiry}
-		if expiry := recorded.LeaseExpiry.Add(maxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(latestExpiry) {
+		if expiry := recorded.LeaseExpiry.Add(MaxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(latestExpiry) {
 			w.leaseExpiry = expiry
 		}
 		s.inheritedWorkers[recorded.ID] = w
@@ -213,10 +213,12 @@
 	if j.progress.State.Final() {
 		j.visibleState = j.progress.State
 		s.endedJobs = append(s.endedJobs, j)
+		s.readDeferredRuns(j)
 		return
 	}
 	j.surplus = !s.consumeToken(spec.Team)
 	s.buildSteps(j)
+	s.readDeferredRuns(j)
 	s.cfg.Log.Info().Str("job", string(spec.ID)).Str("queue", string(spec.Queue)).Str("team", string(spec.Team)).
 		Int("tasks", j.unfinishedTasks).Bool("surplus", j.surplus).Bool("exposed", j.possiblyRunning).Msg("pool: job accepted")
 	if j.unfinishedTasks == 0 {
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -206,6 +206,8 @@
 	moreEnds bool
 	// deferredEnds are the run ends that are applied later; see mayBelongToLaterJob.
 	deferredEnds []platform.RunEnd
+	// deferredRuns are the runs in the last hold reply that are adopted or stopped later; see mayBelongToLaterJob.
+	deferredRuns []platform.TaskRun
 	// consecutiveFailures counts the runs of different jobs that failed in a row.
 	consecutiveFailures int
 	lastFailedJob       cluster.JobName
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -92,7 +92,7 @@
 		s.deferredEarlierEnds = append(s.deferredEarlierEnds, unacknowledgedEnd{worker: w, end: e})
 	}
 	w.lastEndRead, w.lastEndRecorded, w.lastEndAcknowledged = 0, 0, 0
-	w.moreEnds, w.unrecordedEnds, w.deferredEnds = false, nil, nil
+	w.moreEnds, w.unrecordedEnds, w.deferredEnds, w.deferredRuns = false, nil, nil, nil
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
 		if r.reportedByWorker && r.unansweredStarts == 0 {
@@ -195,6 +195,9 @@
 		!s.now.Before(w.quarantinedUntil)
 }
 
+// hasRuns reports whether the worker has runs that a hold reply may report on.
+func (w *worker) hasRuns() bool { return len(w.runs) > 0 || len(w.deferredRuns) > 0 }
+
 func (w *worker) free() cluster.Resources { return w.vm.Capacity.Sub(w.used).Sub(w.reserved) }
 
 // grantLease returns the end of a lease that starts now, on the worker's clock, and updates the worker's lease
@@ -224,11 +227,11 @@
 		if w.holdInFlight || s.now.Before(w.nextHoldAt) {
 			continue
 		}
-		idle := len(w.runs) == 0 && len(w.unrecordedEnds) == 0 && !w.moreEnds
+		idle := !w.hasRuns() && len(w.unrecordedEnds) == 0 && !w.moreEnds
 		if w.fenceAccepted && w.inSync && idle && w.lastEndRead == w.lastEndRecorded {
 			continue
 		}
-		if !w.inPlatformList && len(w.runs) == 0 && !s.isInherited(w) {
+		if !w.inPlatformList && !w.hasRuns() && !s.isInherited(w) {
 			continue
 		}
 		if w.fenceAccepted && w.inSync && len(w.unrecordedEnds) == 0 && !w.moreEnds && w.allRunsStarting() {
@@ -265,6 +268,13 @@
 	return ok
 }
 
+// keepInheritedLease counts the leases that previous owners have granted to a worker for the runs that it reports.
+func (s *Scheduler) keepInheritedLease(w *worker) {
+	if inherited, ok := s.inheritedWorkers[w.vm.ID]; ok && inherited.leaseExpiry.After(w.leaseExpiry) {
+		w.leaseExpiry = inherited.leaseExpiry
+	}
+}
+
 // sendHold calls hold on a worker. An extra call is answered immediately and does not affect the periodic one.
 func (s *Scheduler) sendHold(w *worker, extra bool) {
 	req := platform.HoldRequest{Fence: s.fence(w)}
@@ -277,7 +287,7 @@
 	if w.fenceAccepted && w.inSync && !w.recordedUnresponsive {
 		req.Until = s.grantLease(w)
 	}
-	if w.fenceAccepted && w.inSync && !extra && len(w.unrecordedEnds) == 0 && !w.moreEnds && len(w.runs) > 0 {
+	if w.fenceAccepted && w.inSync && !extra && len(w.unrecordedEnds) == 0 && !w.moreEnds && w.hasRuns() {
 		req.Wait = holdMaxWait
 	}
 	if !extra {
