pool: judge the age of a heartbeat by the list that shows it

Cause: the age of a worker's last heartbeat was measured against the clock. When the list of workers had not been read for 4 s, every worker counted as dead, and its runs were given up at the end of its leases without the wait for the report of their ends.

Callers saw tasks that started again although their workers were alive and listed their ends.

Change: the age is measured at the last list that was read, since a list that is not read says nothing about a worker. The wait remains bounded by endReportWait.

--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -194,12 +194,6 @@
 	return s.mayReportEnds(r.worker, r.worker.leaseExpiry)
 }
 
-// mayReportEnds reports whether a worker that does not respond may still report the ends of its runs: its heartbeats
-// show that it is alive, so that its replies are late or lost on the way.
-func (s *Scheduler) mayReportEnds(w *worker, leaseExpiry time.Time) bool {
-	return w != nil && w.inPlatformList && s.now.Sub(w.heartbeatSeenAt) < heartbeatTTL && s.now.Before(leaseExpiry.Add(endReportWait))
-}
-
 // hasDueAction reports whether an action is due for a run of a worker.
 func (s *Scheduler) hasDueAction(w *worker) bool {
 	for _, r := range w.runs {
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -19,7 +19,9 @@
 	workers  map[cluster.WorkerID]*worker
 	// sortedWorkers holds the workers ordered by identifier, so that equal inputs give equal decisions.
 	sortedWorkers []*worker
-	jobs          map[cluster.JobName]*job
+	// workersListedAt is when the platform's list of workers was applied last; zero before the first time.
+	workersListedAt time.Time
+	jobs            map[cluster.JobName]*job
 	// openSteps are the steps that are not done, in no particular order.
 	openSteps []*step
 	teams     map[cluster.TeamName]*usage
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -159,7 +159,7 @@
 	rack string
 	// inPlatformList means that the platform's last list includes the worker.
 	inPlatformList bool
-	// heartbeatSeenAt is when the worker's entry in the list last changed, which shows a heartbeat.
+	// heartbeatSeenAt is when a list was applied in which the worker's entry had changed, which shows a heartbeat.
 	heartbeatSeenAt time.Time
 	// fenceAccepted means that the worker has replied under this epoch in its current incarnation.
 	fenceAccepted bool
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -14,6 +14,7 @@
 // listWorkers applies the platform's list of workers. A worker that is missing gets no new tasks, but its runs
 // count until its leases have expired.
 func (s *Scheduler) listWorkers(list []platform.WorkerVM) {
+	s.workersListedAt = s.now
 	for _, w := range s.workers {
 		w.inPlatformList = false
 	}
