pool: wait for run ends only while the owner can hear its workers

Cause: the wait for the report of run ends after the leases of a worker have expired ended at a fixed time. If the process of the owner was paused or lacked processor time meanwhile, the first step after it gave up the runs of all workers whose leases had expired, before it read their replies, which had arrived.

Change: the wait counts the time between two steps for at most 100 ms. It starts in the step that finds the leases expired and still lasts 4 s on an owner that is on time, so that each live worker can answer several hold calls in it; an owner that is always late reaches its end after 40 steps.

Measured: TestDoneTaskDoesNotRunAgainAfterPauseOfOwner/12s starts the task twice before the change and once after it; the tests of cluster/pool pass.

--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -162,6 +162,7 @@
 	f.extendLease(sim, req.Until)
 	f.unacknowledgedEnds = slices.DeleteFunc(f.unacknowledgedEnds, func(e platform.RunEnd) bool { return e.Number <= req.Acknowledge })
 	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(f.unacknowledgedEnds)}
+	f.lastListedEnd = f.lastEndNumber
 	for _, name := range slices.Sorted(maps.Keys(f.running)) {
 		reply.Running = append(reply.Running, platform.TaskRun{Task: name, Run: f.running[name].run, Percent: f.running[name].percent()})
 	}
--- a/cluster/pool/lateowner_test.go
+++ b/cluster/pool/lateowner_test.go
@@ -6,9 +6,45 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
+// pauseOwner lets the workers continue for a time in which the owner's process does not run. The process then sees the
+// timeouts of its requests before it reads the replies that have arrived meanwhile.
+func (sim *simulation) pauseOwner(d time.Duration) {
+	unread := sim.events
+	sim.events = nil
+	for end := sim.now.Add(d); sim.now.Before(end); {
+		sim.now = sim.now.Add(simTick)
+		for _, f := range sim.workers {
+			sim.runTasks(f)
+		}
+		sim.runScheduledCalls()
+	}
+	replies := sim.events
+	sim.events = unread
+	owner := sim.owner
+	for _, e := range replies {
+		reply, ok := e.(*HoldAnswered)
+		if !ok || reply.ReplyLost {
+			sim.events = append(sim.events, e)
+			continue
+		}
+		unanswered, late := *reply, *reply
+		unanswered.Reply, unanswered.ReplyLost, late.Late = platform.HoldReply{}, true, true
+		sim.events = append(sim.events, &unanswered)
+		sim.deliver(owner, simLatency, &late)
+	}
+}
+
+// runUntilEndIsListed runs the simulation until the reply of a worker that lists the end of its run is in transit.
+func (sim *simulation) runUntilEndIsListed(f *fakeWorker) {
+	for f.lastListedEnd == 0 {
+		sim.tick()
+	}
+}
+
 // requireDoneOnce checks that the task of the simulation's only job is done and was started only once.
 func requireDoneOnce(is *is.I, sim *simulation) {
 	is.Helper()
@@ -17,6 +53,21 @@
 	is.Equal(state, workload.StateCompleted)
 }
 
+// Guards against a done task that starts again because the owner's process was paused and the leases of its worker
+// expired meanwhile, although the worker's reply had arrived.
+func TestDoneTaskDoesNotRunAgainAfterPauseOfOwner(t *testing.T) {
+	for _, pause := range []time.Duration{DefaultLease + time.Second, 3 * DefaultLease} {
+		t.Run(pause.String(), func(t *testing.T) {
+			is := is.New(t)
+			sim, f := newSimulationWithRun(is)
+			sim.runUntilEndIsListed(f)
+			sim.pauseOwner(pause)
+			sim.runFor(2 * time.Second)
+			requireDoneOnce(is, sim)
+		})
+	}
+}
+
 // Guards against a live worker that counts as dead because the list of workers could not be read: its done task starts
 // again although its replies are only late.
 func TestUnreadListDoesNotShowThatWorkerIsDead(t *testing.T) {
--- a/cluster/pool/lease.go
+++ b/cluster/pool/lease.go
@@ -1,11 +1,34 @@
 package pool
 
-import "time"
+import (
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+)
+
+// maxCountedGap bounds how much of the time between two steps counts as time in which the owner could hear its workers.
+// Replies that arrive while its process is paused or lacks processor time are read after the timeouts of their requests.
+const maxCountedGap = 2 * stepInterval
+
+// endReport is the wait for a worker to report the ends of its runs after its leases have expired.
+type endReport struct {
+	// leaseExpiry is the end of the leases that the wait follows; zero if there was no wait yet.
+	leaseExpiry time.Time
+	// startedAt is the value of Scheduler.hearingTime when the wait began.
+	startedAt time.Duration
+}
 
 // mayReportEnds reports whether a worker that does not respond may still report the ends of its runs: its heartbeats
-// show that it is alive, so that its replies are late or lost on the way.
-func (s *Scheduler) mayReportEnds(w *worker, leaseExpiry time.Time) bool {
-	return w != nil && w.showsHeartbeats(s.workersListedAt) && s.now.Before(leaseExpiry.Add(endReportWait))
+// show that it is alive, so that its replies are late or lost on the way. The wait lasts until the owner could have heard
+// the worker for endReportWait.
+func (s *Scheduler) mayReportEnds(w *worker, report *endReport, leaseExpiry time.Time) bool {
+	if !w.showsHeartbeats(s.workersListedAt) {
+		return false
+	}
+	if !report.leaseExpiry.Equal(leaseExpiry) {
+		*report = endReport{leaseExpiry: leaseExpiry, startedAt: s.hearingTime}
+	}
+	return s.hearingTime-report.startedAt < endReportWait
 }
 
 // showsHeartbeats reports whether a worker was alive according to the last list of workers. The age of the list says
@@ -13,3 +36,10 @@
 func (w *worker) showsHeartbeats(listedAt time.Time) bool {
 	return w.inPlatformList && listedAt.Sub(w.heartbeatSeenAt) < heartbeatTTL
 }
+
+// inheritedMayReportEnds reports whether an inherited worker whose leases have expired may still report the ends of its
+// runs.
+func (s *Scheduler) inheritedMayReportEnds(id cluster.WorkerID) bool {
+	w := s.workers[id]
+	return w != nil && s.mayReportEnds(w, &w.inheritedReport, s.inheritedWorkers[id].leaseExpiry)
+}
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -99,6 +99,8 @@
 	highestRun         map[string]platform.RunNumber
 	unacknowledgedEnds []platform.RunEnd
 	lastEndNumber      uint64
+	// lastListedEnd is the number of the last run end that a reply to a hold call included.
+	lastListedEnd uint64
 }
 
 type fakeRun struct {
@@ -218,15 +220,7 @@
 	for _, f := range sim.workers {
 		sim.runTasks(f)
 	}
-	due := sim.scheduledCalls
-	sim.scheduledCalls = nil
-	for _, call := range due {
-		if call.at.After(sim.now) {
-			sim.scheduledCalls = append(sim.scheduledCalls, call)
-			continue
-		}
-		call.do()
-	}
+	sim.runScheduledCalls()
 	if sim.now.Sub(sim.lastListAt) >= 500*time.Millisecond {
 		sim.lastListAt = sim.now
 		list := &WorkersListed{Advisors: sim.advisors}
@@ -248,6 +242,19 @@
 	sim.checkLimits()
 }
 
+// runScheduledCalls runs the scheduled calls that are due.
+func (sim *simulation) runScheduledCalls() {
+	due := sim.scheduledCalls
+	sim.scheduledCalls = nil
+	for _, call := range due {
+		if call.at.After(sim.now) {
+			sim.scheduledCalls = append(sim.scheduledCalls, call)
+			continue
+		}
+		call.do()
+	}
+}
+
 func (sim *simulation) scheduleAfter(d time.Duration, do func()) {
 	sim.scheduledCalls = append(sim.scheduledCalls, scheduledCall{sim.now.Add(d), do})
 }
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -187,6 +187,8 @@
 	clockReadAt  time.Time
 	// leaseExpiry is when every lease granted so far has expired.
 	leaseExpiry time.Time
+	// report is the wait for the ends of this owner's runs, inheritedReport that for those of previous owners.
+	report, inheritedReport endReport
 	// reportedExpiry is the last value of leaseExpiry whose passing was logged.
 	reportedExpiry time.Time
 	// holdInFlight means that the periodic hold call is in flight, nextHoldAt is the earliest time of the next
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -160,7 +160,7 @@
 // left.
 func (s *Scheduler) checkTakeover() {
 	for id, w := range s.inheritedWorkers {
-		if !s.now.Before(w.leaseExpiry) && !s.mayReportEnds(s.workers[id], w.leaseExpiry) {
+		if !s.now.Before(w.leaseExpiry) && !s.inheritedMayReportEnds(id) {
 			delete(s.inheritedWorkers, id)
 			s.cfg.Log.Warn().Str("worker", string(id)).Msg("pool: an inherited worker did not answer; its leases have expired")
 		}
