pool: keep inherited workers until the list of workers has been read

Cause: after a takeover, a worker that the new owner did not know from the list of workers counted as gone once the leases of the previous owner had expired. A shard that is loaded for longer than these leases has no list in its first step, so that the takeover was complete before any worker had been called.

Callers saw tasks that started again after a takeover although a worker listed their end.

Change: until the first list, no inherited worker is dropped; nothing can start before that anyway. The wait for the report of run ends begins with the list and remains bounded.

--- a/cluster/pool/lateowner_test.go
+++ b/cluster/pool/lateowner_test.go
@@ -82,3 +82,18 @@
 	sim.runFor(DefaultLease)
 	requireDoneOnce(is, sim)
 }
+
+// Guards against a done task that starts again after a takeover because the shard is loaded so slowly that the leases
+// granted by the previous owner have expired before the new owner has called a worker.
+func TestDoneTaskDoesNotRunAgainAfterSlowLoad(t *testing.T) {
+	is := is.New(t)
+	sim, f := newSimulationWithRun(is)
+	sim.runUntilEndIsListed(f)
+	sim.takeOver()
+	sim.pauseOwner(previousOwnerGrace + 2*DefaultLease)
+	f.repliesLate = true // the other worker replies first
+	sim.runFor(2 * DefaultLease)
+	is.Equal(sim.owner.lastRunCounter, uint64(0)) // the new owner has not started the task
+	state, _, _, _ := sim.owner.State(singleTaskJob)
+	is.Equal(state, workload.StateCompleted)
+}
--- a/cluster/pool/lease.go
+++ b/cluster/pool/lease.go
@@ -38,8 +38,11 @@
 }
 
 // inheritedMayReportEnds reports whether an inherited worker whose leases have expired may still report the ends of its
-// runs.
+// runs. The shard may have been loaded so slowly that no worker has been called yet.
 func (s *Scheduler) inheritedMayReportEnds(id cluster.WorkerID) bool {
+	if s.workersListedAt.IsZero() {
+		return true
+	}
 	w := s.workers[id]
 	return w != nil && s.mayReportEnds(w, &w.inheritedReport, s.inheritedWorkers[id].leaseExpiry)
 }
