pool: do not count an outage of the store as silence of the workers

Cause: the time between two lists of workers counted in full against the heartbeats that the second one does not show. After an outage of the store of 5 s the first list showed the entries from before it, since the workers had not been able to write theirs either, and every worker that did not reply counted as dead.

Callers saw tasks that started again beside workers that were alive.

Change: the time between two lists counts for at most 1.5 s, the longest interval of the lists and half a second for reading one.

Measured: TestOutageOfStoreDoesNotShowThatWorkerIsDead starts the task twice without the bound and once with it; the tests of the package on late owners, late replies and takeovers pass.

--- a/cluster/pool/lateowner_test.go
+++ b/cluster/pool/lateowner_test.go
@@ -83,6 +83,26 @@
 	requireDoneOnce(is, sim)
 }
 
+// Guards against a live worker that counts as dead because it could not write its heartbeats while the store was down.
+func TestOutageOfStoreDoesNotShowThatWorkerIsDead(t *testing.T) {
+	is := is.New(t)
+	sim, f := newSimulationWithRun(is)
+	f.repliesLost = true
+	sim.lastListAt = sim.now.Add(time.Hour) // no list is read
+	sim.runFor(DefaultLease + time.Second)
+	list := &WorkersListed{Advisors: 1}
+	for _, f := range sim.workers {
+		list.Workers = append(list.Workers, f.vm)
+	}
+	sim.events = append(sim.events, list) // without a heartbeat
+	sim.runFor(time.Second)
+	is.True(listsEndOfTask(f))
+	is.Equal(sim.owner.lastRunCounter, uint64(1)) // the task was started once
+	f.repliesLost = false
+	sim.runFor(DefaultLease)
+	requireDoneOnce(is, sim)
+}
+
 // Guards against a done task that starts again after a takeover because the shard is loaded so slowly that the leases
 // granted by the previous owner have expired before the new owner has called a worker.
 func TestDoneTaskDoesNotRunAgainAfterSlowLoad(t *testing.T) {
--- a/cluster/pool/lease.go
+++ b/cluster/pool/lease.go
@@ -10,6 +10,10 @@
 // Replies that arrive while its process is paused or lacks processor time are read after the timeouts of their requests.
 const maxCountedGap = 2 * stepInterval
 
+// maxCountedListGap bounds how much of the time between two lists of workers counts as time in which heartbeats could be
+// seen. While the list can't be read, the workers may be unable to write their entries too.
+const maxCountedListGap = 1500 * time.Millisecond
+
 // endReport is the wait for a worker to report the ends of its runs after its leases have expired.
 type endReport struct {
 	// leaseExpiry is the end of the leases that the wait follows; zero if there was no wait yet.
@@ -22,7 +26,7 @@
 // show that it is alive, so that its replies are late or lost on the way. The wait lasts until the owner could have heard
 // the worker for endReportWait.
 func (s *Scheduler) mayReportEnds(w *worker, report *endReport, leaseExpiry time.Time) bool {
-	if !w.showsHeartbeats(s.workersListedAt) {
+	if !s.showsHeartbeats(w) {
 		return false
 	}
 	if !report.leaseExpiry.Equal(leaseExpiry) {
@@ -31,10 +35,9 @@
 	return s.hearingTime-report.startedAt < endReportWait
 }
 
-// showsHeartbeats reports whether a worker was alive according to the last list of workers. The age of the list says
-// nothing about the worker.
-func (w *worker) showsHeartbeats(listedAt time.Time) bool {
-	return w.inPlatformList && listedAt.Sub(w.heartbeatSeenAt) < heartbeatTTL
+// showsHeartbeats reports whether a worker is alive according to the lists of workers.
+func (s *Scheduler) showsHeartbeats(w *worker) bool {
+	return w.inPlatformList && s.listingTime-w.heartbeatSeenAtListing < heartbeatTTL
 }
 
 // inheritedMayReportEnds reports whether an inherited worker whose leases have expired may still report the ends of its
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -23,7 +23,9 @@
 	sortedWorkers []*worker
 	// workersListedAt is when the platform's list of workers was applied last; zero before the first time.
 	workersListedAt time.Time
-	jobs            map[cluster.JobName]*job
+	// listingTime is how long the lists of workers could have shown heartbeats; see maxCountedListGap.
+	listingTime time.Duration
+	jobs        map[cluster.JobName]*job
 	// openSteps are the steps that are not done, in no particular order.
 	openSteps []*step
 	teams     map[cluster.TeamName]*usage
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -161,6 +161,8 @@
 	inPlatformList bool
 	// heartbeatSeenAt is when a list was applied in which the worker's entry had changed, which shows a heartbeat.
 	heartbeatSeenAt time.Time
+	// heartbeatSeenAtListing is the value of Scheduler.listingTime at heartbeatSeenAt.
+	heartbeatSeenAtListing time.Duration
 	// fenceAccepted means that the worker has replied under this epoch in its current incarnation.
 	fenceAccepted bool
 	// inSync is false if the scheduler's view of the worker may be out of date, because a request got no reply
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -14,6 +14,7 @@
 // listWorkers applies the platform's list of workers. A worker that is missing gets no new tasks, but its runs
 // count until its leases have expired.
 func (s *Scheduler) listWorkers(list []platform.WorkerVM) {
+	s.listingTime += min(s.now.Sub(s.workersListedAt), maxCountedListGap)
 	s.workersListedAt = s.now
 	for _, w := range s.workers {
 		w.inPlatformList = false
@@ -43,7 +44,7 @@
 		s.cfg.Log.Info().Str("worker", string(vm.ID)).Int("runs", len(w.runs)).Msg("pool: worker is draining")
 	}
 	if vm.EntryVersion != w.vm.EntryVersion || vm.EntryVersion != 0 && w.heartbeatSeenAt.IsZero() {
-		w.heartbeatSeenAt = s.now
+		w.heartbeatSeenAt, w.heartbeatSeenAtListing = s.now, s.listingTime
 	}
 	incarnation := w.vm.Incarnation
 	w.vm = vm
