cell: read the replies of workers that arrived before a late timeout

Cause: Go runs due timers before it reads from the network. In a process that got no processor time for a while, the timeout of a request to a worker therefore came before the reply that had arrived meanwhile: the start counted as unanswered and was repeated, and the hold call left the worker out of sync, so that its leases were not renewed.

--- a/cluster/cell/workercalls.go
+++ b/cluster/cell/workercalls.go
@@ -67,7 +67,7 @@
 }
 
 func (o *ownedShard) sendStart(e *pool.SendStart) {
-	ctx, cancel := context.WithTimeout(o.ctx, startTimeout)
+	ctx, cancel := withReplyTimeout(o.ctx, startTimeout)
 	defer cancel()
 	reply, err := o.d.cfg.Workers.StartTask(ctx, e.Worker, e.Request)
 	if err != nil {
@@ -81,7 +81,7 @@
 }
 
 func (o *ownedShard) sendStop(e *pool.SendStop) {
-	ctx, cancel := context.WithTimeout(o.ctx, stopTimeout)
+	ctx, cancel := withReplyTimeout(o.ctx, stopTimeout)
 	defer cancel()
 	reply, err := o.d.cfg.Workers.StopTask(ctx, e.Worker, e.Request)
 	if err != nil {
@@ -102,13 +102,13 @@
 			Reply: reply, ReplyLost: lost, Extra: e.Extra, Late: late,
 		})
 	}
-	unanswered := time.AfterFunc(e.Request.Wait+holdTimeoutMargin, func() { report(platform.HoldReply{}, true, false) })
-	defer unanswered.Stop()
+	unanswered := startReplyTimer(e.Request.Wait+holdTimeoutMargin, func() { report(platform.HoldReply{}, true, false) })
+	defer unanswered.stop()
 	reply, err := o.d.cfg.Workers.Hold(ctx, e.Worker, e.Request)
 	if err != nil && o.ctx.Err() == nil {
 		o.d.cfg.Log.Debug().Err(err).Str("worker", string(e.Worker.ID)).Msg("cell: hold call failed")
 	}
-	switch late := !unanswered.Stop(); {
+	switch late := !unanswered.stop(); {
 	case !late:
 		report(reply, err != nil, false)
 	case err == nil:
