pool: expect of a worker's clock what it showed when the start was sent

Cause: the clock in the reply to a start was compared with the value expected at the time the reply is read. An owner that reads the reply over a second late took the worker for restarted.

Change: the expected value is that of the time at which the start was sent, which no reply of the same incarnation can undercut.

Measured: TestClockInLateReplyDoesNotShowRestart fails before the change and passes after it, as do the tests on clocks and restarts.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -53,8 +53,7 @@
 	previousOwnerGrace = 2 * time.Second
 	// takeoverFeedDelay is how long after a claim the change feed may deliver a job that the previous owner knew.
 	takeoverFeedDelay = 5 * time.Second
-	// clockReadTolerance is how far the clock in a reply may lag behind its expected value, because of the
-	// transmission time of the reply.
+	// clockReadTolerance is how far the clock in a reply may lag behind the value expected when the request was sent.
 	clockReadTolerance = time.Second
 	// recentRestartTime is how long a previous owner may have been unaware of the restart of a worker: after that
 	// time it counts as failed itself and is replaced.
--- a/cluster/pool/lateowner_test.go
+++ b/cluster/pool/lateowner_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
@@ -103,6 +104,27 @@
 	requireDoneOnce(is, sim)
 }
 
+// Guards against a worker that counts as restarted because the reply to a start request is read late.
+func TestClockInLateReplyDoesNotShowRestart(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 1)
+	sim.failureRate = 0
+	sim.submit(&workload.Job{ID: singleTaskJob, Steps: []workload.Step{{Tasks: 1, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Minute}}})
+	sim.runFor(100 * time.Millisecond)
+	f := sim.workers[0]
+	w := sim.owner.workers[f.vm.ID]
+	is.Equal(len(w.runs), 1)
+	for _, r := range w.runs {
+		sim.deliver(sim.owner, 3*time.Second, &StartAnswered{
+			Task: r.id, Run: r.number, Worker: f.vm.ID, Fence: r.start.Request.Fence, Reply: platform.StartReply{Clock: sim.clock(f)},
+		})
+	}
+	for range 700 {
+		sim.tick()
+		is.True(w.inSync)
+	}
+}
+
 // Guards against a done task that starts again after a takeover because the shard is loaded so slowly that the leases
 // granted by the previous owner have expired before the new owner has called a worker.
 func TestDoneTaskDoesNotRunAgainAfterSlowLoad(t *testing.T) {
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -55,7 +55,7 @@
 		s.startUnanswered(r)
 		return
 	}
-	s.checkClock(w, e.Reply.Clock)
+	s.checkClock(w, e.Reply.Clock, r.startSentAt)
 	if e.Reply.Refusal == platform.StartAccepted {
 		s.confirmRun(r)
 		return
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -112,13 +112,13 @@
 	}
 }
 
-// checkClock treats a worker's clock that shows an earlier time than expected as a restart of the worker, and
-// calls hold. No run end of the worker is acknowledged until the reply.
-func (s *Scheduler) checkClock(w *worker, clock time.Duration) {
+// checkClock treats a worker's clock that shows an earlier time than expected when the request was sent as a restart of
+// the worker, and calls hold. No run end of the worker is acknowledged until the reply.
+func (s *Scheduler) checkClock(w *worker, clock time.Duration, sentAt time.Time) {
 	if clock == 0 || !w.fenceAccepted || !w.inSync {
 		return
 	}
-	expected := w.clockReading + time.Duration(float64(s.now.Sub(w.clockReadAt))*(1-maxClockDrift)) - clockReadTolerance
+	expected := w.clockReading + time.Duration(float64(sentAt.Sub(w.clockReadAt))*(1-maxClockDrift)) - clockReadTolerance
 	if clock >= expected {
 		return
 	}
