pool: do not let a worker that never replies delay takeovers

Cause: since the waits for run ends are measured by the lists and steps of the owner, a worker without a heartbeat counted as alive in the first seconds of an ownership, and a worker that had not responded to the previous owner was waited for as long as one that had.

Change: a worker that never showed a heartbeat does not count as alive. One that the previous owner recorded as unresponsive, and whose wait has passed since, is only given the time of one hold call.

--- a/cluster/pool/lateowner_test.go
+++ b/cluster/pool/lateowner_test.go
@@ -139,3 +139,20 @@
 	state, _, _, _ := sim.owner.State(singleTaskJob)
 	is.Equal(state, workload.StateCompleted)
 }
+
+// Guards against an entry of a worker that never replies and that delays each takeover as long as a worker that may
+// reply.
+func TestUnresponsiveWorkerDelaysLaterTakeoversBriefly(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4)
+	sim.addWorker("odd", "r9")
+	odd := sim.findWorker("odd")
+	odd.unreachable = true
+	odd.vm.EntryVersion = 1
+	for range 3 {
+		sim.runFor(maxClockSkew + 2*endReportWait)
+		sim.takeOver()
+		sim.runFor(time.Second)
+		is.True(sim.owner.takeoverComplete)
+	}
+}
--- a/cluster/pool/lease.go
+++ b/cluster/pool/lease.go
@@ -23,21 +23,21 @@
 }
 
 // mayReportEnds reports whether a worker that does not respond may still report the ends of its runs: its heartbeats
-// show that it is alive, so that its replies are late or lost on the way. The wait lasts until the owner could have heard
-// the worker for endReportWait.
-func (s *Scheduler) mayReportEnds(w *worker, report *endReport, leaseExpiry time.Time) bool {
+// show that it is alive, so that its replies are late or lost on the way. It may until the owner could have heard it for
+// the time of the wait.
+func (s *Scheduler) mayReportEnds(w *worker, report *endReport, leaseExpiry time.Time, wait time.Duration) bool {
 	if !s.showsHeartbeats(w) {
 		return false
 	}
 	if !report.leaseExpiry.Equal(leaseExpiry) {
 		*report = endReport{leaseExpiry: leaseExpiry, startedAt: s.hearingTime}
 	}
-	return s.hearingTime-report.startedAt < endReportWait
+	return s.hearingTime-report.startedAt < wait
 }
 
 // showsHeartbeats reports whether a worker is alive according to the lists of workers.
 func (s *Scheduler) showsHeartbeats(w *worker) bool {
-	return w.inPlatformList && s.listingTime-w.heartbeatSeenAtListing < heartbeatTTL
+	return w.inPlatformList && !w.heartbeatSeenAt.IsZero() && s.listingTime-w.heartbeatSeenAtListing < heartbeatTTL
 }
 
 // inheritedMayReportEnds reports whether an inherited worker whose leases have expired may still report the ends of its
@@ -46,6 +46,10 @@
 	if s.workersListedAt.IsZero() {
 		return true
 	}
-	w := s.workers[id]
-	return w != nil && s.mayReportEnds(w, &w.inheritedReport, s.inheritedWorkers[id].leaseExpiry)
+	w, inherited := s.workers[id], s.inheritedWorkers[id]
+	wait := endReportWait
+	if inherited.recordedUnresponsive && !s.now.Before(inherited.leaseExpiry.Add(endReportWait)) {
+		wait = unresponsiveReportWait
+	}
+	return w != nil && s.mayReportEnds(w, &w.inheritedReport, inherited.leaseExpiry, wait)
 }
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -191,7 +191,7 @@
 	if st.closed() || st.spec.LongRunning || st.tasks[r.id.Index].done || st.spec.Gang && st.gangRun != r.number {
 		return false
 	}
-	return s.mayReportEnds(r.worker, &r.worker.report, r.worker.leaseExpiry)
+	return s.mayReportEnds(r.worker, &r.worker.report, r.worker.leaseExpiry, endReportWait)
 }
 
 // hasDueAction reports whether an action is due for a run of a worker.
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -112,7 +112,7 @@
 	}
 	latestExpiry := s.previousOwnerActiveUntil.Add(maxLeaseDuration(cfg.Lease))
 	for _, recorded := range cfg.InheritedWorkers {
-		w := inheritedWorker{leaseExpiry: latestExpiry}
+		w := inheritedWorker{leaseExpiry: latestExpiry, recordedUnresponsive: !recorded.LeaseExpiry.IsZero()}
 		if expiry := recorded.LeaseExpiry.Add(maxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(latestExpiry) {
 			w.leaseExpiry = expiry
 		}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -235,6 +235,8 @@
 type inheritedWorker struct {
 	// leaseExpiry is when all leases of the worker have expired.
 	leaseExpiry time.Time
+	// recordedUnresponsive means that the worker did not respond to the previous owner.
+	recordedUnresponsive bool
 }
 
 // usage is the resource usage of a team in this shard, with the state of its rate limits.
