--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -175,6 +175,9 @@
 	})
 	listed := f.unacknowledgedEnds[:min(len(f.unacknowledgedEnds), sim.listedEnds)]
 	reply := platform.HoldReply{Incarnation: f.vm.Incarnation, Clock: sim.clock(f), Ended: slices.Clone(listed), MoreEnds: len(listed) == sim.listedEnds}
+	if len(listed) > 0 {
+		f.lastListedEnd = listed[len(listed)-1].Number
+	}
 	for _, name := range slices.Sorted(maps.Keys(f.running)) {
 		reply.Running = append(reply.Running, platform.TaskRun{Task: name, Run: f.running[name].run, Percent: f.running[name].percent()})
 	}
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -62,7 +62,7 @@
 		return
 	}
 	r.unansweredStarts--
-	s.checkClock(w, e.Reply.Clock)
+	s.checkClock(w, e.Reply.Clock, r.startSentAt)
 	if e.Reply.Refusal == platform.StartAccepted {
 		s.confirmRun(r)
 		return
@@ -200,13 +200,7 @@
 	if st.closed() || st.spec.LongRunning || st.tasks[r.id.Index].done || st.spec.Gang && st.gangRun != r.number {
 		return false
 	}
-	return s.mayReportEnds(r.worker, r.worker.leaseExpiry)
-}
-
-// mayReportEnds reports whether a worker that does not respond may still report the ends of its runs: its heartbeats
-// show that it is alive, so that its replies are late or lost on the way.
-func (s *Scheduler) mayReportEnds(w *worker, leaseExpiry time.Time) bool {
-	return w != nil && w.inPlatformList && s.now.Sub(w.heartbeatSeenAt) < heartbeatTTL && s.now.Before(leaseExpiry.Add(endReportWait))
+	return s.mayReportEnds(r.worker, &r.worker.report, r.worker.leaseExpiry, endReportWait)
 }
 
 // hasDueAction reports whether an action is due for a run of a worker.
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -13,13 +13,19 @@
 
 // Scheduler schedules the jobs of one pool. It must be used by one goroutine only.
 type Scheduler struct {
-	cfg      Config
-	now      time.Time
-	snapshot *cluster.Snapshot
-	workers  map[cluster.WorkerID]*worker
+	cfg Config
+	now time.Time
+	// hearingTime is how long the scheduler has been able to hear its workers; see maxCountedGap.
+	hearingTime time.Duration
+	snapshot    *cluster.Snapshot
+	workers     map[cluster.WorkerID]*worker
 	// sortedWorkers holds the workers ordered by identifier, so that equal inputs give equal decisions.
 	sortedWorkers []*worker
-	jobs          map[cluster.JobName]*job
+	// workersListedAt is when the platform's list of workers was applied last; zero before the first time.
+	workersListedAt time.Time
+	// listingTime is how long the lists of workers could have shown heartbeats; see maxCountedListGap.
+	listingTime time.Duration
+	jobs        map[cluster.JobName]*job
 	// openSteps are the steps that are not done, in no particular order.
 	openSteps []*step
 	teams     map[cluster.TeamName]*usage
@@ -106,7 +112,7 @@
 	}
 	latestExpiry := s.previousOwnerActiveUntil.Add(maxLeaseDuration(cfg.Lease))
 	for _, recorded := range cfg.InheritedWorkers {
-		w := inheritedWorker{leaseExpiry: latestExpiry}
+		w := inheritedWorker{leaseExpiry: latestExpiry, recordedUnresponsive: !recorded.LeaseExpiry.IsZero()}
 		if expiry := recorded.LeaseExpiry.Add(MaxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(latestExpiry) {
 			w.leaseExpiry = expiry
 		}
@@ -122,6 +128,7 @@
 
 // Step applies events and returns the effects to be carried out.
 func (s *Scheduler) Step(now time.Time, events []Event) []Effect {
+	s.hearingTime += min(now.Sub(s.now), maxCountedGap)
 	s.now = now
 	s.effects = nil
 	if s.stopped {
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -162,8 +162,10 @@
 	rack string
 	// inPlatformList means that the platform's last list includes the worker.
 	inPlatformList bool
-	// heartbeatSeenAt is when the worker's entry in the list last changed, which shows a heartbeat.
+	// heartbeatSeenAt is when a list was applied in which the worker's entry had changed, which shows a heartbeat.
 	heartbeatSeenAt time.Time
+	// heartbeatSeenAtListing is the value of Scheduler.listingTime at heartbeatSeenAt.
+	heartbeatSeenAtListing time.Duration
 	// fenceAccepted means that the worker has replied under this epoch in its current incarnation.
 	fenceAccepted bool
 	// inSync is false if the scheduler's view of the worker may be out of date, because a request got no reply
@@ -190,6 +192,8 @@
 	clockReadAt  time.Time
 	// leaseExpiry is when every lease granted so far has expired.
 	leaseExpiry time.Time
+	// report is the wait for the ends of this owner's runs, inheritedReport that for those of previous owners.
+	report, inheritedReport endReport
 	// reportedExpiry is the last value of leaseExpiry whose passing was logged.
 	reportedExpiry time.Time
 	// holdInFlight means that the periodic hold call is in flight, nextHoldAt is the earliest time of the next
@@ -241,6 +245,8 @@
 type inheritedWorker struct {
 	// leaseExpiry is when all leases of the worker have expired.
 	leaseExpiry time.Time
+	// recordedUnresponsive means that the worker did not respond to the previous owner.
+	recordedUnresponsive bool
 }
 
 // usage is the resource usage of a team in this shard, with the state of its rate limits.
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -14,6 +14,8 @@
 // listWorkers applies the platform's list of workers. A worker that is missing gets no new tasks, but its runs
 // count until its leases have expired.
 func (s *Scheduler) listWorkers(list []platform.WorkerVM) {
+	s.listingTime += min(s.now.Sub(s.workersListedAt), maxCountedListGap)
+	s.workersListedAt = s.now
 	for _, w := range s.workers {
 		w.inPlatformList = false
 	}
@@ -42,7 +44,7 @@
 		s.cfg.Log.Info().Str("worker", string(vm.ID)).Int("runs", len(w.runs)).Msg("pool: worker is draining")
 	}
 	if vm.EntryVersion != w.vm.EntryVersion || vm.EntryVersion != 0 && w.heartbeatSeenAt.IsZero() {
-		w.heartbeatSeenAt = s.now
+		w.heartbeatSeenAt, w.heartbeatSeenAtListing = s.now, s.listingTime
 	}
 	incarnation := w.vm.Incarnation
 	w.vm = vm
@@ -112,13 +114,13 @@
 	}
 }
 
-// checkClock treats a worker's clock that shows an earlier time than expected as a restart of the worker, and
-// calls hold. No run end of the worker is acknowledged until the reply.
-func (s *Scheduler) checkClock(w *worker, clock time.Duration) {
+// checkClock treats a worker's clock that shows an earlier time than expected when the request was sent as a restart of
+// the worker, and calls hold. No run end of the worker is acknowledged until the reply.
+func (s *Scheduler) checkClock(w *worker, clock time.Duration, sentAt time.Time) {
 	if clock == 0 || !w.fenceAccepted || !w.inSync {
 		return
 	}
-	expected := w.clockReading + time.Duration(float64(s.now.Sub(w.clockReadAt))*(1-maxClockDrift)) - clockReadTolerance
+	expected := w.clockReading + time.Duration(float64(sentAt.Sub(w.clockReadAt))*(1-maxClockDrift)) - clockReadTolerance
 	if clock >= expected {
 		return
 	}
@@ -160,12 +162,8 @@
 // checkTakeover drops the inherited workers whose leases have expired, and completes the takeover when none is
 // left.
 func (s *Scheduler) checkTakeover() {
-	for id, inherited := range s.inheritedWorkers {
-		w, expiry := s.workers[id], inherited.leaseExpiry
-		if w != nil && w.moreEnds && w.leaseExpiry.After(expiry) {
-			expiry = w.leaseExpiry // renewed by this owner
-		}
-		if !s.now.Before(expiry) && !s.mayReportEnds(w, expiry) {
+	for id := range s.inheritedWorkers {
+		if !s.now.Before(s.inheritedLeaseExpiry(id)) && !s.inheritedMayReportEnds(id) {
 			delete(s.inheritedWorkers, id)
 			s.cfg.Log.Warn().Str("worker", string(id)).Msg("pool: an inherited worker did not list all its runs; its leases have expired")
 		}
