--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -88,11 +88,12 @@
 		worker.MaxLease, worker.CheckTickets, worker.Gangs, worker.DurationOf = maxLease, true, gangs, d.durationOf
 		worker.OnRunEvent = func(event platformtest.RunEvent) { d.checker.observeRun(worker.ID, event) }
 		d.checker.workers[worker.ID] = worker
-		p, err := newProxy(d.startServer(worker))
+		flaky := &platformtest.FlakyWorker{Worker: worker}
+		p, err := newProxy(d.startServer(flaky))
 		if err != nil {
 			return d, err
 		}
-		d.workers = append(d.workers, &workerHost{worker: worker, proxy: p, store: d.store})
+		d.workers = append(d.workers, &workerHost{worker: worker, flaky: flaky, proxy: p, store: d.store})
 		if i < cfg.workers {
 			d.workers[i].startEarlier(initialWorkerAge)
 		} else {
@@ -192,6 +193,7 @@
 	jobs, burstTimes := d.newJobs(rnd)
 	schedule = append(schedule, newWorkerListFaults(newRand(d.cfg.seed, 2), d.cfg.length, d.cfg.workers, spareWorkers, burstTimes)...)
 	schedule = append(schedule, newConfigChanges(newRand(d.cfg.seed, 3), d.cfg.length)...)
+	schedule = append(schedule, newStartFaults(newRand(d.cfg.seed, 5), d.cfg.length, d.cfg.workers)...)
 	var clientAddrs []string
 	for _, p := range d.processes {
 		clientAddrs = append(clientAddrs, p.clientAddr)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,6 +29,7 @@
 		{seed: 102, cause: "a hold call with the acknowledged number from before a restart of the worker acknowledged ends of runs after it"},
 		{seed: 109, cause: "a start request and a hold call reached an idle worker that had restarted, and the hold call acknowledged the end of the run"},
 		{seed: 1007, length: 12 * time.Second, cause: "an owner that was asked for a share while it loaded its shard and the request waited for each other"},
+		{seed: 4000, length: 12 * time.Second, cause: "a worker refused the repeat of a start and carried out the first request later"},
 		{seed: 7},
 	} {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
@@ -49,6 +50,7 @@
 		for _, f := range slices.Concat(
 			newSchedule(newRand(5, 0), time.Minute, 4, 8), newPeerAndPartFaults(newRand(5, 1), time.Minute, 4),
 			newWorkerListFaults(newRand(5, 2), time.Minute, 8, spareWorkers, burstTimes), newConfigChanges(newRand(5, 3), time.Minute),
+			newStartFaults(newRand(5, 5), time.Minute, 8),
 		) {
 			list = append(list, fmt.Sprint(f.start, f.name))
 		}
--- a/soak/workerfault.go
+++ b/soak/workerfault.go
@@ -27,6 +27,8 @@
 	// awaitInterval is the time between two looks.
 	maxAwaitDuration = 3 * time.Second
 	awaitInterval    = 20 * time.Millisecond
+	// maxStartFaultGap limits the time between two faults of starts.
+	maxStartFaultGap = 4 * time.Second
 	// maxConfigGap limits the time between two versions of the configuration.
 	maxConfigGap = 3 * time.Second
 )
@@ -163,6 +165,24 @@
 	return list
 }
 
+// newStartFaults returns random periods in which some workers refuse starts, lose their replies, or carry them out late.
+func newStartFaults(rnd *rand.Rand, length time.Duration, workers int) []fault {
+	var list []fault
+	for start := time.Second; start < length; start += time.Duration(rnd.Int64N(int64(maxStartFaultGap))) {
+		index, count, duration := rnd.IntN(workers), 1+rnd.IntN(workers), time.Duration(rnd.Int64N(int64(maxFaultDuration)))
+		list = append(list, fault{start, fmt.Sprintf("%d runners from %d on fail half of the starts for %s", count, index, duration), func(d *deployment) {
+			for i := range count {
+				d.workers[(index+i)%workers].flaky.Enable()
+			}
+			time.Sleep(duration)
+			for i := range count {
+				d.workers[(index+i)%workers].flaky.Disable()
+			}
+		}})
+	}
+	return list
+}
+
 // newConfigChanges returns new versions of the configuration. The last one is the
 // first one again.
 func newConfigChanges(rnd *rand.Rand, length time.Duration) []fault {
--- a/soak/workerhost.go
+++ b/soak/workerhost.go
@@ -11,6 +11,7 @@
 // workerHost is a worker with its proxy and its entry in the platform's list.
 type workerHost struct {
 	worker *platformtest.Worker
+	flaky  *platformtest.FlakyWorker
 	proxy  *proxy
 	store  *platformtest.Store
 
