rack: test that a lost exchange reply may have renewed leases

Cause: the expiry of the leases of an unreachable worker counts from when it was first found unreachable. An exchange without a reply may have reached the worker after that and renewed them. Change: a test with a worker that is reachable only while replies are lost.

--- a/cluster/rack/ownership_test.go
+++ b/cluster/rack/ownership_test.go
@@ -269,3 +269,25 @@
 	c.run(100 * time.Second)
 	is.Equal(c.storedJob("b").state, JobFinished)
 }
+
+// Guards against a task that runs twice: an exchange whose reply is lost may have renewed the leases of a worker that
+// could not be reached before it.
+func TestLostExchangeReplyMayHaveRenewedLeases(t *testing.T) {
+	for seed := range uint64(8) {
+		c := newCell(t, seed, 1, 1, 1, 2)
+		c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Minute }
+		c.run(5 * time.Second)
+		c.submit(c.daemons[0], batchJob("b", 6, cluster.Core, true))
+		c.run(2 * time.Second)
+		w := c.racks.workers[0]
+		setReachable := func(reachable bool) { w.unreachable = !reachable; c.racks.markChanged(w) }
+		setReachable(false)
+		c.run(15 * time.Second)
+		setReachable(true)
+		c.lostExchange = 1
+		c.run(3 * time.Second)
+		setReachable(false)
+		c.lostExchange = 0
+		c.run(40 * time.Second) // the cell reports a task that starts while it runs elsewhere
+	}
+}
