rack: count the leases of an unreachable worker from a lost exchange

Cause: the absence of a reply was taken as proof that an exchange had renewed no lease. The leases of an unreachable worker counted from when it was first found unreachable, although a later exchange whose reply was lost may have reached it.

What callers saw: an idempotent task started on another worker while its run went on, for up to a lease (20 s) after the one lost reply.

Change: while exchanges fail, the leases of all workers of the rack count from the first failure; leases requested after it never last longer. The next reply settles it: it has the changes since the last reply that arrived, so that an unreachable worker that it lists has changed and counts from the failure on, and one that it does not list was never reached and counts as before. A worker that stays unreachable in a rack that loses replies is therefore not held up.

--- a/cluster/rack/exchange.go
+++ b/cluster/rack/exchange.go
@@ -120,7 +120,8 @@
 
 // handleExchangeReply applies the reply to an exchange.
 func (c *Controller) handleExchangeReply(r *rack, e *ExchangeDone) {
-	if !r.failingSince.IsZero() {
+	failingSince := r.failingSince
+	if !failingSince.IsZero() {
 		r.failingSince, r.exchangeRetryDelay = time.Time{}, 0
 		r.syncWorkers()
 	}
@@ -128,7 +129,11 @@
 	sent := r.sentCommands
 	r.sentCommands = nil
 	for _, report := range e.Reply.Workers {
-		c.updateWorker(r, report)
+		w := c.updateWorker(r, report)
+		if !report.Reachable {
+			// The worker has changed, so an exchange whose reply was lost may have reached it and renewed its leases.
+			w.unreachableSince = laterTime(w.unreachableSince, failingSince)
+		}
 	}
 	if r.highestEpoch > r.epoch {
 		// Another owner has fenced the worker, so the reports describe that owner's work.
--- a/cluster/rack/recovery.go
+++ b/cluster/rack/recovery.go
@@ -74,9 +74,9 @@
 func (c *Controller) unrenewedSince(r *rack, w *worker) (since time.Time) {
 	if !w.reachable {
 		since = w.unreachableSince
-	} else if !r.failingSince.IsZero() {
-		since = r.failingSince
 	}
+	// While exchanges fail, any of them may have reached a worker that was unreachable before.
+	since = laterTime(since, r.failingSince)
 	if !since.IsZero() && !w.fenced {
 		since = laterTime(since, r.contestedAt)
 	}
