rack: test that a reclaimed rack keeps its leases

Cause: the time since which exchanges fail outlives the ownership of a rack. Change: a test in which a rack returns to an owner whose exchanges had failed.

--- a/cluster/rack/ownership_test.go
+++ b/cluster/rack/ownership_test.go
@@ -291,3 +291,26 @@
 		c.run(40 * time.Second) // the cell reports a task that starts while it runs elsewhere
 	}
 }
+
+// Guards against ended leases of all tasks of a rack: the first exchange of an owner must not request the rest of a lease
+// from the time at which its exchanges failed before another daemon owned the rack.
+func TestReclaimedRackKeepsItsLeases(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 2, 1, 1, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 2 * time.Minute }
+	c.run(5 * time.Second)
+	owner, other := c.ownerOf("z0-r0")
+	c.submit(other, batchJob("b", 6, cluster.Core, true))
+	c.run(2 * time.Second)
+	is.Equal(c.racks.startCount, 6)
+	c.racks.down["z0-r0"] = true
+	c.run(4 * time.Second)
+	owner.paused = true
+	c.racks.down["z0-r0"] = false
+	c.run(30 * time.Second)
+	is.Equal(c.storedOwners()["z0-r0"], other.id)
+	owner.paused = false
+	c.run(20 * time.Second)
+	is.Equal(c.storedOwners()["z0-r0"], owner.id)
+	is.Equal(c.racks.startCount, 6) // no task was started again
+}
