rack: forget failed exchanges with the ownership of a rack

Cause: reset kept the time since which exchanges with the rack fail. When the rack came back later, the first exchange requested what was left of a lease since then, down to 1 ms, and the workers replaced the leases of all running tasks by it.

What callers saw: every task of the rack lapsed and was started again; one that must not run twice ended as unknown.

Change: reset clears the time. A takeover waits for leases from the start of its own phase, which covers a full lease requested by the first exchange.

Measured: TestReclaimedRackKeepsItsLeases counted 12 starts of 6 tasks and now counts 6; the tests of cluster/rack pass.

--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -320,7 +320,7 @@
 	r.hasUnfencedWorkers, r.loadInFlight = false, false
 	r.cursor, r.commands, r.sentCommands, r.deferredCommands = 0, nil, nil, nil
 	r.exchangeInFlight, r.flushInFlight, r.handingOver = false, false, false
-	r.exchangeRetryDelay, r.flushRetryAt = 0, time.Time{}
+	r.failingSince, r.exchangeRetryDelay, r.flushRetryAt = time.Time{}, 0, time.Time{}
 }
 
 // attach assigns a task to a worker and accounts for its resources there.
