rack: test a late start whose repeat is refused

Cause: a refusal for want of capacity returns a task to pending, also if an earlier request of the same start got no reply. Change: a test in which the repeat is refused and the first request is carried out 3 s after it was sent; the fake rack service can delay an exchange.

--- a/cluster/rack/cell_test.go
+++ b/cluster/rack/cell_test.go
@@ -37,6 +37,8 @@
 	lastSequence   int
 	// lostExchange, lostCommit and lostSend are the probabilities that a reply or a message is lost.
 	lostExchange, lostCommit, lostSend float64
+	// delayExchange returns how late an exchange is carried out, which then gets no reply; nil or zero means in time.
+	delayExchange func(*platform.ExchangeRequest) time.Duration
 	// addedLatency is added to the latency of every call.
 	addedLatency time.Duration
 	// submitResults holds the result of each submission, submittedSpecs the specifications,
@@ -311,7 +313,14 @@
 func (c *cell) exchange(d *fakeDaemon, e *Exchange) {
 	sentAt := c.now
 	lost := c.random.Float64() < c.lostExchange
-	if lost && c.random.IntN(2) == 0 {
+	var delay time.Duration
+	if c.delayExchange != nil {
+		delay = c.delayExchange(&e.Request)
+	}
+	if delay > 0 {
+		c.schedule(delay, func() { _, _ = c.racks.exchange(c.now, e.Request) })
+	}
+	if delay > 0 || lost && c.random.IntN(2) == 0 {
 		c.schedule(time.Second, func() {
 			c.deliver(d, &ExchangeDone{e.Token, e.Request.Rack, e.Request.Epoch, sentAt, platform.ExchangeReply{}, &platform.Error{Op: "exchange", Kind: platform.KindUnknown}})
 		})
--- a/cluster/rack/ownership_test.go
+++ b/cluster/rack/ownership_test.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -314,3 +315,36 @@
 	is.Equal(c.storedOwners()["z0-r0"], owner.id)
 	is.Equal(c.racks.startCount, 6) // no task was started again
 }
+
+// Guards against a task that runs twice: a start without a reply is sent again and refused for want of capacity, and the
+// worker carries out the first request later.
+func TestRefusedRepeatDoesNotEndLateStart(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		c := newCell(t, 1, 1, 1, 1, 2)
+		c.racks.reportFailure = func(m string) {
+			if !strings.Contains(m, "has a capacity of") {
+				t.Fatalf("at %s: %s", c.now.Sub(testStart), m)
+			}
+		}
+		c.run(5 * time.Second)
+		c.delayExchange = func(req *platform.ExchangeRequest) time.Duration {
+			if len(req.Commands) == 0 {
+				return 0
+			}
+			for _, w := range c.racks.workers {
+				if w.id == commandWorker(req.Commands[0]) {
+					capacity := w.capacity
+					w.capacity = cluster.Resources{}
+					c.schedule(2900*time.Millisecond, func() { w.capacity = capacity; c.racks.markChanged(w) })
+				}
+			}
+			c.delayExchange = nil
+			return 3 * time.Second
+		}
+		c.submit(c.daemons[0], batchJob("b", 1, cluster.Core, idempotent))
+		c.run(30 * time.Second)
+		is.Equal(c.storedJob("b").state, JobFinished)
+		is.Equal(c.racks.startCount, 1)
+	}
+}
