rack: keep a refused start whose earlier request got no reply

Cause: the refusal of a repeated start was taken as that of the first request. The task returned to pending with its attempt number and started on another worker, while the rack could still carry the first request out.

What callers saw: one attempt on two workers; the invariant single-attempt was violated once the late one was reported.

Change: commands note when a request of theirs got no reply. A stop that overtook the start is sent again once the start is confirmed.

--- a/cluster/rack/controller.go
+++ b/cluster/rack/controller.go
@@ -26,8 +26,8 @@
 	scanInterval = 90 * time.Millisecond
 	// clockDriftPercent bounds the difference in rate between the clocks of a worker and a daemon.
 	clockDriftPercent = 10
-	// maxCallDuration is how long an exchange sent by a previous owner, or a lease renewal on
-	// its behalf, may still be in flight.
+	// maxCallDuration is how long an exchange without a reply may still be in flight, also one sent by a previous
+	// owner or on its behalf.
 	maxCallDuration = 5 * time.Second
 )
 
--- a/cluster/rack/exchange.go
+++ b/cluster/rack/exchange.go
@@ -113,6 +113,9 @@
 	r.exchangeRetryDelay = min(max(2*r.exchangeRetryDelay, exchangeMinDelay), exchangeMaxDelay)
 	r.nextExchangeAt = c.now.Add(c.jitter(r.exchangeRetryDelay))
 	// Every command may have been carried out. All are sent again; the worker recognises repeated starts and stops.
+	for i := range r.sentCommands {
+		r.sentCommands[i].unansweredAt = c.now
+	}
 	r.commands = append(r.sentCommands, r.commands...)
 	r.sentCommands = nil
 	c.cfg.Metrics.Counter("rack_exchange_failures").Inc(1)
@@ -220,32 +223,47 @@
 	}
 	switch result {
 	case platform.CommandDone:
-		t.setState(cluster.TaskRunning, c.now)
+		c.confirmStart(t)
 	case platform.CommandAttemptKnown:
 		// An earlier reply was lost. A full report is requested, which shows whether the attempt still runs.
-		t.setState(cluster.TaskRunning, c.now)
+		c.confirmStart(t)
 		r.cursor = 0
 	case platform.CommandUnreachable:
 		// The attempt may have started. The command is sent again once the worker is reachable; the
 		// attempt is lost if the lease expires first.
+		cmd.unansweredAt = c.now
 		c.deferCommand(r, cmd)
 	case platform.CommandNoCapacity:
 		c.cfg.Log.Warn().Str("task", t.id().String()).Str("worker", string(start.Worker)).
 			Msg("rack: worker has less free capacity than recorded")
 		c.cfg.Metrics.Counter("rack_no_capacity").Inc(1)
-		c.returnToPending(t, c.now.Add(noCapacityDelay))
 		r.cursor = 0
+		if !cmd.unansweredAt.IsZero() && c.now.Sub(cmd.unansweredAt) <= maxCallDuration {
+			// The worker has refused this request and may still carry out the one before.
+			cmd.notBefore = c.now.Add(noCapacityDelay)
+			c.deferCommand(r, cmd)
+			return
+		}
+		c.returnToPending(t, c.now.Add(noCapacityDelay))
 	case platform.CommandStaleEpoch, platform.CommandNoTask:
 		c.returnToPending(t, c.now.Add(noCapacityDelay))
 	}
 }
 
-// deferCommand keeps a command until its worker is reachable again.
+// confirmStart records that an attempt has started. A stop may have been sent before the start was carried out.
+func (c *Controller) confirmStart(t *task) {
+	t.setState(cluster.TaskRunning, c.now)
+	if t.stopRequested {
+		c.queueStop(t)
+	}
+}
+
+// deferCommand keeps a command until its worker is reachable again, at least until its notBefore.
 func (c *Controller) deferCommand(r *rack, cmd rackCommand) {
 	r.deferredCommands = append(r.deferredCommands, cmd)
 }
 
-// requeueDeferred queues the deferred commands whose workers are reachable again, and
+// requeueDeferred queues the deferred commands that are due and whose workers are reachable, and
 // drops those whose workers were removed or have expired leases.
 func (r *rack) requeueDeferred() {
 	kept := r.deferredCommands[:0]
@@ -253,7 +271,7 @@
 		w := r.workers[commandWorker(cmd.command)]
 		switch {
 		case w == nil || w.leasesExpired:
-		case w.reachable:
+		case w.reachable && !r.controller.now.Before(cmd.notBefore):
 			r.commands = append(r.commands, cmd)
 		default:
 			kept = append(kept, cmd)
--- a/cluster/rack/result.go
+++ b/cluster/rack/result.go
@@ -77,7 +77,7 @@
 		c.stopStaleAttempt(r, w, t, run.Attempt)
 	case run.Attempt.Attempt == t.attempt && t.worker == w:
 		if t.state == cluster.TaskStarting {
-			t.setState(cluster.TaskRunning, c.now)
+			c.confirmStart(t)
 		}
 	case t.worker != nil:
 		// Two workers report attempts of one task; the attempt that is accounted for continues.
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -266,6 +266,10 @@
 	task *task
 	// attempt is the attempt that the command is about.
 	attempt cluster.AttemptID
+	// unansweredAt is when the last request of the command ended without a reply; zero if each got one.
+	unansweredAt time.Time
+	// notBefore delays a deferred command.
+	notBefore time.Time
 }
 
 // phase is the phase of a daemon's ownership of a rack.
