gateway: test a repeat whose first request can't be read

Cause: a repeat at another daemon finds that the row of its key exists. If the row can't be read then, the repeat is refused as not run. Change: a test in which only the reads of the store fail.

--- a/cluster/gateway/cluster_test.go
+++ b/cluster/gateway/cluster_test.go
@@ -42,6 +42,8 @@
 	version     cluster.Version
 	rows        map[string]platform.Row
 	unavailable bool
+	// readsUnavailable makes only the reads fail.
+	readsUnavailable bool
 	// lostReplies is the number of commits that are applied but return an error.
 	lostReplies int
 	// delay is added to each commit.
@@ -51,7 +53,7 @@
 func (s *memoryStore) Read(_ context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.unavailable {
+	if s.unavailable || s.readsUnavailable {
 		return platform.ReadReply{}, &platform.Error{Op: "read", Kind: platform.KindUnavailable}
 	}
 	reply := platform.ReadReply{AsOf: s.version}
--- a/cluster/gateway/idem_test.go
+++ b/cluster/gateway/idem_test.go
@@ -105,6 +105,21 @@
 	})
 }
 
+// Guards against a second request for an upstream: a repeat of a request that has run is refused as not run, because the
+// row of the first one can't be read.
+func TestIdempotencyKeyWithUnreadableRow(t *testing.T) {
+	runTestCluster(t, clusterOptions{daemons: 2, runners: 2}, func(c *testCluster) {
+		c.is.Equal(c.send(0, "POST", "/x", "body", keyHeader, "X-Token: a").Code, 200)
+		time.Sleep(time.Second)
+		c.store.update(func(s *memoryStore) { s.readsUnavailable = true })
+		w := c.send(1, "POST", "/x", "body", keyHeader, "X-Token: a")
+		c.is.Equal(w.Code, 503)
+		c.is.Equal(runStatusOf(w), "unknown")
+		c.is.True(w.Header().Get("Retry-After") != "")
+		c.is.Equal(c.runCount("a"), 1)
+	})
+}
+
 // Guards against a row that blocks the retry of a request that was not run.
 func TestIdempotencyKeyReusableAfterRefusal(t *testing.T) {
 	runTestCluster(t, clusterOptions{daemons: 2, runners: 2}, func(c *testCluster) {
