gateway: answer unknown if the row of a repeated key can't be read

Cause: the store reports that the row of an Idempotency-Key exists, so that the first request with it may have been run; a failed read of that row was still reported as "not run".

What callers saw: a 503 with run "no" for a repeat of a request that had run. A caller that then sends the request under another key runs it twice.

Change: the problem is 503 with run "unknown" and Retry-After.

Measured: TestIdempotencyKeyWithUnreadableRow got "no" and now gets "unknown"; the tests of cluster/gateway pass.

--- a/cluster/gateway/idem.go
+++ b/cluster/gateway/idem.go
@@ -164,7 +164,9 @@
 	}
 	existing, existingVersion, err := g.readIdemRow(ctx, rowKey)
 	if err != nil {
-		return 0, nil, keyNotRecorded(err.Error())
+		// The row exists, so the first request with this key may have been run.
+		p := unknownRunProblem(http.StatusServiceUnavailable, "idempotency key can't be read", "%v", err)
+		return 0, nil, p.withRetryAfter(0)
 	}
 	if existing == nil {
 		return 0, nil, keyNotRecorded("the row of an earlier request was just deleted")
