cell: test a repeated submission whose row can't be read

Cause: a conflict shows that a row of the batch exists. If the rows can't be read then, their submissions are refused as not accepted. Change: a test with a store that reports the conflict and fails each read.

--- a/cluster/cell/intake_test.go
+++ b/cluster/cell/intake_test.go
@@ -92,3 +92,25 @@
 		is.Equal(invalid.Kind, workload.KindInvalid)
 	})
 }
+
+// Guards against a job that runs after a refusal: its repeat finds a row of the job, can't read it, and is refused as one
+// that was not accepted.
+func TestRepeatedSubmissionWithUnreadableRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		job := &workload.Job{ID: "0000000000000001"}
+		store := &slowStore{
+			commitErr: &platform.Error{Op: "test", Kind: platform.KindConflict, Key: jobKey(1, job.ID)},
+			readErr:   &platform.Error{Op: "test", Kind: platform.KindUnavailable},
+		}
+		d := newTestDaemon(t, store)
+		defer d.wg.Wait()
+		defer d.stop()
+		for part := range jobParts {
+			d.wg.Go(func() { d.intake.run(part) })
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		is.True(IsKind(d.Submit(ctx, job), KindUnknown))
+	})
+}
