cell: report a job as possibly accepted if its row can't be read

Cause: a conflict shows that a job of the batch is in the store; the failed read after it was taken as if nothing had been accepted.

What callers saw: a 503, which means that the job never runs, for a repeated submission of a job that an earlier one had written and that runs.

Change: after a conflict that can't be resolved the submissions count as unconfirmed, so that they end with a 504 if time runs out.

--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -26,7 +26,7 @@
 	data  []byte
 	// usesAlternatePart means that the regular part of the job failed.
 	usesAlternatePart bool
-	// unconfirmed means that the reply to an earlier commit was lost.
+	// unconfirmed means that the job may be in the store: the reply to a commit was lost, or a conflict is not resolved.
 	unconfirmed bool
 	done        chan error
 }
@@ -219,6 +219,10 @@
 	}
 	reply, err := in.d.store.Read(in.d.ctx, req)
 	if err != nil {
+		// The conflict is with one of the jobs, which an earlier submission may have written.
+		for _, s := range batch {
+			s.unconfirmed = true
+		}
 		in.d.cfg.Log.Info().Err(err).Int("jobs", len(batch)).Msg("cell: jobs can't be read after a conflict; retrying")
 		return batch, true
 	}
