rack: test a repeated submission whose row can't be read

Cause: a conflict shows that rows of the job exist; if the read after it fails, the submission is refused as not run. Change: a test with two daemons that get one job, of which the second loses the store after its transaction.

--- a/cluster/rack/cell_test.go
+++ b/cluster/rack/cell_test.go
@@ -66,6 +66,7 @@
 	// storeUnreachable makes the daemon's calls to the store fail; muted means that the others
 	// receive no pings of it.
 	storeUnreachable, muted bool
+	submitResults           []SubmitResult
 	cancelResults           []CancelResult
 }
 
@@ -260,6 +261,7 @@
 			}
 		}
 	case *SubmitResult:
+		d.submitResults = append(d.submitResults, *e)
 		if old, ok := c.submitResults[e.Job]; !ok || old.Outcome > Duplicate {
 			c.submitResults[e.Job] = *e
 		}
--- a/cluster/rack/workload_test.go
+++ b/cluster/rack/workload_test.go
@@ -334,3 +334,18 @@
 	reason, _ = c.daemons[0].controller.Explain(cluster.JobID{Team: "a", Name: "large"})
 	is.Equal(reason, "a task is larger than every worker of the fleet: cpu=4.000 memory=1024MiB accelerators=0")
 }
+
+// Guards against a refusal as not run of a job that another daemon has accepted: its row exists and can't be read.
+func TestRepeatedSubmissionWithUnreadableRow(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 2, 1, 1, 2)
+	c.run(5 * time.Second)
+	for _, d := range c.daemons {
+		c.submit(d, batchJob("b", 1, cluster.Core, true))
+	}
+	c.run(200 * time.Millisecond) // both transactions are sent
+	c.daemons[1].storeUnreachable = true
+	c.run(5 * time.Second)
+	is.Equal(c.daemons[0].submitResults[0].Outcome, Accepted)
+	is.Equal(c.daemons[1].submitResults[0].Outcome, Unknown)
+}
