rack: report a submission as unknown if its row can't be read

Cause: a conflict shows that a row of the job exists; the failed read after it was taken as if no submission had been accepted.

What callers saw: 503 with run "no" for a job that an earlier submission, whose answer may have been lost, had stored and that runs.

Change: the outcome is unknown; the answer is 504 and asks to repeat the submission with the same identifier.

Measured: TestRepeatedSubmissionWithUnreadableRow got unavailable and now gets unknown; the tests of cluster/rack pass.

--- a/cluster/rack/submission.go
+++ b/cluster/rack/submission.go
@@ -247,7 +247,8 @@
 	c.readRows(platform.ReadRequest{Keys: []string{jobKey(s.spec.ID)}}, func(reply platform.ReadReply, err error) {
 		s.readInFlight = false
 		if err != nil {
-			c.finishSubmission(s, Unavailable, "the table service is down")
+			// The conflict shows that a row exists, so an earlier submission may have been accepted.
+			c.finishSubmission(s, Unknown, "the table service did not answer in time")
 			return
 		}
 		for _, row := range reply.Rows {
