rack: test that a cancellation ends with its deadline

Cause: a call that passes its deadline is answered, and its jobs stay queued. Change: a test with a call that waits behind a slow transaction.

--- a/cluster/rack/workload_test.go
+++ b/cluster/rack/workload_test.go
@@ -349,3 +349,32 @@
 	is.Equal(c.daemons[0].submitResults[0].Outcome, Accepted)
 	is.Equal(c.daemons[1].submitResults[0].Outcome, Unknown)
 }
+
+// Guards against a cancellation that is reported as not made and made later.
+func TestCancellationEndsWithItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 1, 1, 1, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Hour }
+	c.run(5 * time.Second)
+	d := c.daemons[0]
+	spec := batchJob("b", 1, cluster.Core, true)
+	c.submit(d, spec)
+	c.run(2 * time.Second)
+	// The first cancellation waits for the transaction of another one.
+	other := batchJob("other", 1, cluster.Core, true)
+	c.submit(d, other)
+	c.run(2 * time.Second)
+	c.addedLatency = 2 * time.Second
+	d.inbox = append(d.inbox, &Cancel{Token: 1, Jobs: []cluster.JobID{other.ID}})
+	c.run(200 * time.Millisecond)
+	d.inbox = append(d.inbox, &Cancel{Token: 2, Jobs: []cluster.JobID{spec.ID}, Deadline: c.now.Add(time.Second)})
+	c.run(20 * time.Second)
+	outcomes := map[Token]Outcome{}
+	for _, r := range d.cancelResults {
+		outcomes[r.Token] = r.Outcomes[0]
+	}
+	is.Equal(outcomes[1], Accepted)
+	is.Equal(outcomes[2], Unavailable)
+	is.Equal(c.storedJob("b").state, JobActive)
+	is.True(!c.storedJob("b").cancelRequested)
+}
