rack: drop the cancellations whose calls have ended

Cause: the jobs of a cancellation stayed queued after its call had been answered at its deadline.

What callers saw: 503 with run "no" for a cancellation that was then made.

Change: a job that no open call waits for leaves the queue. While a transaction with it is in flight the answer is unknown, as before.

Measured: TestCancellationEndsWithItsDeadline found the job cancelled and now finds it active; the tests of cluster/rack pass.

--- a/cluster/rack/cancel.go
+++ b/cluster/rack/cancel.go
@@ -96,6 +96,7 @@
 // the calls that are complete or past their deadline.
 func (c *Controller) processCancels() {
 	c.writeCancels()
+	expired := false
 	kept := c.cancellations.calls[:0]
 	for _, call := range c.cancellations.calls {
 		if call.remaining > 0 && c.now.Before(call.deadline) {
@@ -103,6 +104,7 @@
 			continue
 		}
 		call.answered = true
+		expired = expired || call.remaining > 0
 		if call.internal {
 			continue
 		}
@@ -110,6 +112,24 @@
 	}
 	clear(c.cancellations.calls[len(kept):])
 	c.cancellations.calls = kept
+	if expired {
+		c.dropAnsweredCancels()
+	}
+}
+
+// dropAnsweredCancels removes the jobs for which no call waits any more. Their calls were told that the jobs were not
+// cancelled, or that this is not known if a transaction is in flight.
+func (c *Controller) dropAnsweredCancels() {
+	cs := &c.cancellations
+	cs.pending = slices.DeleteFunc(cs.pending, func(target *jobCancel) bool {
+		for _, caller := range target.callers {
+			if !caller.call.answered {
+				return false
+			}
+		}
+		delete(cs.byJob, target.id)
+		return true
+	})
 }
 
 // writeCancels commits the cancellation of pending jobs that are active, reads
