--- a/cluster/journal/journal_test.go
+++ b/cluster/journal/journal_test.go
@@ -320,3 +320,32 @@
 		})
 	}
 }
+
+// Guards against an applied change that is reported as not applied: the reply is lost and the writer row is deleted, as
+// that of a daemon whose VM is missing from the platform's list.
+func TestDeletedWriterRowLeavesTheResultUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := newFakeStore()
+		j := New(Config{Store: s, Writer: "d1"})
+		defer j.Close()
+		_, err := j.Commit(t.Context(), insert("a/1", "x"))
+		is.NoErr(err)
+		calls := 0
+		s.nextFault = func() fault {
+			calls++
+			switch calls {
+			case 1:
+				return replyLostApplied
+			case 2:
+				delete(s.rows, "txn/d1")
+			}
+			return noFault
+		}
+		_, err = j.Commit(t.Context(), insert("a/2", "x"))
+		is.Equal(string(s.rows["a/2"].Value), "x")
+		is.True(IsKind(err, KindUnknown))
+		_, err = j.Commit(t.Context(), insert("a/3", "x"))
+		is.NoErr(err) // the journal goes on
+	})
+}
