--- a/cluster/journal/error.go
+++ b/cluster/journal/error.go
@@ -16,7 +16,8 @@
 	// exceeded for too long or the queue was full; the change was not applied.
 	KindUnavailable
 	// KindUnknown means that the caller stopped waiting or the journal was closed
-	// before the result was known; the change may have been applied.
+	// before the result was known, or that the writer row, which shows it, was
+	// deleted; the change may have been applied.
 	KindUnknown
 	// KindClosed means that the journal was closed; the change was not applied.
 	KindClosed
--- a/cluster/journal/journal.go
+++ b/cluster/journal/journal.go
@@ -386,9 +386,15 @@
 	// The transaction may still be in the network. Overwriting the writer row
 	// makes its check fail, so that it can't be applied after this returns.
 	if !j.overwriteWriterRow(sentVersion) {
-		if counter, ok = j.readWriterRow(); ok && counter == j.lastCounter {
+		counter, ok = j.readWriterRow()
+		switch {
+		case ok && counter == j.lastCounter:
 			reportResult(batch, j.writerRowVersion, nil)
 			return
+		case ok && (counter != 0 || j.writerRowVersion == 0):
+			// Another process has deleted or replaced the row, which may have had the counter before.
+			reportResult(batch, 0, &Error{Op: "commit", Kind: KindUnknown, Err: cause})
+			return
 		}
 	}
 	if j.ctx.Err() != nil {
