rack: test that a recheck of a rack fences earlier requests

Cause: an owner that stops work on a rack and finds itself as its owner again reads the workers under the same epoch; an exchange that it sent before is not refused, and its start is in no report yet. Change: a test with a start that is carried out 4 s after it was sent.

--- a/cluster/rack/ownership_test.go
+++ b/cluster/rack/ownership_test.go
@@ -348,3 +348,34 @@
 		is.Equal(c.racks.startCount, 1)
 	}
 }
+
+// Guards against a task that runs twice: an owner that has stopped work on a rack and finds itself as its owner again
+// starts a task anew, and a worker carries out the start that was in flight before.
+func TestRecheckedOwnerFencesEarlierRequests(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		c := newCell(t, 1, 1, 1, 1, 2)
+		c.run(5 * time.Second)
+		c.delayExchange = func(req *platform.ExchangeRequest) time.Duration {
+			if len(req.Commands) == 0 {
+				return 0
+			}
+			// The next start goes to the other worker.
+			for _, w := range c.racks.workers {
+				if w.id == commandWorker(req.Commands[0]) {
+					capacity := w.capacity
+					w.capacity = cluster.Resources{}
+					c.schedule(3900*time.Millisecond, func() { w.capacity = capacity; c.racks.markChanged(w) })
+				}
+			}
+			c.delayExchange = nil
+			d := c.daemons[0]
+			c.schedule(100*time.Millisecond, func() { d.controller.recheckOwnership(d.controller.racks[req.Rack], "test") })
+			return 4 * time.Second
+		}
+		c.submit(c.daemons[0], batchJob("b", 1, cluster.Core, idempotent))
+		c.run(30 * time.Second)
+		is.Equal(c.storedJob("b").state, JobFinished)
+		is.Equal(c.racks.startCount, 1)
+	}
+}
