rack: raise the epoch after a recheck of a rack

Cause: an owner that stopped work on a rack (after a pause, a refused epoch, or a move of tasks with an unknown result) and found itself in the row again went on under the same epoch. The report that it then read was taken as all that runs, while an exchange from before could still start a task.

What callers saw: one attempt on two workers, up to 5 s (the time for which a call may be in flight) after the recheck.

Change: the owner writes the row with a higher epoch first, as it already does if a worker has seen a higher one. The workers then refuse the exchanges from before. It costs one write for each rack and recheck.

--- a/cluster/rack/fence.go
+++ b/cluster/rack/fence.go
@@ -13,8 +13,7 @@
 	if r.highestEpoch > r.epoch && !r.rowWriteInFlight {
 		// A worker has seen an epoch higher than the row's and refuses lower ones, so the row needs
 		// a higher one still.
-		r.phase, r.rowRetryAt = phaseRechecking, c.now.Add(rowRetryDelay)
-		c.writeRackRow(r, c.cfg.Self, r.highestEpoch+1, func(cluster.Version) {})
+		c.raiseEpoch(r)
 		return
 	}
 	for id, vm := range c.vms {
--- a/cluster/rack/ownership.go
+++ b/cluster/rack/ownership.go
@@ -44,11 +44,25 @@
 		c.loseOwnership(r, "the row names another owner")
 		return
 	}
-	if changed || r.phase == phaseNotOwned || r.phase == phaseRechecking {
+	switch {
+	case !changed && r.phase == phaseRechecking:
+		// Exchanges from before the recheck may still be in flight. Only a higher epoch makes the workers refuse them.
+		c.raiseEpoch(r)
+	case changed || r.phase == phaseNotOwned:
 		c.beginFencing(r)
 	}
 }
 
+// raiseEpoch writes a rack's row with an epoch above all that its workers have seen. Work on the rack goes on once the
+// row is written.
+func (c *Controller) raiseEpoch(r *rack) {
+	if r.rowWriteInFlight {
+		return
+	}
+	r.phase, r.rowRetryAt = phaseRechecking, c.now.Add(rowRetryDelay)
+	c.writeRackRow(r, c.cfg.Self, max(r.epoch, r.highestEpoch)+1, func(cluster.Version) {})
+}
+
 // loseOwnership drops the state of a rack that this daemon no longer owns.
 func (c *Controller) loseOwnership(r *rack, reason string) {
 	if r.phase == phaseNotOwned {
