rack: test that a submission ends with its deadline

Cause: a submission without callers is still committed. Change: a test with a daemon that is paused beyond the deadline.

--- a/cluster/rack/workload_test.go
+++ b/cluster/rack/workload_test.go
@@ -378,3 +378,19 @@
 	is.Equal(c.storedJob("b").state, JobActive)
 	is.True(!c.storedJob("b").cancelRequested)
 }
+
+// Guards against a job that runs although its submission was answered as not run when its deadline passed.
+func TestSubmissionEndsWithItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 1, 1, 1, 2)
+	c.run(5 * time.Second)
+	d := c.daemons[0]
+	d.paused = true // the submission waits
+	d.inbox = append(d.inbox, &Submit{Token: 1, Spec: batchJob("b", 1, cluster.Core, true), SubmittedAt: c.now, Deadline: c.now.Add(time.Second)})
+	c.run(2 * time.Second)
+	d.paused = false
+	c.run(5 * time.Second)
+	is.Equal(d.submitResults[0].Outcome, Unavailable)
+	is.Equal(c.storedJob("b"), nil)
+	is.Equal(c.racks.startCount, 0)
+}
