rack: drop a submission whose callers have ended

Cause: a submission whose callers had all passed their deadline was still committed.

What callers saw: 503 with run "no" for a job that was stored and ran. It takes a daemon that is paused or busy beyond the deadline, or a deadline that passes between a conflict and the next attempt.

Change: a submission without callers is dropped unless a call for it is in flight, whose result is reported as unknown, or the configuration declares it.

Measured: TestSubmissionEndsWithItsDeadline found the job stored and started and passes; the tests of cluster/rack pass.

--- a/cluster/rack/submission.go
+++ b/cluster/rack/submission.go
@@ -122,7 +122,12 @@
 	kept := c.submissionQueue[:0]
 	for _, s := range c.submissionQueue {
 		c.answerExpiredCallers(s)
-		if !s.done && !s.commitInFlight && !s.readInFlight && !c.now.Before(s.notBefore) {
+		idle := !s.commitInFlight && !s.readInFlight
+		if idle && len(s.callers) == 0 && s.declaredVersion == 0 {
+			// Each caller has been told that the job does not run, or that this is not known.
+			s.done = true
+		}
+		if !s.done && idle && !c.now.Before(s.notBefore) {
 			c.commitSubmission(s)
 		}
 		if s.done {
