rack: test an owner that is cut off with its rack

Cause: the next owner of a rack that it can't reach takes the leases as expired 27 s after its claim. The previous owner, which is cut off from the store and from the next owner but not from the rack, goes on renewing them, as the design page states for a cut-off region ("leases renewed until fenced").

What callers see: each idempotent task of a cut-off region runs a second time in the other one until the regions meet again. Tasks that must not run twice end as unknown and are not started again.

Change: a test with two daemons, each cut off from the other one's rack.

A fix is a decision on the design: either a cut-off owner stops renewing after some time, which ends the work of a cut-off region, or the next owner waits until the previous one is known to have ended, which holds up the tasks of a region that is lost.

--- a/cluster/rack/cell_test.go
+++ b/cluster/rack/cell_test.go
@@ -66,8 +66,10 @@
 	// storeUnreachable makes the daemon's calls to the store fail; muted means that the others
 	// receive no pings of it.
 	storeUnreachable, muted bool
-	submitResults           []SubmitResult
-	cancelResults           []CancelResult
+	// unreachableRack is a rack that the daemon can't reach; empty if it reaches all.
+	unreachableRack cluster.RackID
+	submitResults   []SubmitResult
+	cancelResults   []CancelResult
 }
 
 // call is a scheduled call; calls at the same time are made in the order in which they were scheduled.
@@ -314,6 +316,12 @@
 // exchange calls the rack service. A lost call either never arrives or loses its reply.
 func (c *cell) exchange(d *fakeDaemon, e *Exchange) {
 	sentAt := c.now
+	if d.unreachableRack == e.Request.Rack {
+		c.schedule(c.latency(), func() {
+			c.deliver(d, &ExchangeDone{e.Token, e.Request.Rack, e.Request.Epoch, sentAt, platform.ExchangeReply{}, &platform.Error{Op: "exchange", Kind: platform.KindUnavailable}})
+		})
+		return
+	}
 	lost := c.random.Float64() < c.lostExchange
 	var delay time.Duration
 	if c.delayExchange != nil {
--- a/cluster/rack/ownership_test.go
+++ b/cluster/rack/ownership_test.go
@@ -379,3 +379,28 @@
 		is.Equal(c.racks.startCount, 1)
 	}
 }
+
+// Guards against tasks that run in two regions: the owner of a rack loses its contact with the other region, in which the
+// store is, and goes on renewing leases that the next owner there can't fence.
+func TestUnreachableOwnerKeepsItsTasks(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 3, 2, 2, 1, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 10 * time.Minute }
+	c.run(5 * time.Second)
+	owner, other := c.ownerOf("z0-r0")
+	c.closeOtherRacks("z0-r0")
+	c.run(3 * time.Second)
+	c.submit(other, batchJob("b", 6, cluster.Core, true))
+	c.run(2 * time.Second)
+	is.Equal(c.racks.startCount, 6)
+	for _, w := range c.racks.workers {
+		w.unreachable = false
+		c.racks.markChanged(w)
+	}
+	for _, d := range c.daemons {
+		d.muted = true
+	}
+	owner.storeUnreachable, owner.unreachableRack, other.unreachableRack = true, "z1-r0", "z0-r0"
+	c.run(5 * time.Minute) // the cell reports a task that starts while it runs elsewhere
+	is.Equal(c.racks.startCount, 6)
+}
