--- a/cluster/rack/cell_test.go
+++ b/cluster/rack/cell_test.go
@@ -37,6 +37,8 @@
 	lastSequence   int
 	// lostExchange, lostCommit and lostSend are the probabilities that a reply or a message is lost.
 	lostExchange, lostCommit, lostSend float64
+	// delayExchange returns how late an exchange is carried out, which then gets no reply; nil or zero means in time.
+	delayExchange func(*platform.ExchangeRequest) time.Duration
 	// addedLatency is added to the latency of every call.
 	addedLatency time.Duration
 	// submitResults holds the result of each submission, submittedSpecs the specifications,
@@ -64,7 +66,10 @@
 	// storeUnreachable makes the daemon's calls to the store fail; muted means that the others
 	// receive no pings of it.
 	storeUnreachable, muted bool
-	cancelResults           []CancelResult
+	// unreachableRack is a rack that the daemon can't reach; empty if it reaches all.
+	unreachableRack cluster.RackID
+	submitResults   []SubmitResult
+	cancelResults   []CancelResult
 }
 
 // call is a scheduled call; calls at the same time are made in the order in which they were scheduled.
@@ -258,6 +263,7 @@
 			}
 		}
 	case *SubmitResult:
+		d.submitResults = append(d.submitResults, *e)
 		if old, ok := c.submitResults[e.Job]; !ok || old.Outcome > Duplicate {
 			c.submitResults[e.Job] = *e
 		}
@@ -310,8 +316,21 @@
 // exchange calls the rack service. A lost call either never arrives or loses its reply.
 func (c *cell) exchange(d *fakeDaemon, e *Exchange) {
 	sentAt := c.now
+	if d.unreachableRack == e.Request.Rack {
+		c.schedule(c.latency(), func() {
+			c.deliver(d, &ExchangeDone{e.Token, e.Request.Rack, e.Request.Epoch, sentAt, platform.ExchangeReply{}, &platform.Error{Op: "exchange", Kind: platform.KindUnavailable}})
+		})
+		return
+	}
 	lost := c.random.Float64() < c.lostExchange
-	if lost && c.random.IntN(2) == 0 {
+	var delay time.Duration
+	if c.delayExchange != nil {
+		delay = c.delayExchange(&e.Request)
+	}
+	if delay > 0 {
+		c.schedule(delay, func() { _, _ = c.racks.exchange(c.now, e.Request) })
+	}
+	if delay > 0 || lost && c.random.IntN(2) == 0 {
 		c.schedule(time.Second, func() {
 			c.deliver(d, &ExchangeDone{e.Token, e.Request.Rack, e.Request.Epoch, sentAt, platform.ExchangeReply{}, &platform.Error{Op: "exchange", Kind: platform.KindUnknown}})
 		})
--- a/cluster/rack/ownership_test.go
+++ b/cluster/rack/ownership_test.go
@@ -1,6 +1,7 @@
 package rack
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -269,3 +270,137 @@
 	c.run(100 * time.Second)
 	is.Equal(c.storedJob("b").state, JobFinished)
 }
+
+// Guards against a task that runs twice: an exchange whose reply is lost may have renewed the leases of a worker that
+// could not be reached before it.
+func TestLostExchangeReplyMayHaveRenewedLeases(t *testing.T) {
+	for seed := range uint64(8) {
+		c := newCell(t, seed, 1, 1, 1, 2)
+		c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Minute }
+		c.run(5 * time.Second)
+		c.submit(c.daemons[0], batchJob("b", 6, cluster.Core, true))
+		c.run(2 * time.Second)
+		w := c.racks.workers[0]
+		setReachable := func(reachable bool) { w.unreachable = !reachable; c.racks.markChanged(w) }
+		setReachable(false)
+		c.run(15 * time.Second)
+		setReachable(true)
+		c.lostExchange = 1
+		c.run(3 * time.Second)
+		setReachable(false)
+		c.lostExchange = 0
+		c.run(40 * time.Second) // the cell reports a task that starts while it runs elsewhere
+	}
+}
+
+// Guards against ended leases of all tasks of a rack: the first exchange of an owner must not request the rest of a lease
+// from the time at which its exchanges failed before another daemon owned the rack.
+func TestReclaimedRackKeepsItsLeases(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 2, 1, 1, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 2 * time.Minute }
+	c.run(5 * time.Second)
+	owner, other := c.ownerOf("z0-r0")
+	c.submit(other, batchJob("b", 6, cluster.Core, true))
+	c.run(2 * time.Second)
+	is.Equal(c.racks.startCount, 6)
+	c.racks.down["z0-r0"] = true
+	c.run(4 * time.Second)
+	owner.paused = true
+	c.racks.down["z0-r0"] = false
+	c.run(30 * time.Second)
+	is.Equal(c.storedOwners()["z0-r0"], other.id)
+	owner.paused = false
+	c.run(20 * time.Second)
+	is.Equal(c.storedOwners()["z0-r0"], owner.id)
+	is.Equal(c.racks.startCount, 6) // no task was started again
+}
+
+// Guards against a task that runs twice: a start without a reply is sent again and refused for want of capacity, and the
+// worker carries out the first request later.
+func TestRefusedRepeatDoesNotEndLateStart(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		c := newCell(t, 1, 1, 1, 1, 2)
+		c.racks.reportFailure = func(m string) {
+			if !strings.Contains(m, "has a capacity of") {
+				t.Fatalf("at %s: %s", c.now.Sub(testStart), m)
+			}
+		}
+		c.run(5 * time.Second)
+		c.delayExchange = func(req *platform.ExchangeRequest) time.Duration {
+			if len(req.Commands) == 0 {
+				return 0
+			}
+			for _, w := range c.racks.workers {
+				if w.id == commandWorker(req.Commands[0]) {
+					capacity := w.capacity
+					w.capacity = cluster.Resources{}
+					c.schedule(2900*time.Millisecond, func() { w.capacity = capacity; c.racks.markChanged(w) })
+				}
+			}
+			c.delayExchange = nil
+			return 3 * time.Second
+		}
+		c.submit(c.daemons[0], batchJob("b", 1, cluster.Core, idempotent))
+		c.run(30 * time.Second)
+		is.Equal(c.storedJob("b").state, JobFinished)
+		is.Equal(c.racks.startCount, 1)
+	}
+}
+
+// Guards against a task that runs twice: an owner that has stopped work on a rack and finds itself as its owner again
+// starts a task anew, and a worker carries out the start that was in flight before.
+func TestRecheckedOwnerFencesEarlierRequests(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		is := is.New(t)
+		c := newCell(t, 1, 1, 1, 1, 2)
+		c.run(5 * time.Second)
+		c.delayExchange = func(req *platform.ExchangeRequest) time.Duration {
+			if len(req.Commands) == 0 {
+				return 0
+			}
+			// The next start goes to the other worker.
+			for _, w := range c.racks.workers {
+				if w.id == commandWorker(req.Commands[0]) {
+					capacity := w.capacity
+					w.capacity = cluster.Resources{}
+					c.schedule(3900*time.Millisecond, func() { w.capacity = capacity; c.racks.markChanged(w) })
+				}
+			}
+			c.delayExchange = nil
+			d := c.daemons[0]
+			c.schedule(100*time.Millisecond, func() { d.controller.recheckOwnership(d.controller.racks[req.Rack], "test") })
+			return 4 * time.Second
+		}
+		c.submit(c.daemons[0], batchJob("b", 1, cluster.Core, idempotent))
+		c.run(30 * time.Second)
+		is.Equal(c.storedJob("b").state, JobFinished)
+		is.Equal(c.racks.startCount, 1)
+	}
+}
+
+// Guards against tasks that run in two regions: the owner of a rack loses its contact with the other region, in which the
+// store is, and goes on renewing leases that the next owner there can't fence.
+func TestUnreachableOwnerKeepsItsTasks(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 3, 2, 2, 1, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return 10 * time.Minute }
+	c.run(5 * time.Second)
+	owner, other := c.ownerOf("z0-r0")
+	c.closeOtherRacks("z0-r0")
+	c.run(3 * time.Second)
+	c.submit(other, batchJob("b", 6, cluster.Core, true))
+	c.run(2 * time.Second)
+	is.Equal(c.racks.startCount, 6)
+	for _, w := range c.racks.workers {
+		w.unreachable = false
+		c.racks.markChanged(w)
+	}
+	for _, d := range c.daemons {
+		d.muted = true
+	}
+	owner.storeUnreachable, owner.unreachableRack, other.unreachableRack = true, "z1-r0", "z0-r0"
+	c.run(5 * time.Minute) // the cell reports a task that starts while it runs elsewhere
+	is.Equal(c.racks.startCount, 6)
+}
--- a/cluster/rack/table.go
+++ b/cluster/rack/table.go
@@ -266,6 +266,10 @@
 	task *task
 	// attempt is the attempt that the command is about.
 	attempt cluster.AttemptID
+	// unansweredAt is when the last request of the command ended without a reply; zero if each got one.
+	unansweredAt time.Time
+	// notBefore delays a deferred command.
+	notBefore time.Time
 }
 
 // phase is the phase of a daemon's ownership of a rack.
@@ -320,7 +324,7 @@
 	r.hasUnfencedWorkers, r.loadInFlight = false, false
 	r.cursor, r.commands, r.sentCommands, r.deferredCommands = 0, nil, nil, nil
 	r.exchangeInFlight, r.flushInFlight, r.handingOver = false, false, false
-	r.exchangeRetryDelay, r.flushRetryAt = 0, time.Time{}
+	r.failingSince, r.exchangeRetryDelay, r.flushRetryAt = time.Time{}, 0, time.Time{}
 }
 
 // attach assigns a task to a worker and accounts for its resources there.
--- a/cluster/rack/workload_test.go
+++ b/cluster/rack/workload_test.go
@@ -334,3 +334,63 @@
 	reason, _ = c.daemons[0].controller.Explain(cluster.JobID{Team: "a", Name: "large"})
 	is.Equal(reason, "a task is larger than every worker of the fleet: cpu=4.000 memory=1024MiB accelerators=0")
 }
+
+// Guards against a refusal as not run of a job that another daemon has accepted: its row exists and can't be read.
+func TestRepeatedSubmissionWithUnreadableRow(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 2, 1, 1, 2)
+	c.run(5 * time.Second)
+	for _, d := range c.daemons {
+		c.submit(d, batchJob("b", 1, cluster.Core, true))
+	}
+	c.run(200 * time.Millisecond) // both transactions are sent
+	c.daemons[1].storeUnreachable = true
+	c.run(5 * time.Second)
+	is.Equal(c.daemons[0].submitResults[0].Outcome, Accepted)
+	is.Equal(c.daemons[1].submitResults[0].Outcome, Unknown)
+}
+
+// Guards against a cancellation that is reported as not made and made later.
+func TestCancellationEndsWithItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 1, 1, 1, 2)
+	c.racks.runTime = func(cluster.AttemptID) time.Duration { return time.Hour }
+	c.run(5 * time.Second)
+	d := c.daemons[0]
+	spec := batchJob("b", 1, cluster.Core, true)
+	c.submit(d, spec)
+	c.run(2 * time.Second)
+	// The first cancellation waits for the transaction of another one.
+	other := batchJob("other", 1, cluster.Core, true)
+	c.submit(d, other)
+	c.run(2 * time.Second)
+	c.addedLatency = 2 * time.Second
+	d.inbox = append(d.inbox, &Cancel{Token: 1, Jobs: []cluster.JobID{other.ID}})
+	c.run(200 * time.Millisecond)
+	d.inbox = append(d.inbox, &Cancel{Token: 2, Jobs: []cluster.JobID{spec.ID}, Deadline: c.now.Add(time.Second)})
+	c.run(20 * time.Second)
+	outcomes := map[Token]Outcome{}
+	for _, r := range d.cancelResults {
+		outcomes[r.Token] = r.Outcomes[0]
+	}
+	is.Equal(outcomes[1], Accepted)
+	is.Equal(outcomes[2], Unavailable)
+	is.Equal(c.storedJob("b").state, JobActive)
+	is.True(!c.storedJob("b").cancelRequested)
+}
+
+// Guards against a job that runs although its submission was answered as not run when its deadline passed.
+func TestSubmissionEndsWithItsDeadline(t *testing.T) {
+	is := is.New(t)
+	c := newCell(t, 1, 1, 1, 1, 2)
+	c.run(5 * time.Second)
+	d := c.daemons[0]
+	d.paused = true // the submission waits
+	d.inbox = append(d.inbox, &Submit{Token: 1, Spec: batchJob("b", 1, cluster.Core, true), SubmittedAt: c.now, Deadline: c.now.Add(time.Second)})
+	c.run(2 * time.Second)
+	d.paused = false
+	c.run(5 * time.Second)
+	is.Equal(d.submitResults[0].Outcome, Unavailable)
+	is.Equal(c.storedJob("b"), nil)
+	is.Equal(c.racks.startCount, 0)
+}
