pool: search for due actions of runs every 25 ms

Cause: each step looked at every run of the pool for stalled runs and for stops to repeat. Busy owners step every 3 to 10 ms, and these actions are due after 400 ms at the earliest; the search took an eighth of the processor time of BenchmarkPool. An owner without processor time reads the replies of its workers late.

Change: the search runs at most every 25 ms.

--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -161,6 +161,10 @@
 // checkRuns repeats stop requests, stops stalled and unconfirmed runs, and releases the runs whose leases have
 // expired.
 func (s *Scheduler) checkRuns() {
+	checkDueActions := s.now.Sub(s.dueActionsCheckedAt) >= dueActionInterval
+	if checkDueActions {
+		s.dueActionsCheckedAt = s.now
+	}
 	for _, w := range s.sortedWorkers {
 		if len(w.runs) == 0 {
 			continue
@@ -170,7 +174,7 @@
 			w.reportedExpiry = w.leaseExpiry
 			s.cfg.Log.Warn().Str("worker", string(w.vm.ID)).Int("runs", len(w.runs)).Msg("pool: leases of an unresponsive worker have expired")
 		}
-		if !expired && !s.hasDueAction(w) {
+		if !expired && (!checkDueActions || !s.hasDueAction(w)) {
 			continue
 		}
 		for _, r := range sortedRuns(w) {
@@ -194,6 +198,9 @@
 	return s.mayReportEnds(r.worker, &r.worker.report, r.worker.leaseExpiry, endReportWait)
 }
 
+// dueActionInterval is the time between two searches for due actions, which look at every run of the pool.
+const dueActionInterval = stepInterval / 2
+
 // hasDueAction reports whether an action is due for a run of a worker.
 func (s *Scheduler) hasDueAction(w *worker) bool {
 	for _, r := range w.runs {
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -71,6 +71,8 @@
 	durationRatios map[cluster.QueueName]float64
 	// permitShares is the moving average of the share of workers that may run the steps of a queue.
 	permitShares map[cluster.QueueName]float64
+	// dueActionsCheckedAt is when due actions were last searched for.
+	dueActionsCheckedAt time.Time
 	// waitingCheckedAt is when waiting steps were last searched for.
 	waitingCheckedAt time.Time
 	// deferredEarlierEnds are the deferred run ends of workers that have restarted since.
