pool: wait for the reply of a gang's workers before it starts again

Cause: the members of a gang that was being stopped were given up as soon as the leases of their workers had expired, without a wait for the report of their ends. One member that is done means that the whole gang is. After a pause of the owner's process this was decided before the replies were read.

Callers would have seen a gang run again that had ended as done.

Change: the owner waits until it could have read the reply to one hold call. The longer wait of 4 s would keep gangs from starting again whenever a member is cut off, and is of use only where replies are lost.

Measured: TestDoneGangDoesNotRunAgainAfterPauseOfOwner starts the gang twice before the change and once after it.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -24,9 +24,10 @@
 	// endReportWait is how long after the end of its leases the scheduler waits for a worker that does not respond but
 	// is alive to report how its runs have ended.
 	endReportWait = 4 * time.Second
-	// unresponsiveReportWait is how long it waits for a worker that did not respond to the previous owner either and whose
-	// leases have expired long ago: a worker that responds again replies to the first hold call within that time.
-	unresponsiveReportWait = 750 * time.Millisecond
+	// singleReplyWait is how long it waits instead where only the reply to one hold call is awaited: for a gang that is
+	// being stopped, and for a worker that did not respond to the previous owner either and whose leases have expired
+	// long ago.
+	singleReplyWait = 750 * time.Millisecond
 	// heartbeatTTL is how long a heartbeat in the platform's list shows that a worker is alive: two heartbeats and the
 	// time between two reads of the list.
 	heartbeatTTL = 4 * time.Second
--- a/cluster/pool/lateowner_test.go
+++ b/cluster/pool/lateowner_test.go
@@ -69,6 +69,31 @@
 	}
 }
 
+// Guards against a gang that starts again although it is done, because it was being stopped when the owner's process was
+// paused and the leases of its workers expired.
+func TestDoneGangDoesNotRunAgainAfterPauseOfOwner(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4)
+	sim.failureRate = 0
+	sim.submit(&workload.Job{ID: singleTaskJob, Steps: []workload.Step{{Tasks: 2, Gang: true, Size: cluster.Resources{CPU: 8 * cluster.Core}, Estimate: time.Second}}})
+	sim.runFor(500 * time.Millisecond)
+	var members []*fakeWorker
+	for _, f := range sim.workers {
+		if len(f.running) > 0 {
+			members = append(members, f)
+		}
+	}
+	is.Equal(len(members), 2)
+	for members[0].lastListedEnd == 0 && members[1].lastListedEnd == 0 {
+		sim.tick()
+	}
+	st := sim.owner.jobs[singleTaskJob].steps[0]
+	sim.owner.abortGang(st, "test", st.taskID(0), members[0].vm.ID)
+	sim.pauseOwner(3 * DefaultLease)
+	sim.runFor(2 * time.Second)
+	requireDoneOnce(is, sim)
+}
+
 // Guards against a live worker that counts as dead because the list of workers could not be read: its done task starts
 // again although its replies are only late.
 func TestUnreadListDoesNotShowThatWorkerIsDead(t *testing.T) {
--- a/cluster/pool/lease.go
+++ b/cluster/pool/lease.go
@@ -49,7 +49,7 @@
 	w, inherited := s.workers[id], s.inheritedWorkers[id]
 	wait := endReportWait
 	if inherited.recordedUnresponsive && !s.now.Before(inherited.leaseExpiry.Add(endReportWait)) {
-		wait = unresponsiveReportWait
+		wait = singleReplyWait
 	}
 	return w != nil && s.mayReportEnds(w, &w.inheritedReport, inherited.leaseExpiry, wait)
 }
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -192,10 +192,15 @@
 // task may be done; it must not start again before the report.
 func (s *Scheduler) awaitsEnd(r *run) bool {
 	st := r.step
-	if st.closed() || st.spec.LongRunning || st.tasks[r.id.Index].done || st.spec.Gang && st.gangRun != r.number {
+	if st.closed() || st.spec.LongRunning || st.tasks[r.id.Index].done {
 		return false
 	}
-	return s.mayReportEnds(r.worker, &r.worker.report, r.worker.leaseExpiry, endReportWait)
+	wait := endReportWait
+	if st.spec.Gang && st.gangRun != r.number {
+		// The gang is being stopped; it is done only if it was done before the stop.
+		wait = singleReplyWait
+	}
+	return s.mayReportEnds(r.worker, &r.worker.report, r.worker.leaseExpiry, wait)
 }
 
 // dueActionInterval is the time between two searches for due actions, which look at every run of the pool.
