pool: grant leases that end in time on a clock read long ago

Cause: the end of a lease was computed for a worker's clock that had run at full speed since it was read. The clock of an idle worker is not read again. On one that is 2% slow, a lease granted after a minute lasts 1.2 s longer than the next owner, which does not know when the clock was read, assumes.

Callers would have seen a task run twice at the same time after a takeover, if the worker can't be reached by the next owner.

Change: a lease is granted for a clock that has run slow since it was read, so that it is over after maxLeaseDuration at the latest, whenever that was. On an accurate clock it is shorter by 2% of the time since then; idle workers are therefore called every 20 s, which costs 0.4 s of a lease at most.

The price of the calls was not measured.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -45,6 +45,9 @@
 	// maxClockDrift is the fraction by which a worker's clock may be slower than real time, as specified by the
 	// platform.
 	maxClockDrift = 0.02
+	// clockRefreshInterval is how long an idle worker's clock is not read again. A lease is shorter by maxClockDrift of
+	// the time since then.
+	clockRefreshInterval = 20 * time.Second
 	// leaseExpiryMargin is added to the end of a lease before it counts as expired.
 	leaseExpiryMargin = 50 * time.Millisecond
 	// startVerifyDelay is how long a run whose start was not answered may take to appear in a hold reply before
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -194,21 +194,21 @@
 func (w *worker) free() cluster.Resources { return w.vm.Capacity.Sub(w.used).Sub(w.reserved) }
 
 // grantLease returns the end of a lease that starts now, on the worker's clock, and updates the worker's lease
-// expiry. It returns 0, which grants no lease, while the worker's clock is not known.
+// expiry. It returns 0, which grants no lease, while the worker's clock is not known. The clock is taken to have run slow
+// since it was read, so that the lease is over after maxLeaseDuration whenever that was.
 func (s *Scheduler) grantLease(w *worker) time.Duration {
 	if w.clockReadAt.IsZero() {
 		return 0
 	}
-	lease := s.now.Sub(w.clockReadAt) + s.cfg.Lease
-	expiry := w.clockReadAt.Add(maxLeaseDuration(lease))
+	expiry := s.now.Add(maxLeaseDuration(s.cfg.Lease))
 	if expiry.After(w.leaseExpiry) {
 		w.leaseExpiry = expiry
 	}
-	return w.clockReading + lease
+	return w.clockReading + time.Duration(float64(s.now.Sub(w.clockReadAt))*(1-maxClockDrift)) + s.cfg.Lease
 }
 
 // sendHolds renews the leases of the workers that have runs or unacknowledged run ends, and calls hold on the
-// workers that have not replied under this epoch yet.
+// workers that have not replied under this epoch yet or whose clocks were read long ago.
 func (s *Scheduler) sendHolds() {
 	initialHolds := 0
 	for _, w := range s.sortedWorkers {
@@ -221,7 +221,7 @@
 			continue
 		}
 		idle := len(w.runs) == 0 && len(w.unrecordedEnds) == 0
-		if w.fenceAccepted && w.inSync && idle && w.lastEndRead == w.lastEndRecorded {
+		if w.fenceAccepted && w.inSync && idle && w.lastEndRead == w.lastEndRecorded && s.now.Sub(w.clockReadAt) < clockRefreshInterval {
 			continue
 		}
 		if !w.inPlatformList && len(w.runs) == 0 && !s.isInherited(w) {
