--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -24,9 +24,10 @@
 	// endReportWait is how long after the end of its leases the scheduler waits for a worker that does not respond but
 	// is alive to report how its runs have ended.
 	endReportWait = 4 * time.Second
-	// unresponsiveReportWait is how long it waits for a worker that did not respond to the previous owner either and whose
-	// leases have expired long ago: a worker that responds again replies to the first hold call within that time.
-	unresponsiveReportWait = 750 * time.Millisecond
+	// singleReplyWait is how long it waits instead where only the reply to one hold call is awaited: for a gang that is
+	// being stopped, and for a worker that did not respond to the previous owner either and whose leases have expired
+	// long ago.
+	singleReplyWait = 750 * time.Millisecond
 	// heartbeatTTL is how long a heartbeat in the platform's list shows that a worker is alive: two heartbeats and the
 	// time between two reads of the list.
 	heartbeatTTL = 4 * time.Second
@@ -44,6 +45,9 @@
 	// maxClockDrift is the fraction by which a worker's clock may be slower than real time, as specified by the
 	// platform.
 	maxClockDrift = 0.02
+	// clockRefreshInterval is how long an idle worker's clock is not read again. A lease is shorter by maxClockDrift of
+	// the time since then.
+	clockRefreshInterval = 20 * time.Second
 	// leaseExpiryMargin is added to the end of a lease before it counts as expired.
 	leaseExpiryMargin = 50 * time.Millisecond
 	// startVerifyDelay is how long a run whose start was not answered may take to appear in a hold reply before
