--- a/cluster/cell/workercalls.go
+++ b/cluster/cell/workercalls.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		o.d.cfg.Log.Debug().Err(err).Str("task", e.Request.Task).Str("worker", string(e.Worker.ID)).Msg("cell: start request failed")
 		if !mayHaveEffect(err) {
-			// The worker did not get the request, so the run does not start.
+			// The worker did not get this request; a repeat tells nothing about the first one.
 			reply.Refusal = platform.RefusedUnhealthy
 		}
 	}
