pool: read no running runs from a hold reply that was overtaken

Cause: replies to two hold calls of a worker, the periodic and an extra one, may overtake each other. The older one lists a run as running whose end has been read from the newer one. unexpectedRun tracks such a run again, to stop it. If its task starts on the same worker before the stop is answered, the new run takes its place, and its size stays in the use of the worker and of the team.

What callers saw: a worker and a team with less capacity than they have, in the case of a failed run; a stop request, and a line that a run was lost, for a run that is done.

Change: the running runs of a reply are read only if its clock is not behind that of the last reply that was read. Its ends are read by their numbers as before.

TestRunInOvertakenReplyIsNotTracked fails before for a done and a failed run, for the failed one with 2 cores in use instead of 1, and passes. The tests of cluster/pool (73 s) and cluster/cell (35 s) pass.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -63,11 +63,15 @@
 		s.assumeMaxLease(w)
 	}
 	w.fenceAccepted = true
-	w.moreEnds = e.Reply.MoreEnds
+	s.readEnds(w, e.Reply.Ended)
+	if e.Reply.Clock < w.runsListedAt {
+		// A later reply has overtaken this one, which may list runs whose ends have been read.
+		return
+	}
+	w.runsListedAt, w.moreEnds = e.Reply.Clock, e.Reply.MoreEnds
 	if !w.moreEnds {
 		delete(s.inheritedWorkers, w.vm.ID)
 	}
-	s.readEnds(w, e.Reply.Ended)
 	s.readRunning(w, e)
 }
 
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -185,6 +185,8 @@
 	// clockReading is the worker's clock as received at clockReadAt.
 	clockReading time.Duration
 	clockReadAt  time.Time
+	// runsListedAt is the worker's clock in the last reply whose running runs were read.
+	runsListedAt time.Duration
 	// leaseExpiry is when every lease granted so far has expired.
 	leaseExpiry time.Time
 	// reportedExpiry is the last value of leaseExpiry whose passing was logged.
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -92,7 +92,7 @@
 		s.deferredEarlierEnds = append(s.deferredEarlierEnds, unacknowledgedEnd{worker: w, end: e})
 	}
 	w.lastEndRead, w.lastEndRecorded, w.lastEndAcknowledged = 0, 0, 0
-	w.moreEnds, w.unrecordedEnds, w.deferredEnds = false, nil, nil
+	w.moreEnds, w.unrecordedEnds, w.deferredEnds, w.runsListedAt = false, nil, nil, 0
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
 		if r.reportedByWorker {
