--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -64,11 +64,15 @@
 	}
 	w.fenceAccepted = true
 	s.keepInheritedLease(w)
-	w.moreEnds, w.deferredRuns = e.Reply.MoreEnds, nil
+	s.readEnds(w, e.Reply.Ended)
+	if e.Reply.Clock < w.runsListedAt {
+		// A later reply has overtaken this one, which may list runs whose ends have been read.
+		return
+	}
+	w.runsListedAt, w.moreEnds, w.deferredRuns = e.Reply.Clock, e.Reply.MoreEnds, nil
 	if !w.moreEnds {
 		delete(s.inheritedWorkers, w.vm.ID)
 	}
-	s.readEnds(w, e.Reply.Ended)
 	s.readRunning(w, e)
 }
 
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -190,6 +190,8 @@
 	// clockReading is the worker's clock as received at clockReadAt.
 	clockReading time.Duration
 	clockReadAt  time.Time
+	// runsListedAt is the worker's clock in the last reply whose running runs were read.
+	runsListedAt time.Duration
 	// leaseExpiry is when every lease granted so far has expired.
 	leaseExpiry time.Time
 	// report is the wait for the ends of this owner's runs, inheritedReport that for those of previous owners.
