pool: write a full record without a pause after the one before

Cause: a record waits for recordInterval after the one before it is written, so that changes are collected. A step that learns of the written record therefore never emits the next one, even if the changes fill several. An owner whose steps take 60 ms and more wrote 2 to 7 records of 80 rows a second.

What callers saw: jobs that have ended are shown as running until a record has their end.

Change: the interval is kept only while the changes don't fill a record.

--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -15,7 +15,7 @@
 
 // emitRecord puts the changed state into one record; the next record waits until it is written.
 func (s *Scheduler) emitRecord() {
-	if s.recordInFlight || s.now.Sub(s.lastRecordAt) < recordInterval {
+	if s.recordInFlight || len(s.dirtyJobs) < maxRecordRows && s.now.Sub(s.lastRecordAt) < recordInterval {
 		return
 	}
 	s.updateRecordMetrics()
