pool: record ended jobs before the progress of others

A job that is done waits behind all others that have changed, and is shown as running until its end is recorded.

The owner had been killed at 22.3 s, just after an outage of the store.

Change: if not all changes fit into a record, ended jobs come first.

--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
@@ -26,6 +27,10 @@
 	s.generation++
 	s.recordInFlight = true
 	r := &WriteRecord{Generation: s.generation}
+	if len(s.dirtyJobs) > maxRecordRows {
+		// A job is shown as running until its end is recorded.
+		slices.SortStableFunc(s.dirtyJobs, compareRecorded)
+	}
 	n, size := 0, 0
 	for ; n < len(s.dirtyJobs) && n < maxRecordRows && size < maxRecordBytes; n++ {
 		j := s.dirtyJobs[n]
@@ -59,6 +64,17 @@
 	s.emit(r)
 }
 
+// compareRecorded orders changed jobs for a record, ended ones first.
+func compareRecorded(a, b *job) int {
+	switch ended := a.progress.State.Final(); {
+	case ended == b.progress.State.Final():
+		return 0
+	case ended:
+		return -1
+	}
+	return 1
+}
+
 func (s *Scheduler) updateRecordMetrics() {
 	ends := 0
 	for _, w := range s.sortedWorkers {
