cell: test an owner that is stopped during an outage of the store

An owner that gets SIGTERM ends its work before it releases the shard. If the store does not answer, the release fails, no other daemon can claim the shard, and nobody schedules until the store is back.

--- a/cluster/cell/claim_test.go
+++ b/cluster/cell/claim_test.go
@@ -239,3 +239,50 @@
 		is.True(!owned.previousOwnersActiveUntil.After(owned.ownedSince))
 	})
 }
+
+// Guards against a pool that nobody schedules while the store does not answer, because its owner is stopped in that time
+// and ends its work although no other daemon can claim the shard.
+func TestStoppedOwnerWaitsForStore(t *testing.T) {
+	const gracePeriod = 6 * time.Second
+	part := cellTable + testShard.String() + "/"
+	for _, c := range []struct {
+		name     string
+		outage   time.Duration
+		released bool
+	}{
+		{name: "short outage", outage: 3 * time.Second, released: true},
+		{name: "outage longer than the grace period", outage: time.Minute},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				rows, d := newStoreDaemon(t)
+				d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+				d.claim(testShard, ownership{})
+				owned := d.lookupShard(testShard)
+				time.Sleep(time.Second)
+				rows.setPartsUnreachable(part)
+				stoppedAt := time.Now()
+				ctx, cancel := context.WithTimeout(t.Context(), gracePeriod)
+				defer cancel()
+				returned := make(chan struct{})
+				go func() {
+					defer close(returned)
+					d.Release(ctx)
+				}()
+				time.Sleep(min(c.outage, gracePeriod/2) - time.Millisecond)
+				is.NoErr(owned.ctx.Err()) // it still schedules
+				if c.released {
+					rows.setPartsUnreachable()
+				}
+				<-returned
+				is.True(owned.ctx.Err() != nil)
+				is.True(time.Since(stoppedAt) < gracePeriod)
+				rows.setPartsUnreachable()
+				row, _, err := d.readOwner(t.Context(), ownerKey(testShard))
+				is.NoErr(err)
+				is.Equal(row.Owner == "", c.released)
+			})
+		})
+	}
+}
