cell: keep a shard during an outage of the store when its owner is stopped

Cause: a release ends the work of the owner and then writes the owner row. If the store does not answer, the row keeps the owner that has stopped, and no daemon can claim the shard before the store is back, so nobody renews leases or starts tasks in that time.

Change: the owner goes on until the owner row can be read, but leaves 1.5 s of the time for the shutdown to the release and the requests that are running.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -128,6 +128,9 @@
 	maxIntakeBytes = 400 << 10
 	// maxQueuedSubmissions bounds the submissions that are queued for each part of the store at one daemon.
 	maxQueuedSubmissions = 2000
+	// releaseTimeout is the part of the time for a graceful shutdown that is left for the release of a shard after a
+	// wait for the store.
+	releaseTimeout = 1500 * time.Millisecond
 	// retryDelay is the delay before a call to the store is retried. For submissions and the load of a shard it
 	// doubles with each retry, up to maxRetryDelay.
 	retryDelay    = 100 * time.Millisecond
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -370,8 +370,25 @@
 	return true
 }
 
+// awaitStore waits until the owner row can be read, while the shard goes on, as no other daemon can claim it before. It
+// returns releaseTimeout before ctx ends at the latest.
+func (o *ownedShard) awaitStore(ctx context.Context) {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline.Add(-releaseTimeout))
+		defer cancel()
+	}
+	for ctx.Err() == nil && o.ctx.Err() == nil {
+		if _, _, err := o.d.readOwner(ctx, ownerKey(o.id)); err == nil {
+			return
+		}
+		o.d.store.sleepUntilRecovered(ctx, retryDelay)
+	}
+}
+
 // release gives up the shard so that another daemon can claim it without a delay.
 func (o *ownedShard) release(ctx context.Context) {
+	o.awaitStore(ctx)
 	o.endOwnership("the daemon is leaving")
 	select {
 	case <-o.done:
