pool: decide in one place whether a run is over

Cause: four functions decided on their own that a run whose end was not reported is over: after a refused start, a restart, an expired lease, and a hold reply without the run.

Change: each passes what it has observed, a sealed type, to provesOver, the only caller of which releases the run. No decision changes.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -387,13 +387,9 @@
 			r.step.saveCheckpoint(id.Index, tr.Checkpoint)
 		}
 	}
-	if e.Reply.MoreEnds {
-		// The runs that are absent may have ended as well; a later reply tells how.
-		return
-	}
 	for _, r := range sortedRuns(w) {
-		if reportedRuns[r.id] != r.number && (r.absenceMeansEnded(e.SentAt) || r.startIsTooLate(e.Reply)) {
-			s.markLost(r, lostByAbsence)
+		if reportedRuns[r.id] != r.number {
+			s.loseIfOver(r, absenceEvidence{sentAt: e.SentAt, reply: &e.Reply})
 		}
 	}
 }
@@ -412,7 +408,7 @@
 
 // startIsTooLate reports whether a worker can no longer execute the start request of a run that is being stopped: it
 // refuses one whose lease is over on its clock.
-func (r *run) startIsTooLate(reply platform.HoldReply) bool {
+func (r *run) startIsTooLate(reply *platform.HoldReply) bool {
 	return r.state == runStopping && r.start != nil && r.start.Request.Until > 0 && reply.Incarnation == r.start.Worker.Incarnation && reply.Clock > r.start.Request.Until
 }
 
--- a/cluster/pool/loss.go
+++ b/cluster/pool/loss.go
@@ -22,6 +22,55 @@
 // String returns the reason as it is logged.
 func (r lossReason) String() string { return lossReasonNames[r] }
 
+// evidence is an observation after which a run may be over although its end was not reported: one of the types below.
+type evidence interface{ lossReason() lossReason }
+
+// restartEvidence means that the worker of the run has restarted.
+type restartEvidence struct{}
+
+// leaseEvidence means that the worker is out of sync and its leases have expired.
+type leaseEvidence struct{}
+
+// refusalEvidence means that a start request of the run was refused or could not be sent.
+type refusalEvidence struct{}
+
+// absenceEvidence means that the running runs in the reply to a hold call sent at sentAt do not include the run.
+type absenceEvidence struct {
+	sentAt time.Time
+	reply  *platform.HoldReply
+}
+
+func (restartEvidence) lossReason() lossReason { return lostByRestart }
+func (leaseEvidence) lossReason() lossReason   { return lostByLease }
+func (refusalEvidence) lossReason() lossReason { return lostByRefusal }
+func (absenceEvidence) lossReason() lossReason { return lostByAbsence }
+
+// provesOver reports whether a run is surely over, so that its task may start again: the worker neither has the run nor
+// can still execute a start request of it.
+func (s *Scheduler) provesOver(r *run, e evidence) bool {
+	switch v := e.(type) {
+	case restartEvidence:
+		return r.reportedByWorker && r.unansweredStarts == 0
+	case leaseEvidence:
+		return !s.awaitsEnd(r)
+	case refusalEvidence:
+		return r.unansweredStarts == 0
+	case absenceEvidence:
+		// The run may have ended after the last end in a cut list.
+		return !v.reply.MoreEnds && (r.absenceMeansEnded(v.sentAt) || r.startIsTooLate(v.reply))
+	}
+	return false
+}
+
+// loseIfOver releases a run if the evidence proves that it is over, and reports whether it does.
+func (s *Scheduler) loseIfOver(r *run, e evidence) bool {
+	if !s.provesOver(r, e) {
+		return false
+	}
+	s.markLost(r, e.lossReason())
+	return true
+}
+
 // lostRun is the last run of a task that was lost. If the worker reports the run afterwards, the loss was wrong, or the
 // run went on until its lease expired.
 type lostRun struct {
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -88,11 +88,9 @@
 		s.sendHold(w, true)
 	}
 	st.tasks[r.id.Index].notBefore = s.now.Add(refusedStartDelay)
-	if r.unansweredStarts > 0 {
+	if !s.loseIfOver(r, refusalEvidence{}) {
 		s.markUnconfirmed(r)
-		return
 	}
-	s.markLost(r, lostByRefusal)
 }
 
 // unhealthyQuarantineTime is how long a worker that refused a start as unhealthy gets no new tasks.
@@ -187,12 +185,11 @@
 			continue
 		}
 		for _, r := range sortedRuns(w) {
-			switch {
-			case !expired:
-				s.runDueAction(r)
-			case !s.awaitsEnd(r):
-				s.markLost(r, lostByLease)
+			if expired {
+				s.loseIfOver(r, leaseEvidence{})
+				continue
 			}
+			s.runDueAction(r)
 		}
 	}
 }
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -97,8 +97,7 @@
 	w.moreEnds, w.unrecordedEnds, w.deferredEnds, w.deferredRuns, w.runsListedAt = false, nil, nil, nil, 0
 	w.consecutiveFailures, w.quarantinedUntil = 0, time.Time{}
 	for _, r := range sortedRuns(w) {
-		if r.reportedByWorker && r.unansweredStarts == 0 {
-			s.markLost(r, lostByRestart)
+		if s.loseIfOver(r, restartEvidence{}) {
 			continue
 		}
 		if r.state == runActive {
