pool: wait for jobs of the previous owner from the load of the shard

Cause: a run of the previous owner whose job is not known counted as that of an unknown job 5 s after the claim. The end of such a run was acknowledged, or the run was stopped as unexpected, if the first hold replies came before the first rows of the feed.

Callers would see a done task that starts again after a takeover, if the previous owner was still active after the claim and had received a job that was accepted meanwhile.

Change: the 5 s are counted in the time in which the owner could hear its workers, which begins with the first step and leaves out pauses of the process.

Why it works: the feed is read in that time too, so that its rows have as long to arrive after a slow load or a pause as after a fast one. A run of a job that does not exist is still stopped, after the same time of steps.

Measured: TestEndReadBeforeJobAfterSlowLoad fails before the change with one start of the done task and passes after it.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -58,7 +58,8 @@
 	// PreviousOwnerGrace is how long after a claim a previous owner that has not noticed the takeover may keep sending
 	// requests.
 	PreviousOwnerGrace = 2 * time.Second
-	// takeoverFeedDelay is how long after a claim the change feed may deliver a job that the previous owner knew.
+	// takeoverFeedDelay is how long after the shard was loaded the change feed may deliver a job that the previous owner
+	// knew, in Scheduler.hearingTime.
 	takeoverFeedDelay = 5 * time.Second
 	// clockReadTolerance is how far the clock in a reply may lag behind the value expected when the request was sent.
 	clockReadTolerance = time.Second
--- a/cluster/pool/ends_test.go
+++ b/cluster/pool/ends_test.go
@@ -183,3 +183,18 @@
 	p.runFor(takeoverFeedDelay + 2*holdMaxWait)
 	is.True(p.stops > 0)
 }
+
+// Guards against a done task that starts again after a takeover because the shard was loaded so slowly that the end of its
+// run, which was read before the change feed brought the job, counted as that of an unknown job.
+func TestEndReadBeforeJobAfterSlowLoad(t *testing.T) {
+	is := is.New(t)
+	p := newEndPool(2, "w0", "w1")
+	p.replies["w0"].Ended = endOfPreviousOwner()
+	p.now = p.now.Add(2 * takeoverFeedDelay)
+	p.runFor(500 * time.Millisecond)
+	p.submit()
+	p.runFor(2 * time.Second)
+	is.Equal(len(p.starts), 0)
+	state, _, _, _ := p.scheduler.State(singleTaskJob)
+	is.Equal(state, workload.StateCompleted)
+}
