pool: start no task beside runs of unknown size

Callers would see a worker above its capacity after a takeover, if the worker does not check its capacity and the previous owner has started a job that this owner has not received yet.

Change: a worker with such a run gets no new tasks.

Why it works: the run is adopted with its size once the job is received. Otherwise it is stopped after the 5 s; while it stops it is not counted, as before.

Measured: TestWorkerWithRunOfUnknownJobGetsNoTasks fails before the change with one start and passes after it.

--- a/cluster/pool/ends_test.go
+++ b/cluster/pool/ends_test.go
@@ -198,3 +198,21 @@
 	state, _, _, _ := p.scheduler.State(singleTaskJob)
 	is.Equal(state, workload.StateCompleted)
 }
+
+// Guards against a worker above its capacity after a takeover: it lists a run of the previous owner before the change feed
+// brings the job, so that the size of the run is not known.
+func TestWorkerWithRunOfUnknownJobGetsNoTasks(t *testing.T) {
+	is := is.New(t)
+	p := newEndPool(2, "w0")
+	other := workload.TaskID{Job: "00000000000000ff"}.String()
+	p.replies["w0"].Running = []platform.TaskRun{{Task: other, Run: 1<<runCounterBits | 1}}
+	p.runFor(time.Second)
+	is.True(p.scheduler.takeoverComplete)
+	p.submit()
+	p.runFor(time.Second)
+	is.Equal(len(p.starts), 0)
+	p.replies["w0"].Running = nil
+	p.replies["w0"].Ended = []platform.RunEnd{{Number: 1, Task: other, Run: 1<<runCounterBits | 1, Outcome: platform.RunStopped}}
+	p.runFor(time.Second)
+	is.Equal(len(p.starts), 1)
+}
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -187,9 +187,9 @@
 	s.abortGang(st, "members are missing after the takeover", st.taskID(missing), "")
 }
 
-// isUsable reports whether a worker may be given new tasks.
+// isUsable reports whether a worker may be given new tasks. The size of deferred runs is not known.
 func (s *Scheduler) isUsable(w *worker) bool {
-	return w.inPlatformList && w.fenceAccepted && w.inSync && !w.recordedUnresponsive && !w.vm.Draining && w.registeredGeneration != 0 && w.registeredGeneration <= s.recordedGeneration &&
+	return w.inPlatformList && w.fenceAccepted && w.inSync && len(w.deferredRuns) == 0 && !w.recordedUnresponsive && !w.vm.Draining && w.registeredGeneration != 0 && w.registeredGeneration <= s.recordedGeneration &&
 		!s.now.Before(w.quarantinedUntil)
 }
 
