pool: refuse requests that were sent before a worker was dropped

Cause: a worker that left the list was dropped with all that was known of it. If it came back as a new incarnation under its id, its fencing token was that of before, so that a hold call that was sent before the drop and carried out seconds later was accepted. It acknowledges run ends by their numbers, which begin anew: the new incarnation would forget ends that were not read, and a later reply would show their runs in neither list.

Callers would see a done task that starts again. The call has to be in flight for longer than a lease, so this is unlikely. Found by reading; no play shows it.

Change: a drop raises the fencing token of the worker as a restart does.

Why it works: the first hold call to the worker after its return carries the higher token, and tasks start on it only after the reply. Earlier requests are refused from then on, and before that there are no ends that they could acknowledge.

Measured: TestHoldSentBeforeWorkerWasDroppedIsRefused fails before the change and passes after it.

--- a/cluster/pool/restart_test.go
+++ b/cluster/pool/restart_test.go
@@ -218,3 +218,25 @@
 	is.Equal(sim.owner.lastRunCounter, uint64(1)) // the task was started once
 	is.Equal(sim.violations, nil)
 }
+
+// Guards against run ends that are acknowledged without being read: a worker left the list and was dropped, and a hold call
+// that was sent before reached its next incarnation, whose run ends are numbered from one again.
+func TestHoldSentBeforeWorkerWasDroppedIsRefused(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 1)
+	sim.failureRate = 0
+	r, f := sim.submitSingleTask(700 * time.Millisecond)
+	sim.runFor(2 * time.Second)
+	sim.owner.sendHold(r.worker, true)
+	late := sim.owner.effects[len(sim.owner.effects)-1].(*SendHold)
+	is.Equal(late.Request.Acknowledge, uint64(1))
+	f.gone, f.unlisted = true, true
+	sim.runFor(2 * DefaultLease)
+	is.Equal(sim.owner.workers[f.vm.ID], nil)
+	sim.restart(f)
+	f.gone, f.unlisted = false, false
+	sim.runFor(time.Second)
+	is.True(sim.owner.workers[f.vm.ID].fenceAccepted)
+	is.True(sim.hold(f, late.Request).Fenced)
+	is.Equal(sim.violations, nil)
+}
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -34,7 +34,7 @@
 	lastRunCounter uint64
 	// inheritedWorkers are the workers on which tasks of a previous owner may run unknown to this one.
 	inheritedWorkers map[cluster.WorkerID]inheritedWorker
-	// restarts counts the observed restarts of each worker.
+	// restarts counts the observed restarts of each worker, and how often it was dropped.
 	restarts map[cluster.WorkerID]uint16
 	// takeoverComplete is true once every inherited worker has listed all its runs or its leases have expired.
 	takeoverComplete bool
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -60,6 +60,8 @@
 			continue
 		}
 		delete(s.workers, id)
+		// The worker may return as a new incarnation, which must refuse the requests that are still in flight.
+		s.restarts[id]++
 		s.removePermits(w)
 		s.workersDirty = true
 		s.cfg.Log.Info().Str("worker", string(id)).Msg("pool: worker removed")
@@ -138,7 +140,7 @@
 }
 
 // fence returns the fencing token for a worker: the epoch in the upper bits, and the number of observed
-// restarts of the worker below it. A hold call made for an earlier incarnation is therefore refused; it would
+// restarts and drops of the worker below it. A hold call made for an earlier incarnation is therefore refused; it would
 // acknowledge run ends of the current one.
 func (s *Scheduler) fence(w *worker) cluster.Epoch {
 	return s.cfg.Epoch<<restartBits | cluster.Epoch(s.restarts[w.vm.ID])
