cell: test how long an earlier owner counts as active after several claims

TestEarlierOwnerCountsAsActive covers one claim after the one that wrote the time into the row. A claim that did not carry the time over to its own row passed all tests of claims. TestEarlierOwnerCountsAsActiveForEachLaterOwner fails without that line (tried on a copy) and passes with it.

--- a/cluster/cell/claim_test.go
+++ b/cluster/cell/claim_test.go
@@ -239,3 +239,30 @@
 		is.True(!owned.previousOwnersActiveUntil.After(owned.ownedSince))
 	})
 }
+
+// Guards against a claim that counts requests of an earlier owner as sent before the claim, because the owners between them
+// owned the shard only for a moment and did not pass on that it may be active.
+func TestEarlierOwnerCountsAsActiveForEachLaterOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		rows, d := newStoreDaemon(t)
+		d.cfg.Lister = &scriptedLister{lists: [][]platform.WorkerVM{nil}}
+		key := ownerKey(testShard)
+		_, err := rows.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key, Value: must(encode("test", &ownerRow{Owner: "other@1", Epoch: 1}))}}})
+		is.NoErr(err)
+		var activeUntil time.Time
+		for i := range 3 {
+			row, version, err := d.readOwner(t.Context(), key)
+			is.NoErr(err)
+			d.claim(testShard, ownership{row: row, version: version, seenAt: time.Now()})
+			owned := d.lookupShard(testShard)
+			is.True(owned != nil)
+			if i == 0 {
+				activeUntil = owned.previousOwnersActiveUntil
+			}
+			is.True(!owned.previousOwnersActiveUntil.Before(activeUntil))
+			time.Sleep(100 * time.Millisecond)
+			owned.release(t.Context())
+		}
+	})
+}
