pool: record how long the leases of restarted workers may last

Cause: a request with a lease for an earlier incarnation of a worker, whose clock was ahead, gives the new incarnation the longest lease, 10 s instead of 4 s. The owner counts on that once it notices the restart, but its records did not say so. The next owner took the leases of a worker that did not reply as over after the usual time, and the cap of 6 s after the claim held for recorded leases too.

Callers would see a task that runs twice at the same time, or one that starts again after it was done, when an owner is replaced within 10 s of the restart of a worker that the new owner can't reach.

Change: the record lists for each worker until when its leases may be longer than usual. The next owner waits for that long unless the worker replies, and passes it on.

Why it works: the wait covers each lease that the previous owner counted on. It is longer only for workers that have restarted under their id less than about 10 s before and do not reply, by 6 s at most. A restart that no owner noticed and no record shows is not covered.

Measured: TestLongLeaseOfRestartedWorkerOutlastsTakeover fails before the change with 'started on w1 while it runs on w0' and passes after it; the tests of cluster/pool pass (89 s).

--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -274,3 +274,18 @@
 		is.Equal(len(s.Pending()), 0) // cancelled, whichever part holds the rows
 	})
 }
+
+// Guards against a takeover that takes the leases of a restarted worker as shorter than they are, and against a record of
+// an earlier version that can't be read.
+func TestRecordedWorkersKeepLeases(t *testing.T) {
+	is := is.New(t)
+	at := time.UnixMilli(1_800_000_000_000)
+	list := []pool.RecordedWorker{{ID: "w0"}, {ID: "w1", LeaseExpiry: at}, {ID: "w2", LongLeaseExpiry: at.Add(time.Second)}}
+	data, err := encodeWorkers(1, 1, list)
+	is.NoErr(err)
+	row, err := decode[workersRow]("test", data)
+	is.NoErr(err)
+	is.Equal(row.recordedWorkers(), list)
+	row.LongLeaseExpiries = nil
+	is.Equal(row.recordedWorkers(), []pool.RecordedWorker{{ID: "w0"}, {ID: "w1", LeaseExpiry: at}, {ID: "w2"}})
+}
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -153,6 +153,9 @@
 	// LeaseExpiries holds when the leases of each worker expire, in Unix milliseconds; 0 if the worker
 	// responds.
 	LeaseExpiries []int64 `msgpack:"Lapses"`
+	// LongLeaseExpiries holds when the leases of each worker expire that may be longer than usual, in Unix milliseconds; 0
+	// if there are none. It is empty in rows of earlier versions.
+	LongLeaseExpiries []int64 `msgpack:"LongLapses"`
 }
 
 func encode(op string, row any) ([]byte, error) {
@@ -183,15 +186,20 @@
 	row := workersRow{Epoch: uint64(epoch), Generation: generation}
 	for _, w := range list {
 		row.Workers = append(row.Workers, string(w.ID))
-		expiry := int64(0)
-		if !w.LeaseExpiry.IsZero() {
-			expiry = w.LeaseExpiry.UnixMilli()
-		}
-		row.LeaseExpiries = append(row.LeaseExpiries, expiry)
+		row.LeaseExpiries = append(row.LeaseExpiries, unixMilliOrZero(w.LeaseExpiry))
+		row.LongLeaseExpiries = append(row.LongLeaseExpiries, unixMilliOrZero(w.LongLeaseExpiry))
 	}
 	return encode("encode workers", &row)
 }
 
+// unixMilliOrZero returns a time in Unix milliseconds, and 0 for the zero time.
+func unixMilliOrZero(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
 // newerThan reports whether the row belongs to a later record than another row.
 func (r *workersRow) newerThan(other *workersRow) bool {
 	return r.Epoch > other.Epoch || (r.Epoch == other.Epoch && r.Generation > other.Generation)
@@ -204,6 +212,9 @@
 		if i < len(r.LeaseExpiries) && r.LeaseExpiries[i] != 0 {
 			w.LeaseExpiry = time.UnixMilli(r.LeaseExpiries[i])
 		}
+		if i < len(r.LongLeaseExpiries) && r.LongLeaseExpiries[i] != 0 {
+			w.LongLeaseExpiry = time.UnixMilli(r.LongLeaseExpiries[i])
+		}
 		list = append(list, w)
 	}
 	return list
--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -96,6 +96,9 @@
 			w.registeredGeneration = s.generation
 		}
 		recorded := RecordedWorker{ID: w.vm.ID}
+		if expiry := laterTime(s.inheritedWorkers[w.vm.ID].longLeaseExpiry, w.longLeaseExpiry); s.now.Before(expiry) {
+			recorded.LongLeaseExpiry = expiry
+		}
 		switch {
 		case w.holdUnanswered:
 			recorded.LeaseExpiry = s.unresponsiveLeaseExpiry(w)
@@ -107,7 +110,7 @@
 	}
 	for id, w := range s.inheritedWorkers {
 		if s.workers[id] == nil {
-			list = append(list, RecordedWorker{ID: id, LeaseExpiry: w.leaseExpiry})
+			list = append(list, RecordedWorker{ID: id, LeaseExpiry: w.leaseExpiry, LongLeaseExpiry: w.longLeaseExpiry})
 		}
 	}
 	return list
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -113,9 +113,17 @@
 		s.previousOwnerActiveUntil = cfg.PreviousOwnersActiveUntil
 	}
 	latestExpiry := s.previousOwnerActiveUntil.Add(maxLeaseDuration(cfg.Lease))
+	latestLongExpiry := s.previousOwnerActiveUntil.Add(maxLeaseDuration(cfg.MaxLease))
 	for _, recorded := range cfg.InheritedWorkers {
 		w := inheritedWorker{leaseExpiry: latestExpiry, recordedUnresponsive: !recorded.LeaseExpiry.IsZero()}
-		if expiry := recorded.LeaseExpiry.Add(MaxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(latestExpiry) {
+		if !recorded.LongLeaseExpiry.IsZero() {
+			w.longLeaseExpiry = recorded.LongLeaseExpiry.Add(MaxClockSkew)
+			if w.longLeaseExpiry.After(latestLongExpiry) {
+				w.longLeaseExpiry = latestLongExpiry
+			}
+			w.leaseExpiry = laterTime(w.longLeaseExpiry, latestExpiry)
+		}
+		if expiry := recorded.LeaseExpiry.Add(MaxClockSkew); !recorded.LeaseExpiry.IsZero() && expiry.Before(w.leaseExpiry) {
 			w.leaseExpiry = expiry
 		}
 		s.inheritedWorkers[recorded.ID] = w
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -192,6 +192,9 @@
 	clockReadAt  time.Time
 	// leaseExpiry is when every lease granted so far has expired.
 	leaseExpiry time.Time
+	// longLeaseExpiry is when the leases have expired that may be longer than the owner's, see assumeMaxLease; zero if
+	// there were none.
+	longLeaseExpiry time.Time
 	// report is the wait for the ends of this owner's runs, inheritedReport that for those of previous owners.
 	report, inheritedReport endReport
 	// reportedExpiry is the last value of leaseExpiry whose passing was logged.
@@ -238,6 +241,9 @@
 	// LeaseExpiry is when the leases of an unresponsive worker have expired; no lease is granted to it before a
 	// later record. It is zero if the worker is responsive.
 	LeaseExpiry time.Time
+	// LongLeaseExpiry is when the leases have expired that a restarted worker may have granted for longer than usual; zero
+	// if there are none.
+	LongLeaseExpiry time.Time
 }
 
 // inheritedWorker is a worker that may have received requests from a previous owner and has not listed all its runs to
@@ -245,6 +251,8 @@
 type inheritedWorker struct {
 	// leaseExpiry is when all leases of the worker have expired.
 	leaseExpiry time.Time
+	// longLeaseExpiry is when the leases have expired that may be longer than the owner's; zero if there were none.
+	longLeaseExpiry time.Time
 	// recordedUnresponsive means that the worker did not respond to the previous owner.
 	recordedUnresponsive bool
 }
--- a/cluster/pool/unreachable_test.go
+++ b/cluster/pool/unreachable_test.go
@@ -114,3 +114,26 @@
 	p.runFor(2 * time.Second)
 	is.Equal(len(p.starts), 1)
 }
+
+// Guards against a task that runs twice at the same time after a takeover: a request for the earlier incarnation of its
+// worker, whose clock was ahead, has granted the new one the longest lease, and the worker does not reply to the new owner.
+func TestLongLeaseOfRestartedWorkerOutlastsTakeover(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 2)
+	sim.failureRate = 0
+	sim.runFor(30 * time.Second)
+	for _, f := range sim.workers {
+		sim.owner.sendHold(sim.owner.workers[f.vm.ID], true)
+		late := sim.owner.effects[len(sim.owner.effects)-1].(*SendHold)
+		sim.restart(f)
+		sim.hold(f, late.Request)
+	}
+	sim.runFor(time.Second)
+	_, f := sim.submitSingleTask(time.Minute)
+	is.Equal(len(f.running), 1)
+	f.unreachable = true
+	sim.takeOver()
+	sim.runFor(2 * DefaultMaxLease)
+	is.Equal(sim.violations, nil)
+	is.Equal(sim.owner.lastRunCounter, uint64(1)) // the task was started again once the lease was over
+}
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -134,9 +134,17 @@
 // assumeMaxLease assumes that the worker's leases last as long as it grants any: their ends may have been
 // computed for the clock of an earlier incarnation, which was ahead.
 func (s *Scheduler) assumeMaxLease(w *worker) {
-	if expiry := s.now.Add(maxLeaseDuration(s.cfg.MaxLease)); expiry.After(w.leaseExpiry) {
-		w.leaseExpiry = expiry
+	expiry := s.now.Add(maxLeaseDuration(s.cfg.MaxLease))
+	w.leaseExpiry = laterTime(expiry, w.leaseExpiry)
+	w.longLeaseExpiry = laterTime(expiry, w.longLeaseExpiry)
+	s.workersDirty = true
+}
+
+func laterTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // fence returns the fencing token for a worker: the epoch in the upper bits, and the number of observed
@@ -270,8 +278,9 @@
 
 // keepInheritedLease counts the leases that previous owners have granted to a worker for the runs that it reports.
 func (s *Scheduler) keepInheritedLease(w *worker) {
-	if inherited, ok := s.inheritedWorkers[w.vm.ID]; ok && inherited.leaseExpiry.After(w.leaseExpiry) {
-		w.leaseExpiry = inherited.leaseExpiry
+	if inherited, ok := s.inheritedWorkers[w.vm.ID]; ok {
+		w.leaseExpiry = laterTime(inherited.leaseExpiry, w.leaseExpiry)
+		w.longLeaseExpiry = laterTime(inherited.longLeaseExpiry, w.longLeaseExpiry)
 	}
 }
 
