--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -60,6 +60,8 @@
 			continue
 		}
 		delete(s.workers, id)
+		// The worker may return as a new incarnation, which must refuse the requests that are still in flight.
+		s.restarts[id]++
 		s.removePermits(w)
 		s.workersDirty = true
 		s.cfg.Log.Info().Str("worker", string(id)).Msg("pool: worker removed")
@@ -131,13 +133,21 @@
 // assumeMaxLease assumes that the worker's leases last as long as it grants any: their ends may have been
 // computed for the clock of an earlier incarnation, which was ahead.
 func (s *Scheduler) assumeMaxLease(w *worker) {
-	if expiry := s.now.Add(maxLeaseDuration(s.cfg.MaxLease)); expiry.After(w.leaseExpiry) {
-		w.leaseExpiry = expiry
+	expiry := s.now.Add(maxLeaseDuration(s.cfg.MaxLease))
+	w.leaseExpiry = laterTime(expiry, w.leaseExpiry)
+	w.longLeaseExpiry = laterTime(expiry, w.longLeaseExpiry)
+	s.workersDirty = true
+}
+
+func laterTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
 	}
+	return a
 }
 
 // fence returns the fencing token for a worker: the epoch in the upper bits, and the number of observed
-// restarts of the worker below it. A hold call made for an earlier incarnation is therefore refused; it would
+// restarts and drops of the worker below it. A hold call made for an earlier incarnation is therefore refused; it would
 // acknowledge run ends of the current one.
 func (s *Scheduler) fence(w *worker) cluster.Epoch {
 	return s.cfg.Epoch<<restartBits | cluster.Epoch(s.restarts[w.vm.ID])
@@ -186,9 +196,9 @@
 	s.abortGang(st, "members are missing after the takeover", st.taskID(missing), "")
 }
 
-// isUsable reports whether a worker may be given new tasks.
+// isUsable reports whether a worker may be given new tasks. The size of deferred runs is not known.
 func (s *Scheduler) isUsable(w *worker) bool {
-	return w.inPlatformList && w.fenceAccepted && w.inSync && !w.recordedUnresponsive && !w.vm.Draining && w.registeredGeneration != 0 && w.registeredGeneration <= s.recordedGeneration &&
+	return w.inPlatformList && w.fenceAccepted && w.inSync && len(w.deferredRuns) == 0 && !w.recordedUnresponsive && !w.vm.Draining && w.registeredGeneration != 0 && w.registeredGeneration <= s.recordedGeneration &&
 		!s.now.Before(w.quarantinedUntil)
 }
 
@@ -267,8 +277,9 @@
 
 // keepInheritedLease counts the leases that previous owners have granted to a worker for the runs that it reports.
 func (s *Scheduler) keepInheritedLease(w *worker) {
-	if inherited, ok := s.inheritedWorkers[w.vm.ID]; ok && inherited.leaseExpiry.After(w.leaseExpiry) {
-		w.leaseExpiry = inherited.leaseExpiry
+	if inherited, ok := s.inheritedWorkers[w.vm.ID]; ok {
+		w.leaseExpiry = laterTime(inherited.leaseExpiry, w.leaseExpiry)
+		w.longLeaseExpiry = laterTime(inherited.longLeaseExpiry, w.longLeaseExpiry)
 	}
 }
 
