pool: name the time without pauses of the process

Cause: a reading of the whole change: hearingTime says neither what it counts nor what it leaves out.

No decision changes.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -59,7 +59,7 @@
 	// requests.
 	PreviousOwnerGrace = 2 * time.Second
 	// takeoverFeedDelay is how long after the shard was loaded the change feed may deliver a job that the previous owner
-	// knew, in Scheduler.hearingTime.
+	// knew, in Scheduler.activeTime.
 	takeoverFeedDelay = 5 * time.Second
 	// clockReadTolerance is how far the clock in a reply may lag behind the value expected when the request was sent.
 	clockReadTolerance = time.Second
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -185,7 +185,7 @@
 // mayBelongToLaterJob reports whether a run of a previous owner may belong to a job that this owner has not received
 // yet: the previous owner may have learned of the job before the change feed delivers it here.
 func (s *Scheduler) mayBelongToLaterJob(task string, run platform.RunNumber) bool {
-	if uint64(run)>>runCounterBits >= uint64(s.cfg.Epoch) || s.hearingTime >= takeoverFeedDelay {
+	if uint64(run)>>runCounterBits >= uint64(s.cfg.Epoch) || s.activeTime >= takeoverFeedDelay {
 		return false
 	}
 	id, ok := workload.ParseTaskID(task)
--- a/cluster/pool/lease.go
+++ b/cluster/pool/lease.go
@@ -6,7 +6,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
 
-// maxCountedGap bounds how much of the time between two steps counts as time in which the owner could hear its workers.
+// maxCountedGap bounds how much of the time between two steps counts as time in which the owner could read replies.
 // Replies that arrive while its process is paused or lacks processor time are read after the timeouts of their requests.
 const maxCountedGap = 2 * stepInterval
 
@@ -18,21 +18,21 @@
 type endReport struct {
 	// leaseExpiry is the end of the leases that the wait follows; zero if there was no wait yet.
 	leaseExpiry time.Time
-	// startedAt is the value of Scheduler.hearingTime when the wait began.
+	// startedAt is the value of Scheduler.activeTime when the wait began.
 	startedAt time.Duration
 }
 
 // mayReportEnds reports whether a worker that does not respond may still report the ends of its runs: its heartbeats
-// show that it is alive, so that its replies are late or lost on the way. It may until the owner could have heard it for
-// the time of the wait.
+// show that it is alive, so that its replies are late or lost on the way. It may until the owner has run
+// for the time of the wait.
 func (s *Scheduler) mayReportEnds(w *worker, report *endReport, leaseExpiry time.Time, wait time.Duration) bool {
 	if !s.showsHeartbeats(w) {
 		return false
 	}
 	if !report.leaseExpiry.Equal(leaseExpiry) {
-		*report = endReport{leaseExpiry: leaseExpiry, startedAt: s.hearingTime}
+		*report = endReport{leaseExpiry: leaseExpiry, startedAt: s.activeTime}
 	}
-	return s.hearingTime-report.startedAt < wait
+	return s.activeTime-report.startedAt < wait
 }
 
 // showsHeartbeats reports whether a worker is alive according to the lists of workers.
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -15,10 +15,10 @@
 type Scheduler struct {
 	cfg Config
 	now time.Time
-	// hearingTime is how long the scheduler has been able to hear its workers; see maxCountedGap.
-	hearingTime time.Duration
-	snapshot    *cluster.Snapshot
-	workers     map[cluster.WorkerID]*worker
+	// activeTime is how long the scheduler has run, without pauses of its process; see maxCountedGap.
+	activeTime time.Duration
+	snapshot   *cluster.Snapshot
+	workers    map[cluster.WorkerID]*worker
 	// sortedWorkers holds the workers ordered by identifier, so that equal inputs give equal decisions.
 	sortedWorkers []*worker
 	// workersListedAt is when the platform's list of workers was applied last; zero before the first time.
@@ -138,7 +138,7 @@
 
 // Step applies events and returns the effects to be carried out.
 func (s *Scheduler) Step(now time.Time, events []Event) []Effect {
-	s.hearingTime += min(now.Sub(s.now), maxCountedGap)
+	s.activeTime += min(now.Sub(s.now), maxCountedGap)
 	s.now = now
 	s.effects = nil
 	if s.stopped {
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -104,7 +104,8 @@
 	checkpoint string
 	// notBefore is the earliest time of the next start.
 	notBefore time.Time
-	lost      lostRun
+	// lost is the last lost run of the task; its number is zero if there is none.
+	lost lostRun
 }
 
 // runState is the state of a run as known to the scheduler.
