pool: start lost replicas before late batch work

Cause: a step of long-running tasks was ordered by a deadline, which passes soon after its release. A replica whose worker was lost therefore counted as overdue, and waited behind all late batch work.

Change: long-running steps have a class of their own, which comes first, and their missing tasks may reserve capacity like gangs. The simulated worker no longer ends long-running tasks as done.

--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -40,6 +40,9 @@
 			if f.tasksStalled {
 				continue
 			}
+			if r.longRunning {
+				continue
+			}
 			if r.remaining -= simTick; r.remaining > 0 {
 				continue
 			}
@@ -134,7 +137,7 @@
 	sim.checkStart(f, v.Task)
 	job := sim.jobs[v.Task.Job]
 	step := &job.Steps[v.Task.Step]
-	r := &fakeRun{run: req.Run, remaining: step.Estimate, duration: step.Estimate, startedAt: sim.now, size: step.Size, willFail: sim.rnd.Float64() < sim.failureRate}
+	r := &fakeRun{run: req.Run, remaining: step.Estimate, duration: step.Estimate, startedAt: sim.now, size: step.Size, willFail: sim.rnd.Float64() < sim.failureRate, longRunning: step.LongRunning}
 	if step.Gang {
 		r.gangSize = step.Tasks
 	}
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -99,8 +99,10 @@
 type urgency int
 
 const (
+	// continuous is a step of long-running tasks: it has no deadline, and each moment without a task counts.
+	continuous urgency = iota
 	// onTime is a step that can still meet its deadline.
-	onTime urgency = iota
+	onTime
 	// late is a step that misses its deadline but whose result is still useful.
 	late
 	// surplus is a step of a job above the job rate of its team.
@@ -110,7 +112,7 @@
 	overdue
 )
 
-var urgencyNames = [...]string{"on time", "late", "surplus", "overdue"}
+var urgencyNames = [...]string{"continuous", "on time", "late", "surplus", "overdue"}
 
 // String returns the urgency's name.
 func (u urgency) String() string { return urgencyNames[u] }
@@ -126,6 +128,8 @@
 	expectedEnd := s.now.Add(st.job.criticalPaths[st.id.Step])
 	allowedTime := st.deadline.Sub(st.releaseTime)
 	switch {
+	case st.spec.LongRunning:
+		return continuous
 	case expectedEnd.After(st.releaseTime.Add(overdueFactor * allowedTime)):
 		return overdue
 	case st.job.surplus:
@@ -265,7 +269,8 @@
 // maxTaskCapacity bounds the tasks of one step on one worker if they use no resources.
 const maxTaskCapacity = 64
 
-// placeTasks starts as many pending tasks as fit.
+// placeTasks starts as many pending tasks as fit. While long-running tasks do not fit, smaller tasks that come later
+// leave them what becomes free.
 func (s *Scheduler) placeTasks(st *step) {
 	found := s.candidates(st)
 	for index := range st.tasks {
@@ -287,6 +292,9 @@
 	}
 	if st.pendingTasks > 0 {
 		s.requestMissingAdvice(st, st.pendingTasks)
+		if st.spec.LongRunning && st.spec.MaxPerWorker == 0 {
+			s.reserve(st, st.pendingTasks)
+		}
 	}
 }
 
@@ -353,7 +361,7 @@
 		}
 		s.requestMissingAdvice(st, need)
 		s.preempt(st, need)
-		if s.reserve(st) {
+		if s.reserve(st, need) {
 			s.refreshAdvice(st)
 		}
 		return
@@ -402,14 +410,14 @@
 // Others would wait for as long as it gets no permits for more.
 const partialReservationTime = 2 * time.Second
 
-// reserve keeps free capacity from the steps that come later in this pass, on as few workers as the gang needs.
-// It returns false if the gang may not reserve capacity.
-func (s *Scheduler) reserve(st *step) bool {
-	if st.urgency != onTime || s.reservations >= max(minReservations, len(s.sortedWorkers)/workersPerReservation) {
+// reserve keeps free capacity from the steps that come later in this pass, on as few workers as the given number of
+// tasks needs. It returns false if the step may not reserve capacity.
+func (s *Scheduler) reserve(st *step, need int) bool {
+	if st.urgency > onTime || s.reservations >= max(minReservations, len(s.sortedWorkers)/workersPerReservation) {
 		return false
 	}
 	s.reservations++
-	size, need := accountedSize(st.spec), st.unfinishedTasks
+	size := accountedSize(st.spec)
 	switch {
 	case s.idleCapacity(st, size) >= need:
 		st.partialReservationSince = time.Time{}
--- a/cluster/pool/preempt.go
+++ b/cluster/pool/preempt.go
@@ -27,7 +27,7 @@
 // preempt stops checkpointing tasks of queues with lower precedence than the gang's queue if the gang then fits,
 // and none otherwise.
 func (s *Scheduler) preempt(st *step, need int) {
-	if st.urgency != onTime || s.now.Before(st.preemptedAt.Add(preemptInterval)) {
+	if st.urgency > onTime || s.now.Before(st.preemptedAt.Add(preemptInterval)) {
 		return
 	}
 	size := accountedSize(st.spec)
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -140,8 +140,10 @@
 	startedAt time.Time
 	stopsAt   time.Time
 	willFail  bool
-	gangSize  int
-	size      cluster.Resources
+	// longRunning is true for a run that goes on until it is stopped.
+	longRunning bool
+	gangSize    int
+	size        cluster.Resources
 }
 
 func newSimulation(seed uint64, workers int) *simulation {
