cell: forward calls to workers through daemons near them

Cause: one owner sends every start, stop and hold call of its shard, reads the platform's list of workers twice a second and the job feed beside the announcements. With 120 workers and a link of 2 Mbit/s this is more than the link carries: starts and hold calls get no reply in time, are repeated and counted against the workers, and the shard does not recover.

Change: an owner whose calls would take more than a quarter of its link or processor sends them through daemons in the zones of the workers. A scheduler step is one compressed message for each forwarder; the starts of a job share its specification. Forwarders decide nothing and keep no state: fencing tokens, leases and timeouts stay the owner's, a call whose forwarder fails is a call without a reply, and the forwarder is avoided for 3 s. A forwarder that was paused makes no call it received meanwhile, and says so. Such an owner also has another daemon read the list of workers and the keys of the job feed; it reads only rows that were not announced. The member row tells the rate of the link and that a daemon forwards calls, so that daemons of earlier versions get none.

--- a/cluster/cell/announce.go
+++ b/cluster/cell/announce.go
@@ -1,6 +1,8 @@
 package cell
 
 import (
+	"time"
+
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
@@ -51,11 +53,14 @@
 		rows = append(rows, platform.Row{Key: key, Value: a.Values[i]})
 	}
 	dropped := 0
-	for _, e := range owned.jobEvents(rows, nil) {
-		select {
-		case owned.events <- e:
-		default:
-			dropped++
+	for _, row := range rows {
+		for _, e := range owned.jobEvents([]platform.Row{row}, nil) {
+			select {
+			case owned.events <- e:
+				owned.announced.add(row.Key, time.Now())
+			default:
+				dropped++
+			}
 		}
 	}
 	if dropped > 0 {
--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -22,9 +22,13 @@
 	methodRead          = "read"
 	methodConfig        = "config"
 	methodTransferShare = "lend"
-	// methodAnnounce and methodAnnounceConfig have no reply.
+	methodListWorkers   = "listWorkers"
+	methodJobFeed       = "jobFeed"
+	// The methods below have no reply.
 	methodAnnounce       = "announce"
 	methodAnnounceConfig = "announceConfig"
+	methodForwardCalls   = "forwardCalls"
+	methodForwardResults = "forwardResults"
 )
 
 // noReplyID is the identifier of a call that gets no reply.
@@ -142,6 +146,9 @@
 	catcher.Try(func() {
 		bodies, err := d.executeCall(from, c)
 		if err != nil {
+			if c.ID == noReplyID {
+				d.cfg.Log.Warn().Err(err).Str("peer", string(from)).Str("method", c.Method).Msg("cell: message is left out")
+			}
 			replies = []*peer.Reply{failureReply(c.ID, err)}
 			return
 		}
@@ -229,6 +236,14 @@
 			d.receiveConfigAnnouncement(from, a)
 			return struct{}{}, nil
 		})
+	case methodListWorkers:
+		return serve(c, func(r listRequest) (forwardedCalls, error) { return d.serveWorkerList(ctx, r) })
+	case methodJobFeed:
+		return serve(c, func(r jobFeedRequest) (jobFeedReply, error) { return d.serveJobFeed(ctx, r) })
+	case methodForwardCalls:
+		return serve(c, func(m forwardedCalls) (struct{}, error) { return struct{}{}, d.forwardServer.serve(from, m) })
+	case methodForwardResults:
+		return serve(c, func(m forwardedCalls) (struct{}, error) { return struct{}{}, d.forwarding.receiveResults(from, m) })
 	}
 	return nil, &Error{Op: "serve call", Kind: KindMalformed, Err: errors.New("unknown method " + c.Method)}
 }
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -76,6 +76,10 @@
 	feedRetryDelay = 200 * time.Millisecond
 	// claimInterval is the time between two checks of the owners of the shards.
 	claimInterval = 100 * time.Millisecond
+	// listThroughTimeout limits a read of the list of workers, or of the feed of jobs after its wait, through another
+	// daemon. A draining worker must not get a task later than 3 s after it started to drain, so time is left for a read of
+	// the owner itself.
+	listThroughTimeout = 900 * time.Millisecond
 	// peerTimeout is the time without a message after which a daemon counts as failed: three ping intervals.
 	peerTimeout = 1600 * time.Millisecond
 	// peerCheckInterval is the time between two checks whether a called daemon has failed.
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -32,7 +32,10 @@
 	intake    *intake
 	advisor   *advisor
 	pending   *pendingCache
-	startedAt time.Time
+	// forwarding sends calls to workers through other daemons, forwardServer makes those of other daemons.
+	forwarding    *callForwarding
+	forwardServer *forwardServer
+	startedAt     time.Time
 
 	config  atomic.Pointer[configState]
 	leaving atomic.Bool
@@ -105,6 +108,8 @@
 	d.store = newRelayStore(d, cfg.Store)
 	d.intake = newIntake(d)
 	d.advisor = newAdvisor(d)
+	d.forwarding = newCallForwarding(d)
+	d.forwardServer = newForwardServer(d)
 	d.pending = &pendingCache{d: d, entries: map[cluster.ServiceName]*pendingEntry{}}
 	d.config.Store(&configState{snapshot: cluster.Assemble(0, nil)})
 	return d, nil
@@ -125,6 +130,7 @@
 	d.wg.Go(d.followCell)
 	d.wg.Go(d.followMembers)
 	d.wg.Go(d.claimLoop)
+	d.wg.Go(d.forwardServer.watchPauses)
 	for part := range jobParts {
 		d.wg.Go(func() { d.intake.run(part) })
 	}
@@ -212,7 +218,10 @@
 
 // joinCell writes the member row of this daemon.
 func (d *Daemon) joinCell() {
-	row := memberRow{ID: string(d.cfg.Self), Addr: d.cfg.PeerAddr.String(), Region: string(d.cfg.Place.Region), Zone: string(d.cfg.Place.Zone), Cores: d.cfg.Cores}
+	row := memberRow{
+		ID: string(d.cfg.Self), Addr: d.cfg.PeerAddr.String(), Region: string(d.cfg.Place.Region), Zone: string(d.cfg.Place.Zone), Cores: d.cfg.Cores,
+		LinkRate: int64(d.cfg.LinkRate), ForwardsCalls: true,
+	}
 	data, err := encode("join", &row)
 	if err != nil {
 		d.cfg.Log.Error().Err(err).Msg("cell: member row can't be encoded")
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -37,6 +37,8 @@
 	// done is closed when run returns.
 	done   chan struct{}
 	events chan pool.Event
+	// announced holds the keys of the rows of jobs that were announced and passed to the control loop.
+	announced announcedKeys
 	// queries passes functions to run in the control loop.
 	queries chan func(*pool.Scheduler)
 	// configUpdates tells the control loop that another configuration is in force.
@@ -45,6 +47,13 @@
 	scheduler *pool.Scheduler
 	// workersListedAt is when the workers were last listed, in Unix milliseconds; zero before the first time.
 	workersListedAt atomic.Int64
+	// workerCount is the number of workers of the shard in the last list.
+	workerCount atomic.Int64
+	// routes are the forwarders of the calls to the workers. They were determined at routedAt, after as many forwarders
+	// were avoided as routedAvoided tells. Only the goroutine of run uses them.
+	routes        forwardRoutes
+	routedAt      time.Time
+	routedAvoided uint64
 	// records is used by the goroutine of run until the scheduler's first step, then by the goroutine of the
 	// one record in flight.
 	records recordWriteState
@@ -199,7 +208,7 @@
 
 func (o *ownedShard) followJobs(version cluster.Version) {
 	for o.ctx.Err() == nil {
-		reply, err := o.d.store.Read(o.ctx, platform.ReadRequest{Prefixes: []string{jobTablePrefix(o.id.Index)}, SinceVersion: version, Wait: jobFeedWait})
+		reply, err := o.readJobFeed(version)
 		if platform.IsKind(err, platform.KindExpired) {
 			o.d.cfg.Log.Warn().Str("feed", "jobs").Uint64("version", uint64(version)).Msg("cell: changes since the last read are no longer available; reading all rows")
 			reply, err = o.readJobs()
@@ -233,14 +242,15 @@
 	for o.ctx.Err() == nil {
 		interval := listInterval
 		ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
-		list, err := o.d.cfg.Lister.ListWorkers(ctx)
+		workers, total, err := o.readWorkers(ctx)
 		cancel()
 		if err == nil {
 			o.workersListedAt.Store(time.Now().UnixMilli())
-			if len(list) > largeList {
+			if total > largeList {
 				interval = largeListInterval
 			}
-			o.sendEvent(&pool.WorkersListed{Workers: o.d.layout.Load().workersOf(list, o.id), Advisors: len(o.d.advisors(o.id))})
+			o.workerCount.Store(int64(len(workers)))
+			o.sendEvent(&pool.WorkersListed{Workers: workers, Advisors: len(o.d.advisors(o.id))})
 		} else if o.ctx.Err() == nil {
 			o.d.cfg.Log.Debug().Err(err).Msg("cell: workers could not be listed")
 		}
--- /dev/null
+++ b/cluster/cell/readthrough_test.go
@@ -0,0 +1,115 @@
+package cell
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+// fixedLister returns a list, or an error.
+type fixedLister struct {
+	list  []platform.WorkerVM
+	err   error
+	calls atomic.Int64
+}
+
+func (l *fixedLister) ListWorkers(context.Context) ([]platform.WorkerVM, error) {
+	l.calls.Add(1)
+	return l.list, l.err
+}
+
+// Guards against an owner whose link is used up by the list of its workers, and against one that has no list because the
+// daemon that reads it for the owner fails.
+func TestWorkersAreListedThroughAnotherDaemon(t *testing.T) {
+	list := []platform.WorkerVM{
+		{
+			ID: "w1", Service: testShard.Service, Addr: netip.MustParseAddrPort("127.0.0.1:9"), Zone: "a", Draining: true, Incarnation: 5,
+			Capacity: cluster.Resources{CPU: 16 * cluster.Core, Memory: cluster.GiB, Accelerators: 2}, Labels: []string{"kind", "r1"}, EntryVersion: 9,
+		},
+		{ID: "w2", Service: testShard.Service, Addr: netip.MustParseAddrPort("127.0.0.2:9"), Labels: []string{"r2"}},
+		{ID: "w3", Service: "other", Addr: netip.MustParseAddrPort("127.0.0.3:9"), Labels: []string{"r2"}},
+	}
+	for _, c := range []struct {
+		name   string
+		err    error
+		direct int64
+	}{{name: "answered"}, {name: "failed", err: &platform.Error{Op: "test", Kind: platform.KindUnavailable}, direct: 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			o, d, near := newForwardingOwner(t, nil)
+			setStoreVisible(d)
+			near.cfg.Lister = &fixedLister{list: list, err: c.err}
+			own := &fixedLister{list: list}
+			d.cfg.Lister = own
+			workers, total, err := o.readWorkers(t.Context())
+			is.NoErr(err)
+			is.Equal(total, 3)
+			is.Equal(workers, list[:2])
+			is.Equal(own.calls.Load(), c.direct)
+		})
+	}
+}
+
+// setStoreVisible sets the digest of the daemon that forwards the calls of newForwardingOwner.
+func setStoreVisible(d *Daemon) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.digests["near@1"] = peer.Digest{StoreVisible: true}
+}
+
+// countingReads counts the reads by their prefix or first key.
+type countingReads struct {
+	*rowStore
+	feeds, rows atomic.Int64
+}
+
+func (s *countingReads) Read(ctx context.Context, req platform.ReadRequest) (platform.ReadReply, error) {
+	if len(req.Keys) > 0 && strings.HasPrefix(req.Keys[0], jobsPrefix) {
+		s.rows.Add(1)
+	}
+	if len(req.Prefixes) > 0 && strings.HasPrefix(req.Prefixes[0], jobsPrefix) {
+		s.feeds.Add(1)
+	}
+	return s.rowStore.Read(ctx, req)
+}
+
+// Guards against an owner that reads each job twice, and against a job that reaches no owner because its announcement
+// was lost.
+func TestJobFeedBringsWhatWasNotAnnounced(t *testing.T) {
+	is := is.New(t)
+	o, d, near := newForwardingOwner(t, nil)
+	setStoreVisible(d)
+	rows := &countingReads{rowStore: &rowStore{rows: map[string]platform.Row{}}}
+	d.store, near.store = newRelayStore(d, rows), newRelayStore(near, rows)
+	var puts []platform.Put
+	for _, id := range []cluster.JobName{"0000000000000001", "0000000000000002"} {
+		job := &workload.Job{ID: id, Team: "team", Queue: "q", Terms: workload.Terms{Service: testShard.Service}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+		puts = append(puts, platform.Put{Key: jobKey(1, id), Value: must(workload.EncodeJob(job))})
+	}
+	for _, put := range puts {
+		_, err := d.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{put}})
+		is.NoErr(err)
+	}
+	d.mu.Lock()
+	d.ownedShards[testShard] = o
+	d.mu.Unlock()
+	d.receiveAnnouncement(announcement{Shard: testShard.String(), Keys: []string{puts[0].Key}, Values: [][]byte{puts[0].Value}})
+	is.Equal(len(o.events), 1)
+	reply, err := o.readJobFeed(1)
+	is.NoErr(err)
+	is.Equal(len(reply.Rows), 1)
+	is.Equal(reply.Rows[0].Key, puts[1].Key)
+	is.Equal(rows.rows.Load(), int64(1))
+	is.Equal(rows.feeds.Load(), int64(1)) // by the other daemon
+	is.True(reply.AsOf >= 2)
+}
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -118,6 +118,10 @@
 	Zone   string `msgpack:"z"`
 	// Cores is the number of cores of the VM, which may be fractional.
 	Cores float64 `msgpack:"c"`
+	// LinkRate is the rate of the VM's link in bytes per second; zero if it is not known.
+	LinkRate int64 `msgpack:"l"`
+	// ForwardsCalls means that the daemon forwards calls to workers; daemons of earlier versions don't.
+	ForwardsCalls bool `msgpack:"f"`
 }
 
 // ownerRow is the owner row of a shard. Owner is empty after the owner has released the shard.
--- a/cluster/cell/workercalls.go
+++ b/cluster/cell/workercalls.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"context"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -12,7 +11,7 @@
 
 // executeEffects starts the effects of a scheduler step.
 func (o *ownedShard) executeEffects(effects []pool.Effect) {
-	for _, e := range effects {
+	for _, e := range o.forwardEffects(effects) {
 		switch v := e.(type) {
 		case *pool.SendStart:
 			o.runRequest(func() { o.sendStart(v) }, &pool.StartAnswered{
@@ -67,52 +66,50 @@
 }
 
 func (o *ownedShard) sendStart(e *pool.SendStart) {
-	ctx, cancel := withReplyTimeout(o.ctx, startTimeout)
-	defer cancel()
-	reply, err := o.d.cfg.Workers.StartTask(ctx, e.Worker, e.Request)
-	if err != nil {
-		o.d.cfg.Log.Debug().Err(err).Str("task", e.Request.Task).Str("worker", string(e.Worker.ID)).Msg("cell: start request failed")
-		if !mayHaveEffect(err) {
-			// The worker did not get this request; a repeat tells nothing about the first one.
-			reply.Refusal = platform.RefusedUnhealthy
-		}
+	reply, outcome := o.d.startTask(o.ctx, e.Worker, e.Request)
+	o.sendEvent(startAnswered(e, reply, outcome))
+}
+
+// startAnswered returns the event that reports the outcome of a start request.
+func startAnswered(e *pool.SendStart, reply platform.StartReply, outcome callOutcome) *pool.StartAnswered {
+	answered := &pool.StartAnswered{Fence: e.Request.Fence, Task: e.Task, Run: e.Request.Run, Worker: e.Worker.ID, Reply: reply}
+	switch outcome {
+	case callNotSent:
+		// The worker did not get this request; a repeat tells nothing about the first one.
+		answered.Reply.Refusal = platform.RefusedUnhealthy
+	case callNotTried:
+		answered.NotTried = true
+	case callUnanswered, callLate:
+		answered.ReplyLost = true
 	}
-	o.sendEvent(&pool.StartAnswered{Fence: e.Request.Fence, Task: e.Task, Run: e.Request.Run, Worker: e.Worker.ID, Reply: reply, ReplyLost: mayHaveEffect(err)})
+	return answered
 }
 
 func (o *ownedShard) sendStop(e *pool.SendStop) {
-	ctx, cancel := withReplyTimeout(o.ctx, stopTimeout)
-	defer cancel()
-	reply, err := o.d.cfg.Workers.StopTask(ctx, e.Worker, e.Request)
-	if err != nil {
-		o.d.cfg.Log.Debug().Err(err).Str("task", e.Request.Task).Str("worker", string(e.Worker.ID)).Msg("cell: stop request failed")
-	}
-	o.sendEvent(&pool.StopAnswered{Fence: e.Request.Fence, Task: e.Task, Run: e.Request.Run, Worker: e.Worker.ID, Reply: reply, ReplyLost: err != nil})
+	reply, outcome := o.d.stopTask(o.ctx, e.Worker, e.Request)
+	o.sendEvent(stopAnswered(e, reply, outcome))
+}
+
+// stopAnswered returns the event that reports the outcome of a stop request.
+func stopAnswered(e *pool.SendStop, reply platform.StopReply, outcome callOutcome) *pool.StopAnswered {
+	return &pool.StopAnswered{Fence: e.Request.Fence, Task: e.Task, Run: e.Request.Run, Worker: e.Worker.ID, Reply: reply, ReplyLost: outcome != callAnswered}
 }
 
 // sendHold calls hold on a worker. If no reply has arrived in time it reports the call as unanswered, and passes on a
 // late reply.
 func (o *ownedShard) sendHold(e *pool.SendHold) {
-	ctx, cancel := context.WithTimeout(o.ctx, e.Request.Wait+lateHoldTimeout)
-	defer cancel()
 	sentAt := time.Now()
-	report := func(reply platform.HoldReply, lost, late bool) {
-		o.sendEvent(&pool.HoldAnswered{
-			Worker: e.Worker.ID, Fence: e.Request.Fence, Incarnation: e.Worker.Incarnation, SentAt: sentAt, ReceivedAt: time.Now(),
-			Reply: reply, ReplyLost: lost, Extra: e.Extra, Late: late,
-		})
-	}
-	unanswered := startReplyTimer(e.Request.Wait+holdTimeoutMargin, func() { report(platform.HoldReply{}, true, false) })
-	defer unanswered.stop()
-	reply, err := o.d.cfg.Workers.Hold(ctx, e.Worker, e.Request)
-	if err != nil && o.ctx.Err() == nil {
-		o.d.cfg.Log.Debug().Err(err).Str("worker", string(e.Worker.ID)).Msg("cell: hold call failed")
-	}
-	switch late := !unanswered.stop(); {
-	case !late:
-		report(reply, err != nil, false)
-	case err == nil:
-		report(reply, false, true)
+	o.d.hold(o.ctx, e.Worker, e.Request, func(reply platform.HoldReply, outcome callOutcome) {
+		lost := outcome != callAnswered && outcome != callLate
+		o.sendEvent(holdAnswered(e, sentAt, reply, lost, outcome == callLate))
+	})
+}
+
+// holdAnswered returns the event that reports the outcome of a hold call.
+func holdAnswered(e *pool.SendHold, sentAt time.Time, reply platform.HoldReply, lost, late bool) *pool.HoldAnswered {
+	return &pool.HoldAnswered{
+		Worker: e.Worker.ID, Fence: e.Request.Fence, Incarnation: e.Worker.Incarnation, SentAt: sentAt, ReceivedAt: time.Now(),
+		Reply: reply, ReplyLost: lost, Extra: e.Extra, Late: late,
 	}
 }
 
--- a/cluster/pool/event.go
+++ b/cluster/pool/event.go
@@ -41,6 +41,8 @@
 	Reply platform.StartReply
 	// ReplyLost means that no reply was received and the worker may still carry out the request.
 	ReplyLost bool
+	// NotTried means that the request was not sent, for a reason that is not the worker's.
+	NotTried bool
 }
 
 // StopAnswered reports the result of a SendStop effect.
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -62,6 +62,10 @@
 		return
 	}
 	r.unansweredStarts--
+	if e.NotTried {
+		s.startRefused(r)
+		return
+	}
 	s.checkClock(w, e.Reply.Clock, r.startSentAt)
 	if e.Reply.Refusal == platform.StartAccepted {
 		s.confirmRun(r)
@@ -87,7 +91,12 @@
 	case platform.RefusedNoCapacity:
 		s.sendHold(w, true)
 	}
-	st.tasks[r.id.Index].notBefore = s.now.Add(refusedStartDelay)
+	s.startRefused(r)
+}
+
+// startRefused frees the task of a run if no start request of the run can be carried out any more.
+func (s *Scheduler) startRefused(r *run) {
+	r.step.tasks[r.id.Index].notBefore = s.now.Add(refusedStartDelay)
 	if !s.loseIfOver(r, refusalEvidence{}) {
 		s.markUnconfirmed(r)
 	}
