pool: limit unanswered start requests, and tell a full link from ill workers

Cause: when the owner's own link or processor is full, start requests get no reply in time. They are repeated, their workers quarantined and their runs stopped, each of which adds calls to the same link, so that the pool does not recover when the load falls.

Change: a window limits the start requests that are unanswered at a time. It grows while replies are fast and is halved while replies are missing or late in all zones alike; a failure of some workers, a zone or a region is not that.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -25,9 +25,11 @@
 		w.nextHoldAt = s.now
 	}
 	if e.ReplyLost {
+		s.callUnanswered(w)
 		s.holdUnanswered(w)
 		return
 	}
+	s.callAnswered(w, 0)
 	if e.Reply.Fenced {
 		if !s.fenceOutdated(e.Worker, e.Fence) {
 			s.supersede(e.Worker)
--- a/cluster/pool/health.go
+++ b/cluster/pool/health.go
@@ -37,6 +37,14 @@
 	s.cfg.Log.Warn().Str("worker", string(w.vm.ID)).Dur("for", d).Int("failures", w.consecutiveFailures).Msg("pool: worker quarantined; it gets no new tasks")
 }
 
+// quarantineUnresponsive quarantines a worker that did not get a request or did not reply, unless the owner's own link or
+// processor is the cause.
+func (s *Scheduler) quarantineUnresponsive(w *worker, d time.Duration) {
+	if !s.congested {
+		s.quarantine(w, d)
+	}
+}
+
 // observeEnd updates the moving averages of how long the tasks of a queue take relative to their estimates, and
 // of how slow the worker is, from a finished run.
 func (s *Scheduler) observeEnd(r *run, outcome platform.RunOutcome) {
--- a/cluster/pool/metrics.go
+++ b/cluster/pool/metrics.go
@@ -27,6 +27,8 @@
 	preempted tally.Counter
 	wait      tally.Histogram
 	open      tally.Gauge
+	// startWindow is the number of start requests that may be unanswered at a time.
+	startWindow tally.Gauge
 	// waiting is the number of steps that wait although the pool has spare capacity.
 	waiting tally.Gauge
 }
@@ -40,7 +42,7 @@
 func newMetrics(scope tally.Scope) *metrics {
 	m := &metrics{
 		starts: scope.Counter("task_starts_total"), preempted: scope.Counter("preempted_runs_total"),
-		wait: scope.Histogram("task_wait_seconds", waitBuckets), open: scope.Gauge("open_steps"),
+		wait: scope.Histogram("task_wait_seconds", waitBuckets), open: scope.Gauge("open_steps"), startWindow: scope.Gauge("start_window"),
 		waiting: scope.Gauge("waiting_steps"), stoppedGangs: scope.Counter("stopped_gangs_total"),
 		gangEnd: scope.Histogram("stopped_gang_end_seconds", waitBuckets), unrecordedEnds: scope.Gauge("unrecorded_run_ends"),
 		changedJobs: scope.Gauge("unrecorded_jobs"),
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -38,6 +38,9 @@
 		if st.urgency == overdue && !pool.hasSpareCapacity(st) {
 			continue
 		}
+		if !s.mayStart() {
+			break
+		}
 		if st.spec.Gang {
 			s.placeGang(st)
 		} else {
@@ -278,6 +281,9 @@
 		if t.done || t.run != nil || s.now.Before(t.notBefore) {
 			continue
 		}
+		if !s.mayStart() {
+			return
+		}
 		if !s.fitsLimit(st, 1) {
 			s.reserveLimit(st, 1, limitReservationTime)
 			return
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -21,6 +21,7 @@
 func (s *Scheduler) startTask(w *worker, st *step, index int, number platform.RunNumber, ticket string) {
 	r := s.addRun(w, st, index, number)
 	st.limitWaitSince = time.Time{}
+	s.startBudget--
 	s.metrics.starts.Inc(1)
 	s.metrics.wait.RecordDuration(s.now.Sub(st.job.arrivedAt))
 	r.start = &SendStart{Worker: w.vm, Task: r.id, Request: platform.StartRequest{
@@ -58,6 +59,7 @@
 	}
 	w := r.worker
 	if e.ReplyLost {
+		s.callUnanswered(w)
 		s.startUnanswered(r)
 		return
 	}
@@ -66,6 +68,7 @@
 		s.startRefused(r)
 		return
 	}
+	s.startReplied(w, s.now.Sub(r.startSentAt))
 	s.checkClock(w, e.Reply.Clock, r.startSentAt)
 	if e.Reply.Refusal == platform.StartAccepted {
 		s.confirmRun(r)
@@ -84,7 +87,7 @@
 	case platform.RefusedTicket:
 		st.expirePermit(w)
 	case platform.RefusedUnhealthy:
-		s.quarantine(w, unhealthyQuarantineTime)
+		s.quarantineUnresponsive(w, unhealthyQuarantineTime)
 	case platform.RefusedIncarnation:
 		w.inSync = false
 		w.nextHoldAt = s.now
@@ -122,7 +125,7 @@
 		s.requestSync(w)
 		return
 	}
-	s.quarantine(w, quarantineTime)
+	s.quarantineUnresponsive(w, quarantineTime)
 	s.markUnconfirmed(r)
 }
 
@@ -138,7 +141,8 @@
 // requestSync calls hold on a worker as soon as possible.
 func (s *Scheduler) requestSync(w *worker) {
 	w.nextHoldAt = s.now
-	if w.holdInFlight {
+	// While the owner is congested, more calls would only delay one another.
+	if w.holdInFlight && !s.congested {
 		s.sendHold(w, true)
 	}
 }
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -77,6 +77,14 @@
 	waitingCheckedAt time.Time
 	// deferredEarlierEnds are the deferred run ends of workers that have restarted since.
 	deferredEarlierEnds []unacknowledgedEnd
+	// congested is true while the replies of workers in all zones are missing or late. startWindow is the number of start
+	// requests that may be unanswered at a time, startBudget how many more may be sent in this step.
+	congested   bool
+	startWindow int
+	startBudget int
+	// startReplyTime is the moving average of the time until the reply to a start request.
+	startReplyTime      time.Duration
+	congestionCheckedAt time.Time
 	metrics             *metrics
 	effects             []Effect
 }
@@ -106,6 +114,7 @@
 		permitShares:     map[cluster.QueueName]float64{},
 		deletedJobs:      deletedJobs{deletedAt: map[cluster.JobName]time.Time{}},
 		workersDirty:     true,
+		startWindow:      initialStartWindow,
 		metrics:          newMetrics(cfg.Metrics),
 	}
 	s.previousOwnerActiveUntil = cfg.Now
@@ -151,6 +160,7 @@
 	s.applyDeferredEnds()
 	s.checkTakeover()
 	s.checkRuns()
+	s.checkCongestion()
 	s.place()
 	s.sendHolds()
 	s.emitRecord()
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -24,7 +24,10 @@
 	testTeam       = cluster.TeamName("team")
 	testTeamLimit  = 24 * cluster.Core
 	stopDuration   = 50 * time.Millisecond
-	gangTimeout    = 3 * time.Second
+	// startBytes is the size of a start request, callBytes that of another request.
+	startBytes  = 1500
+	callBytes   = 300
+	gangTimeout = 3 * time.Second
 )
 
 // simulation simulates a pool of workers, a store and an owner in virtual time. It checks the invariants at the
@@ -76,6 +79,10 @@
 	recordDelay time.Duration
 	// failureRate is the fraction of runs that fail.
 	failureRate float64
+	// linkRate is the rate of the owner's link in bytes per second; zero if it is unlimited. linkFreeAt is when the link
+	// has carried the requests so far.
+	linkRate   int
+	linkFreeAt time.Time
 	// teamLimit is the limit of the team.
 	teamLimit cluster.CPU
 }
@@ -350,7 +357,17 @@
 
 // sendRequest carries out a request at a worker. A random part of the requests is carried out late or gets no
 // reply.
-func (sim *simulation) sendRequest(owner *Scheduler, f *fakeWorker, request func(), result func(lost bool) Event) {
+func (sim *simulation) sendRequest(owner *Scheduler, f *fakeWorker, bytes int, request func(), result func(lost bool) Event) {
+	latency := simLatency + sim.linkDelay(bytes)
+	if latency+simLatency > requestTimeout {
+		sim.deliver(owner, requestTimeout, result(true))
+		sim.scheduleAfter(latency, func() {
+			if !f.unreachable && !f.gone {
+				request()
+			}
+		})
+		return
+	}
 	executeRequest := func() bool {
 		// A restarted worker keeps its identifier, so requests reach the new incarnation.
 		if f.unreachable || f.gone {
@@ -387,7 +404,7 @@
 			}
 		})
 	default:
-		sim.scheduleAfter(simLatency, func() {
+		sim.scheduleAfter(latency, func() {
 			if !executeRequest() {
 				sim.deliver(owner, requestTimeout, result(true))
 				return
@@ -397,6 +414,18 @@
 	}
 }
 
+// linkDelay returns when the owner's link has carried a request, from now.
+func (sim *simulation) linkDelay(bytes int) time.Duration {
+	if sim.linkRate == 0 {
+		return 0
+	}
+	if sim.linkFreeAt.Before(sim.now) {
+		sim.linkFreeAt = sim.now
+	}
+	sim.linkFreeAt = sim.linkFreeAt.Add(time.Duration(bytes) * time.Second / time.Duration(sim.linkRate))
+	return sim.linkFreeAt.Sub(sim.now)
+}
+
 func (sim *simulation) findWorker(id cluster.WorkerID) *fakeWorker {
 	for _, f := range sim.workers {
 		if f.vm.ID == id {
@@ -432,7 +461,7 @@
 			sim.deliver(owner, 2*simLatency, result(false))
 			return
 		}
-		sim.sendRequest(owner, f, func() { reply = sim.startTask(f, v) }, result)
+		sim.sendRequest(owner, f, startBytes, func() { reply = sim.startTask(f, v) }, result)
 	case *SendStop:
 		var reply platform.StopReply
 		f := sim.findWorker(v.Worker.ID)
@@ -443,13 +472,13 @@
 			sim.deliver(owner, requestTimeout, result(true))
 			return
 		}
-		sim.sendRequest(owner, f, func() { reply = sim.stopTask(f, v.Request) }, result)
+		sim.sendRequest(owner, f, callBytes, func() { reply = sim.stopTask(f, v.Request) }, result)
 	case *SendHold:
 		var reply platform.HoldReply
 		f := sim.findWorker(v.Worker.ID)
 		sent := sim.now
 		// The reply to a hold call that waits reflects the state at the time of the reply.
-		sim.sendRequest(owner, f, func() { reply = sim.hold(f, v.Request) }, func(lost bool) Event {
+		sim.sendRequest(owner, f, callBytes, func() { reply = sim.hold(f, v.Request) }, func(lost bool) Event {
 			return &HoldAnswered{
 				Worker: v.Worker.ID, Fence: v.Request.Fence, Incarnation: v.Worker.Incarnation, SentAt: sent, ReceivedAt: sim.now, ReplyLost: lost, Extra: v.Extra, Reply: reply,
 			}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -225,6 +225,8 @@
 	// slowness is the moving average of the run times on the worker relative to the average of their queues; 1 is
 	// average, a higher value is slower.
 	slowness float64
+	// calls is the last result of a call to the worker.
+	calls callResult
 	// adviceRequests is the number of advice requests in flight that name the worker.
 	adviceRequests int
 }
