cell: give up the calls of a silent forwarder early, and soak limited links

Cause: a hold call waits for up to 1 s for a run to end, so that a forwarder that has stopped was noticed only 2 s after the call, and a second failure in a row would have let the lease of 4 s expire.

Change: a forwarder without a message for 1.2 s gets no calls, and its calls count as unanswered at once.

--- a/cluster/cell/forward.go
+++ b/cluster/cell/forward.go
@@ -17,6 +17,9 @@
 	// forwardMargin is added to the timeout of a forwarded call. A forwarder that responds reports an unanswered call
 	// before this time, so a call without a result shows that the forwarder does not respond.
 	forwardMargin = 300 * time.Millisecond
+	// forwarderTimeout is the time without a message after which a forwarder gets no calls and those that it has count as
+	// unanswered, so that the leases of its workers are renewed in time. It is longer than two pings are apart.
+	forwarderTimeout = peer.MaxPingInterval + 300*time.Millisecond
 	// forwarderAvoidTime is how long a forwarder that does not respond gets no calls.
 	forwarderAvoidTime = 3 * time.Second
 	// maxBatchStarts bounds the start requests of a message, so that it stays below maxBodyBytes.
@@ -57,6 +60,7 @@
 
 // routes returns the forwarders for the workers of a shard; it is empty if the owner calls them directly.
 func (f *callForwarding) routes(workers int) forwardRoutes {
+	f.giveUpSilent()
 	if !needsForwarders(workers, f.d.cfg.LinkRate, f.d.cfg.Cores) {
 		return nil
 	}
@@ -84,7 +88,7 @@
 	var list []forwarder
 	f.d.mu.Lock()
 	for _, m := range f.d.members {
-		if m.ForwardsCalls && f.d.acceptsShards(m) && condition(m) {
+		if m.ForwardsCalls && f.d.acceptsShards(m) && !f.isSilent(cluster.DaemonID(m.ID)) && condition(m) {
 			list = append(list, forwarder{
 				id: cluster.DaemonID(m.ID), zone: cluster.Zone(m.Zone), cores: m.Cores, linkRate: cluster.Bytes(m.LinkRate),
 			})
@@ -96,6 +100,30 @@
 	return slices.DeleteFunc(list, func(candidate forwarder) bool { return now.Before(f.avoidUntil[candidate.id]) })
 }
 
+func (f *callForwarding) isSilent(id cluster.DaemonID) bool {
+	return time.Since(f.d.transport.LastSeen(id)) > forwarderTimeout
+}
+
+// giveUpSilent reports the calls of silent forwarders as unanswered.
+func (f *callForwarding) giveUpSilent() {
+	var ids []uint64
+	f.mu.Lock()
+	silent := map[cluster.DaemonID]bool{}
+	for id, c := range f.calls {
+		if _, checked := silent[c.forwarder]; !checked {
+			silent[c.forwarder] = f.isSilent(c.forwarder)
+		}
+		if silent[c.forwarder] && !c.overdue {
+			c.timer.stop()
+			ids = append(ids, id)
+		}
+	}
+	f.mu.Unlock()
+	for _, id := range ids {
+		f.expire(id)
+	}
+}
+
 // register adds an outstanding call and returns its identifier.
 func (f *callForwarding) register(c *forwardedCall, timeout time.Duration) uint64 {
 	f.mu.Lock()
--- a/cluster/cell/forward_test.go
+++ b/cluster/cell/forward_test.go
@@ -294,6 +294,27 @@
 	is.Equal(direct.requests.Load(), int64(1))
 }
 
+// Guards against workers whose leases expire because hold calls wait for a forwarder that has stopped responding.
+func TestCallsOfStoppedForwarderAreGivenUp(t *testing.T) {
+	is := is.New(t)
+	o, d, near := newForwardingOwner(t, &scriptedWorkers{holdDelay: time.Minute})
+	direct := &scriptedWorkers{}
+	d.cfg.Workers = direct
+	hold := &pool.SendHold{Worker: testWorker("w"), Request: platform.HoldRequest{Until: time.Hour, Acknowledge: 5, Wait: time.Second}}
+	o.executeEffects([]pool.Effect{hold})
+	near.transport.Close()
+	stoppedAt := time.Now()
+	for len(o.events) == 0 && time.Since(stoppedAt) < 10*time.Second {
+		time.Sleep(10 * time.Millisecond)
+		o.currentRoutes()
+	}
+	is.True(nextEvent(t, o).(*pool.HoldAnswered).ReplyLost)
+	is.True(time.Since(stoppedAt) < pool.DefaultLease/2) // a repeated call still renews the leases
+	o.executeEffects([]pool.Effect{hold})
+	is.True(!nextEvent(t, o).(*pool.HoldAnswered).ReplyLost)
+	is.Equal(direct.requests.Load(), int64(1))
+}
+
 // Guards against a daemon that was paused and then makes the calls that it received meanwhile, for an owner that may
 // have lost its shard.
 func TestPausedForwarderMakesNoCalls(t *testing.T) {
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -53,6 +53,9 @@
 	// shardWorkers is the maximum number of workers per shard; 0 means one shard for
 	// even seeds and three for odd ones.
 	shardWorkers int
+	// linkMbps is the rate in Mbit/s of the link of each daemon to the store, to the advice service and to the other
+	// daemons; zero means no limit. The daemons find it in their settings.
+	linkMbps float64
 	// workerFaultsOnly leaves out the faults of single daemons, connections and the store.
 	workerFaultsOnly bool
 	binary           string
--- a/soak/process.go
+++ b/soak/process.go
@@ -63,11 +63,12 @@
 // newProcess writes the settings of a daemon; run starts it.
 func newProcess(cfg config, name, storeAddr, adviceAddr string) (*process, error) {
 	p := &process{name: name, binary: cfg.binary, dir: cfg.dir, shardWorkers: cfg.shardWorkers, loopDone: make(chan struct{})}
+	sent, received := newLink(cfg.linkMbps), newLink(cfg.linkMbps)
 	var err error
-	if p.storeProxy, err = newProxy(storeAddr); err != nil {
+	if p.storeProxy, err = newLimitedProxy(storeAddr, sent, received); err != nil {
 		return nil, err
 	}
-	if p.adviceProxy, err = newProxy(adviceAddr); err != nil {
+	if p.adviceProxy, err = newLimitedProxy(adviceAddr, sent, received); err != nil {
 		return nil, err
 	}
 	if p.reservation, err = loopback.Reserve(4); err != nil {
@@ -75,7 +76,7 @@
 	}
 	clientAddr, readyAddr, internalAddr, metricsAddr := p.reservation.Addrs[0], p.reservation.Addrs[1], p.reservation.Addrs[2], p.reservation.Addrs[3]
 	p.clientAddr, p.metricsPort = clientAddr.String(), metricsAddr.Port()
-	if p.peerProxy, err = newProxy(internalAddr.String()); err != nil {
+	if p.peerProxy, err = newLimitedProxy(internalAddr.String(), received, sent); err != nil {
 		return nil, err
 	}
 	settings := fmt.Sprintf(`node_name: %q
@@ -84,11 +85,11 @@
 region: "r"
 listen_addrs: {front: %q, ready: %q}
 internal_ports: [%d, 65535]
-limits: {cpu_share: 1, cores: 1, memory_mb: %d}
+limits: {cpu_share: 1, cores: 1, memory_mb: %d, link_mbps: %g}
 bounds: {max_hold_ms: 6000, grace_s: %g}
 advice: %q
 platform: {address: %q}
-`, name, p.clientAddr, readyAddr, internalAddr.Port(), memoryMB, gracePeriod.Seconds(), p.adviceProxy.addr(), p.storeProxy.addr())
+`, name, p.clientAddr, readyAddr, internalAddr.Port(), memoryMB, cfg.linkMbps, gracePeriod.Seconds(), p.adviceProxy.addr(), p.storeProxy.addr())
 	return p, os.WriteFile(p.settingsPath(), []byte(settings), 0o600)
 }
 
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -31,15 +31,51 @@
 const (
 	// proxyDelay is longer than the latency of any path in the users' deployments.
 	proxyDelay = 120 * time.Millisecond
+	// maxLinkChunk bounds the chunks that a limited link carries, so that its connections share it.
+	maxLinkChunk = 4 << 10
 	// proxyBufferSize is the maximum size of a chunk that is forwarded.
 	proxyBufferSize = 32 << 10
 )
 
+// link limits the bytes per second of one direction of the connections of a daemon.
+type link struct {
+	bytesPerSecond float64
+
+	mu sync.Mutex
+	// freeAt is when the link has carried the bytes so far.
+	freeAt time.Time
+}
+
+// newLink returns a link with a rate in Mbit/s, or nil, which is not limited, if that is zero.
+func newLink(mbps float64) *link {
+	if mbps == 0 {
+		return nil
+	}
+	return &link{bytesPerSecond: mbps * 1e6 / 8}
+}
+
+// carry waits until the link has carried n bytes.
+func (l *link) carry(n int) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(n) / l.bytesPerSecond * float64(time.Second)))
+	wait := time.Until(l.freeAt)
+	l.mu.Unlock()
+	time.Sleep(wait)
+}
+
 // proxy forwards connections to a server on loopback.
 type proxy struct {
 	listener net.Listener
 	target   string
-	wg       conc.WaitGroup
+	// requests and replies limit the two directions of the connections; nil means no limit.
+	requests, replies *link
+	wg                conc.WaitGroup
 
 	mu   sync.Mutex
 	mode proxyMode
@@ -50,12 +86,15 @@
 }
 
 // newProxy starts a proxy on a free port that forwards to target.
-func newProxy(target string) (*proxy, error) {
+func newProxy(target string) (*proxy, error) { return newLimitedProxy(target, nil, nil) }
+
+// newLimitedProxy is newProxy with limited links.
+func newLimitedProxy(target string, requests, replies *link) (*proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: listener, target: target, modeChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
+	p := &proxy{listener: listener, target: target, requests: requests, replies: replies, modeChanged: make(chan struct{}), conns: map[net.Conn]bool{}}
 	p.wg.Go(p.acceptConns)
 	return p, nil
 }
@@ -76,18 +115,23 @@
 		p.mu.Lock()
 		p.conns[client], p.conns[server] = true, true
 		p.mu.Unlock()
-		p.wg.Go(func() { p.forward(server, client, modeBlockRequests) })
-		p.wg.Go(func() { p.forward(client, server, modeBlockReplies) })
+		p.wg.Go(func() { p.forward(server, client, modeBlockRequests, p.requests) })
+		p.wg.Go(func() { p.forward(client, server, modeBlockReplies, p.replies) })
 	}
 }
 
 // forward copies the bytes of one direction; blockingMode is the mode that holds
 // back only this direction.
-func (p *proxy) forward(to, from net.Conn, blockingMode proxyMode) {
+func (p *proxy) forward(to, from net.Conn, blockingMode proxyMode, limit *link) {
 	defer p.closeConns(to, from)
-	buf := make([]byte, proxyBufferSize)
+	size := proxyBufferSize
+	if limit != nil {
+		size = maxLinkChunk
+	}
+	buf := make([]byte, size)
 	for {
 		n, err := from.Read(buf)
+		limit.carry(n)
 		if n > 0 && p.waitUntilAllowed(blockingMode) {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 				return
--- a/soak/rootcmd.go
+++ b/soak/rootcmd.go
@@ -19,6 +19,7 @@
 	lengthFlag       = "length"
 	daemonsFlag      = "daemons"
 	runnersFlag      = "runners"
+	linkFlag         = "link-mbps"
 	logsFlag         = "logs"
 	shardWorkersFlag = "shard-workers"
 	runnerFaultsFlag = "runner-faults-only"
@@ -45,6 +46,7 @@
 	cmd.Flags().Int(runnersFlag, 8, "number of runners (workers of the platform)")
 	cmd.Flags().Int(shardWorkersFlag, 0, "maximum number of runners per shard; 0 means one shard for even seeds and three for odd ones")
 	cmd.Flags().Bool(runnerFaultsFlag, false, "leave out the faults of single daemons, connections and the store, and most jobs that are not wide")
+	cmd.Flags().Float64(linkFlag, 0, "rate in Mbit/s of the links of the daemons, which their settings contain; 0 means no limit")
 	cmd.Flags().String(logsFlag, filepath.Join(os.TempDir(), "goldcrest-soak"), "directory for settings and logs")
 	return cmd
 }
@@ -52,7 +54,7 @@
 func runRootCmd(cmd *cobra.Command, _ []string) error {
 	flags := cmd.Flags()
 	cfg := config{out: cmd.OutOrStdout()}
-	var errs [8]error
+	var errs [9]error
 	var seeds int
 	cfg.seed, errs[0] = flags.GetUint64(seedFlag)
 	seeds, errs[1] = flags.GetInt(seedsFlag)
@@ -62,12 +64,16 @@
 	cfg.dir, errs[5] = flags.GetString(logsFlag)
 	cfg.shardWorkers, errs[6] = flags.GetInt(shardWorkersFlag)
 	cfg.workerFaultsOnly, errs[7] = flags.GetBool(runnerFaultsFlag)
+	cfg.linkMbps, errs[8] = flags.GetFloat64(linkFlag)
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
 	if seeds < 1 || cfg.daemons < 1 || cfg.workers < 1 || cfg.length <= 0 {
 		return fmt.Errorf("--%s, --%s, --%s and --%s must be positive", seedsFlag, daemonsFlag, runnersFlag, lengthFlag)
 	}
+	if cfg.linkMbps < 0 {
+		return fmt.Errorf("--%s must not be negative", linkFlag)
+	}
 	if cfg.seed == 0 {
 		cfg.seed = 1 + rand.Uint64N(1<<32)
 	}
