pool: answer queries of states without waiting for the control loop

Cause: a query of a job's state ran in the control loop of the shard's owner. While a step, or the check of the ownership after a pause, took long, the queries waited for their timeout and then went to the store, which serves 20 of them a second; each query also woke the loop.

Change: the scheduler publishes the states that changed in a step, and the owner answers from there. An owner that has ended or has not loaded its shard refuses as before.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -217,7 +217,7 @@
 	defer cancel()
 	switch c.Method {
 	case methodState:
-		return serve(c, func(r stateRequest) (stateReply, error) { return d.ownedState(ctx, r) })
+		return serve(c, func(r stateRequest) (stateReply, error) { return d.ownedState(r) })
 	case methodPending:
 		return serve(c, func(r pendingRequest) (pendingReply, error) { return d.ownedPending(ctx, r) })
 	case methodAdvise:
--- a/cluster/cell/loading_test.go
+++ b/cluster/cell/loading_test.go
@@ -127,7 +127,7 @@
 	is.NoErr(d.Submit(ctx, job))
 	store.setPartsUnreachable()
 	awaitLoad(t, d)
-	reply, err := d.ownedState(ctx, stateRequest{Shard: testShard.String(), ID: string(job.ID)})
+	reply, err := d.ownedState(stateRequest{Shard: testShard.String(), ID: string(job.ID)})
 	is.NoErr(err)
 	is.True(reply.Known)
 }
--- a/cluster/cell/status.go
+++ b/cluster/cell/status.go
@@ -66,22 +66,36 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if owner == d.cfg.Self {
-		return d.ownedState(ctx, r)
+		return d.ownedState(r)
 	}
 	return call[stateReply](ctx, d, owner, methodState, &r)
 }
 
-func (d *Daemon) ownedState(ctx context.Context, r stateRequest) (stateReply, error) {
+func (d *Daemon) ownedState(r stateRequest) (stateReply, error) {
 	var reply stateReply
 	owned := d.lookupShard(parseShardID(r.Shard))
 	if owned == nil {
 		return reply, &Error{Op: "state", Kind: KindUnavailable, Err: errNotOwner}
 	}
-	err := owned.query(ctx, "state", func(s *pool.Scheduler) {
-		state, team, queue, known := s.State(cluster.JobName(r.ID))
-		reply = stateReply{Known: known, State: int(state), Team: string(team), Queue: string(queue)}
-	})
-	return reply, err
+	statuses, err := owned.statuses("state")
+	if err != nil {
+		return reply, err
+	}
+	status, known := statuses.Get(cluster.JobName(r.ID))
+	return stateReply{Known: known, State: int(status.State), Team: string(status.Team), Queue: string(status.Queue)}, nil
+}
+
+// statuses returns the states of the shard's jobs. They are read without the control loop, which may be busy.
+func (o *ownedShard) statuses(op string) (*pool.Statuses, error) {
+	select {
+	case <-o.loaded:
+	default:
+		return nil, &Error{Op: op, Kind: KindUnavailable, Err: errNotLoaded}
+	}
+	if o.ctx.Err() != nil {
+		return nil, &Error{Op: op, Kind: KindUnavailable, Err: errNotOwner}
+	}
+	return o.scheduler.Statuses(), nil
 }
 
 const (
--- a/cluster/cell/status_test.go
+++ b/cluster/cell/status_test.go
@@ -49,6 +49,25 @@
 	is.True(IsKind(awaitReply(t, pending(retryDelay)), KindUnavailable))
 }
 
+// Guards against queries of a state that wait, or go to the store, while the control loop of the owner is busy.
+func TestStateIsAnsweredWhileLoopIsBusy(t *testing.T) {
+	is := is.New(t)
+	_, d := newThreeShardDaemon(t)
+	id := shardID{Service: "s", Index: jobShard(recordedJob, d.shardCount())}
+	o := newShardOwner(t, d, id.Index, 1)
+	d.ownedShards[id] = o
+	d.owners[id] = ownership{row: ownerRow{Owner: string(d.cfg.Self), Epoch: 1}, version: 1}
+	o.sendEvent(&pool.JobAccepted{Job: &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Steps: []workload.Step{{Tasks: 1}}}})
+	waitUntil(t, func() bool {
+		_, known := o.scheduler.Statuses().Get(recordedJob)
+		return known
+	})
+	blockLoop(t, o)
+	state, err := d.State(t.Context(), recordedJob, "team", &cluster.Queue{Name: "q", Service: "s"}) // the store has no row of the job
+	is.NoErr(err)
+	is.Equal(state, workload.StateQueued)
+}
+
 // Guards against a state that is not read from the store because the owner is this daemon and does not answer.
 func TestStateIsReadWhileOwnerIsBusy(t *testing.T) {
 	is := is.New(t)
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -228,7 +228,7 @@
 	if e.Checkpoint != "" {
 		st.saveCheckpoint(id.Index, e.Checkpoint)
 	}
-	st.job.started = true
+	s.markStarted(st.job)
 	if known {
 		s.observeEnd(r, e.Outcome)
 		s.releaseRun(r)
@@ -290,7 +290,7 @@
 	t.done = true
 	st.unfinishedTasks--
 	st.job.unfinishedTasks--
-	st.job.started = true
+	s.markStarted(st.job)
 	st.job.progress.SetDone(st.job.spec.TaskIndex(st.taskID(index)))
 }
 
@@ -471,7 +471,7 @@
 
 // confirmRun marks a run as started.
 func (s *Scheduler) confirmRun(r *run) {
-	r.step.job.started = true
+	s.markStarted(r.step.job)
 	if r.state == runStarting || r.state == runUnconfirmed {
 		s.setRunState(r, runActive)
 	}
--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -281,6 +281,15 @@
 			}
 		}
 	}
+	if sim.now.Equal(sim.lastListAt) {
+		for id := range sim.jobs {
+			state, team, queue, known := sim.owner.State(id)
+			published, ok := sim.owner.Statuses().Get(id)
+			if published != (JobStatus{State: state, Team: team, Queue: queue}) || ok != known {
+				sim.reportViolation("job %s is %s, and published as %s", id, state, published.State)
+			}
+		}
+	}
 	if starting != sim.owner.unansweredStarts {
 		sim.reportViolation("%d start requests are unanswered, the owner counts %d", starting, sim.owner.unansweredStarts)
 	}
--- a/cluster/pool/record.go
+++ b/cluster/pool/record.go
@@ -158,7 +158,7 @@
 	}
 	for _, j := range s.endedJobs {
 		if j.finalGeneration != 0 && j.finalGeneration <= generation {
-			j.visibleState = j.progress.State
+			s.showState(j, j.progress.State)
 		}
 	}
 }
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -85,8 +85,13 @@
 	// startReplyTime is the moving average of the time until the reply to a start request.
 	startReplyTime      time.Duration
 	congestionCheckedAt time.Time
-	metrics             *metrics
-	effects             []Effect
+	// statuses holds the states of the jobs after the last step; changedStatuses and deletedStatuses are the changes of
+	// the current one.
+	statuses        *Statuses
+	changedStatuses []*job
+	deletedStatuses []cluster.JobName
+	metrics         *metrics
+	effects         []Effect
 }
 
 // New returns a scheduler for a new ownership of a pool.
@@ -115,6 +120,7 @@
 		deletedJobs:      deletedJobs{deletedAt: map[cluster.JobName]time.Time{}},
 		workersDirty:     true,
 		startWindow:      initialStartWindow,
+		statuses:         &Statuses{jobs: map[cluster.JobName]JobStatus{}},
 		metrics:          newMetrics(cfg.Metrics),
 	}
 	s.previousOwnerActiveUntil = cfg.Now
@@ -164,6 +170,7 @@
 	s.place()
 	s.sendHolds()
 	s.emitRecord()
+	s.publishStatuses()
 	return s.effects
 }
 
@@ -237,8 +244,9 @@
 	// jobs that are accepted later.
 	j.possiblyRunning = len(s.inheritedWorkers) > 0 && (!s.loaded || !s.now.After(s.previousOwnerActiveUntil) || s.previousOwnerMayKnow(spec))
 	s.jobs[spec.ID] = j
+	s.showState(j, j.visibleState)
 	if j.progress.State.Final() {
-		j.visibleState = j.progress.State
+		s.showState(j, j.progress.State)
 		s.endedJobs = append(s.endedJobs, j)
 		s.readDeferredRuns(j)
 		return
@@ -271,7 +279,7 @@
 			for k := range st.tasks {
 				if j.progress.IsDone(j.spec.TaskIndex(st.taskID(k))) {
 					st.tasks[k].done = true
-					j.started = true
+					s.markStarted(j)
 					continue
 				}
 				st.unfinishedTasks++
@@ -407,11 +415,8 @@
 	if j == nil {
 		return 0, "", "", false
 	}
-	state := j.visibleState
-	if !state.Final() && j.started {
-		state = workload.StateRunning
-	}
-	return state, j.spec.Team, j.spec.Queue, true
+	status := j.status()
+	return status.State, status.Team, status.Queue, true
 }
 
 // Pending returns the number of jobs of each queue that have no started task.
