pool: search no worker for tasks that fit on none

Cause: each waiting step searched all workers for candidates and for further advice in each placement pass, also while the pool was full.

Change: a pass notes the largest free amount of each resource; a step of single tasks above it is not searched for.

--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -17,8 +17,12 @@
 		s.metrics.waiting.Update(0)
 		return
 	}
+	s.largestFree = cluster.Resources{}
 	for _, w := range s.sortedWorkers {
 		w.usable, w.reserved = s.isUsable(w), cluster.Resources{}
+		if w.usable {
+			s.largestFree = s.largestFree.Max(w.free())
+		}
 	}
 	s.estimateUnconfirmed()
 	ready := make([]*step, 0, len(s.openSteps))
@@ -275,7 +279,10 @@
 // placeTasks starts as many pending tasks as fit. While long-running tasks do not fit, smaller tasks that come later
 // leave them what becomes free.
 func (s *Scheduler) placeTasks(st *step) {
-	found := s.candidates(st)
+	var found []candidate
+	if s.mayFit(st) {
+		found = s.candidates(st)
+	}
 	for index := range st.tasks {
 		t := &st.tasks[index]
 		if t.done || t.run != nil || s.now.Before(t.notBefore) {
@@ -297,13 +304,18 @@
 		c.taskCapacity--
 	}
 	if st.pendingTasks > 0 {
-		s.requestMissingAdvice(st, st.pendingTasks)
+		if s.mayFit(st) {
+			s.requestMissingAdvice(st, st.pendingTasks)
+		}
 		if st.spec.LongRunning && st.spec.MaxPerWorker == 0 {
 			s.reserve(st, st.pendingTasks)
 		}
 	}
 }
 
+// mayFit reports whether a task of a step may fit on a worker. If not, a search through all workers finds none.
+func (s *Scheduler) mayFit(st *step) bool { return accountedSize(st.spec).Fits(s.largestFree) }
+
 // bestFit returns the index of the candidate with the lowest score, or -1 if none is left.
 func (s *Scheduler) bestFit(st *step, found []candidate) int {
 	best, bestScore := -1, 0.0
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -63,6 +63,8 @@
 
 	// advisors is the number of daemons that can send advice requests.
 	advisors int
+	// largestFree holds the largest free amount of each resource on a worker at the start of the current placement pass.
+	largestFree cluster.Resources
 	// reservations counts the gangs that have reserved capacity in the current placement pass.
 	reservations int
 	// longAdviceRequests is the number of long advice requests in flight; see longAdviceTime.
