cell: keep calls to workers and their outcomes in one file

Change: the functions that call a worker, which the owner and the forwarders share, move to workercalls.go, and packedMessage is named after what it is. An outcome that a daemon does not know counts as a lost reply; it counted as the worker's reply.

--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -238,15 +238,15 @@
 			return struct{}{}, nil
 		})
 	case methodListWorkers:
-		return serve(c, func(r listRequest) (forwardedCalls, error) { return d.serveWorkerList(ctx, r) })
+		return serve(c, func(r listRequest) (packedMessage, error) { return d.serveWorkerList(ctx, r) })
 	case methodJobFeed:
 		return serve(c, func(r jobFeedRequest) (jobFeedReply, error) { return d.serveJobFeed(ctx, r) })
 	case methodLoadJobs:
 		return serveParts(c, func(r loadRequest) ([]loadedPart, error) { return d.serveLoad(ctx, r) })
 	case methodForwardCalls:
-		return serve(c, func(m forwardedCalls) (struct{}, error) { return struct{}{}, d.forwardServer.serve(from, m) })
+		return serve(c, func(m packedMessage) (struct{}, error) { return struct{}{}, d.forwardServer.serve(from, m) })
 	case methodForwardResults:
-		return serve(c, func(m forwardedCalls) (struct{}, error) { return struct{}{}, d.forwarding.receiveResults(from, m) })
+		return serve(c, func(m packedMessage) (struct{}, error) { return struct{}{}, d.forwarding.receiveResults(from, m) })
 	}
 	return nil, &Error{Op: "serve call", Kind: KindMalformed, Err: errors.New("unknown method " + c.Method)}
 }
--- a/cluster/cell/forward.go
+++ b/cluster/cell/forward.go
@@ -196,6 +196,26 @@
 	c.answered(result, late)
 }
 
+// receiveResults passes the results of forwarded calls to the owners of their shards.
+func (f *callForwarding) receiveResults(from cluster.DaemonID, m packedMessage) error {
+	batch, err := unpackBatch[resultBatch]("receive results", m)
+	if err != nil {
+		return err
+	}
+	f.d.cfg.Metrics.Counter("forwarded_result_bytes").Inc(int64(len(m.Payload)))
+	for i := range batch.Starts {
+		f.deliver(from, batch.Starts[i].ID, &batch.Starts[i], false)
+	}
+	for i := range batch.Stops {
+		f.deliver(from, batch.Stops[i].ID, &batch.Stops[i], false)
+	}
+	for i := range batch.Holds {
+		r := &batch.Holds[i]
+		f.deliver(from, r.ID, r, r.Outcome == callUnanswered)
+	}
+	return nil
+}
+
 // send sends a batch to a forwarder, and reports whether it was queued.
 func (f *callForwarding) send(to cluster.DaemonID, batch *callBatch) bool {
 	const op = "forward calls"
--- a/cluster/cell/forward_test.go
+++ b/cluster/cell/forward_test.go
@@ -351,7 +351,7 @@
 	badResults := must(packBatch("test", &resultBatch{
 		Starts: []startResult{{ID: 1, Refusal: -1}, {ID: 2, Outcome: 99, Refusal: 99}}, Holds: []holdResult{{ID: 3, Ended: []resultEnd{{Outcome: 77}}}},
 	}))
-	for _, m := range []forwardedCalls{
+	for _, m := range []packedMessage{
 		{}, {Payload: []byte{0xc1}}, {Payload: []byte("no zstd"), Compressed: true}, {Payload: []byte{0xdd, 0xff, 0xff, 0xff, 0xff}}, badIndexes, badResults,
 	} {
 		_ = near.forwardServer.serve(d.cfg.Self, m)
@@ -375,3 +375,10 @@
 	is.NoErr(d.forwarding.receiveResults("near@2", results))
 	is.Equal(len(o.events), 1)
 }
+
+// Guards against an outcome that this version does not know and that counts as the reply of a worker.
+func TestUnknownOutcomeCountsAsLostReply(t *testing.T) {
+	is := is.New(t)
+	is.True(startAnswered(startEffect("w"), platform.StartReply{}, callLate+1).ReplyLost)
+	is.True(stopAnswered(&pool.SendStop{}, platform.StopReply{}, callLate+1).ReplyLost)
+}
--- a/cluster/cell/forwardfuzz_test.go
+++ b/cluster/cell/forwardfuzz_test.go
@@ -31,7 +31,7 @@
 	}
 	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff}, false)
 	f.Fuzz(func(t *testing.T, payload []byte, compressed bool) {
-		m := forwardedCalls{Payload: payload, Compressed: compressed}
+		m := packedMessage{Payload: payload, Compressed: compressed}
 		if batch, err := unpackBatch[callBatch]("test", m); err == nil {
 			for i := range batch.Starts {
 				if _, err := batch.worker(batch.Starts[i].Worker); err == nil {
--- a/cluster/cell/forwardserve.go
+++ b/cluster/cell/forwardserve.go
@@ -1,7 +1,6 @@
 package cell
 
 import (
-	"context"
 	"errors"
 	"sync"
 	"sync/atomic"
@@ -79,7 +78,7 @@
 }
 
 // serve makes the calls of a batch.
-func (s *forwardServer) serve(from cluster.DaemonID, m forwardedCalls) error {
+func (s *forwardServer) serve(from cluster.DaemonID, m packedMessage) error {
 	batch, err := unpackBatch[callBatch]("serve forwarded calls", m)
 	if err != nil {
 		return err
@@ -212,75 +211,3 @@
 		s.d.cfg.Log.Debug().Str("peer", string(to)).Int("results", p.count).Msg("cell: results of forwarded calls not sent")
 	}
 }
-
-// receiveResults passes the results of forwarded calls to the owners of their shards.
-func (f *callForwarding) receiveResults(from cluster.DaemonID, m forwardedCalls) error {
-	batch, err := unpackBatch[resultBatch]("receive results", m)
-	if err != nil {
-		return err
-	}
-	f.d.cfg.Metrics.Counter("forwarded_result_bytes").Inc(int64(len(m.Payload)))
-	for i := range batch.Starts {
-		f.deliver(from, batch.Starts[i].ID, &batch.Starts[i], false)
-	}
-	for i := range batch.Stops {
-		f.deliver(from, batch.Stops[i].ID, &batch.Stops[i], false)
-	}
-	for i := range batch.Holds {
-		r := &batch.Holds[i]
-		f.deliver(from, r.ID, r, r.Outcome == callUnanswered)
-	}
-	return nil
-}
-
-// startTask sends a start request to a worker.
-func (d *Daemon) startTask(ctx context.Context, w platform.WorkerVM, req platform.StartRequest) (platform.StartReply, callOutcome) {
-	ctx, cancel := withReplyTimeout(ctx, startTimeout)
-	defer cancel()
-	reply, err := d.cfg.Workers.StartTask(ctx, w, req)
-	if err != nil {
-		d.cfg.Log.Debug().Err(err).Str("task", req.Task).Str("worker", string(w.ID)).Msg("cell: start request failed")
-	}
-	return reply, outcomeOf(err)
-}
-
-// stopTask sends a stop request to a worker.
-func (d *Daemon) stopTask(ctx context.Context, w platform.WorkerVM, req platform.StopRequest) (platform.StopReply, callOutcome) {
-	ctx, cancel := withReplyTimeout(ctx, stopTimeout)
-	defer cancel()
-	reply, err := d.cfg.Workers.StopTask(ctx, w, req)
-	if err != nil {
-		d.cfg.Log.Debug().Err(err).Str("task", req.Task).Str("worker", string(w.ID)).Msg("cell: stop request failed")
-	}
-	return reply, outcomeOf(err)
-}
-
-// hold calls hold on a worker. If no reply has arrived in time it reports the call as unanswered, and reports a late
-// reply as well.
-func (d *Daemon) hold(parent context.Context, w platform.WorkerVM, req platform.HoldRequest, report func(platform.HoldReply, callOutcome)) {
-	ctx, cancel := context.WithTimeout(parent, req.Wait+lateHoldTimeout)
-	defer cancel()
-	unanswered := startReplyTimer(req.Wait+holdTimeoutMargin, func() { report(platform.HoldReply{}, callUnanswered) })
-	defer unanswered.stop()
-	reply, err := d.cfg.Workers.Hold(ctx, w, req)
-	if err != nil && parent.Err() == nil {
-		d.cfg.Log.Debug().Err(err).Str("worker", string(w.ID)).Msg("cell: hold call failed")
-	}
-	switch late := !unanswered.stop(); {
-	case !late:
-		report(reply, outcomeOf(err))
-	case err == nil:
-		report(reply, callLate)
-	}
-}
-
-// outcomeOf returns the outcome of a call to a worker that returned err.
-func outcomeOf(err error) callOutcome {
-	switch {
-	case err == nil:
-		return callAnswered
-	case mayHaveEffect(err):
-		return callUnanswered
-	}
-	return callNotSent
-}
--- a/cluster/cell/forwardwire.go
+++ b/cluster/cell/forwardwire.go
@@ -14,9 +14,9 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
 
-// forwardedCalls carries calls to workers from the owner of a shard to a forwarder.
-type forwardedCalls struct {
-	// Payload is an encoded callBatch.
+// packedMessage is a message that is compressed if it is large.
+type packedMessage struct {
+	// Payload is an encoded callBatch, resultBatch, workerList or readReply.
 	Payload []byte `msgpack:"P"`
 	// Compressed means that Payload is compressed with zstd.
 	Compressed bool `msgpack:"Z"`
@@ -113,22 +113,6 @@
 	Checkpoint string
 }
 
-// callOutcome tells what became of a call to a worker.
-type callOutcome int
-
-const (
-	// callAnswered means that the worker replied.
-	callAnswered callOutcome = iota
-	// callUnanswered means that no reply was received in time; the worker may still carry out the call.
-	callUnanswered
-	// callNotSent means that the worker did not get the call, because it could not be connected to.
-	callNotSent
-	// callNotTried means that the forwarder did not make the call, because it was paused or has too many calls.
-	callNotTried
-	// callLate means that the reply was received after the call was reported as unanswered.
-	callLate
-)
-
 // minCompressedBytes is the size above which batches are compressed.
 const minCompressedBytes = 512
 
@@ -147,26 +131,26 @@
 )
 
 // packBatch encodes a batch, without the names of its fields, and compresses it if it is large.
-func packBatch(op string, batch any) (forwardedCalls, error) {
+func packBatch(op string, batch any) (packedMessage, error) {
 	var buf bytes.Buffer
 	enc := msgpack.NewEncoder(&buf)
 	enc.UseArrayEncodedStructs(true)
 	if err := enc.Encode(batch); err != nil {
-		return forwardedCalls{}, &Error{Op: op, Kind: KindMalformed, Err: err}
+		return packedMessage{}, &Error{Op: op, Kind: KindMalformed, Err: err}
 	}
 	data := buf.Bytes()
 	if len(data) < minCompressedBytes {
-		return forwardedCalls{Payload: data}, nil
+		return packedMessage{Payload: data}, nil
 	}
 	encoder, err := batchEncoder()
 	if err != nil {
-		return forwardedCalls{}, &Error{Op: op, Kind: KindMalformed, Err: err}
+		return packedMessage{}, &Error{Op: op, Kind: KindMalformed, Err: err}
 	}
-	return forwardedCalls{Payload: encoder.EncodeAll(data, nil), Compressed: true}, nil
+	return packedMessage{Payload: encoder.EncodeAll(data, nil), Compressed: true}, nil
 }
 
 // unpackBatch decodes a batch of packBatch.
-func unpackBatch[T any](op string, m forwardedCalls) (T, error) {
+func unpackBatch[T any](op string, m packedMessage) (T, error) {
 	data := m.Payload
 	if m.Compressed {
 		var zero T
--- a/cluster/cell/loadjobs.go
+++ b/cluster/cell/loadjobs.go
@@ -25,7 +25,7 @@
 // loadedPart is a part of the reply to a loadRequest.
 type loadedPart struct {
 	// Rows is an encoded readReply.
-	Rows forwardedCalls `msgpack:"Rows"`
+	Rows packedMessage `msgpack:"Rows"`
 }
 
 // endedJobs returns the hashes of the jobs of a part that have ended according to the records.
--- a/cluster/cell/workercalls.go
+++ b/cluster/cell/workercalls.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"context"
 	"time"
 
 	"github.com/sourcegraph/conc/panics"
@@ -60,11 +61,79 @@
 	})
 }
 
+// callOutcome tells what became of a call to a worker.
+type callOutcome int
+
+const (
+	// callAnswered means that the worker replied.
+	callAnswered callOutcome = iota
+	// callUnanswered means that no reply was received in time; the worker may still carry out the call.
+	callUnanswered
+	// callNotSent means that the worker did not get the call, because it could not be connected to.
+	callNotSent
+	// callNotTried means that the forwarder did not make the call, because it was paused or has too many calls.
+	callNotTried
+	// callLate means that the reply was received after the call was reported as unanswered.
+	callLate
+)
+
 // mayHaveEffect reports whether a request that failed with err may still be carried out by the worker.
 func mayHaveEffect(err error) bool {
 	return err != nil && !platform.IsKind(err, platform.KindUnavailable)
 }
 
+// startTask sends a start request to a worker.
+func (d *Daemon) startTask(ctx context.Context, w platform.WorkerVM, req platform.StartRequest) (platform.StartReply, callOutcome) {
+	ctx, cancel := withReplyTimeout(ctx, startTimeout)
+	defer cancel()
+	reply, err := d.cfg.Workers.StartTask(ctx, w, req)
+	if err != nil {
+		d.cfg.Log.Debug().Err(err).Str("task", req.Task).Str("worker", string(w.ID)).Msg("cell: start request failed")
+	}
+	return reply, outcomeOf(err)
+}
+
+// stopTask sends a stop request to a worker.
+func (d *Daemon) stopTask(ctx context.Context, w platform.WorkerVM, req platform.StopRequest) (platform.StopReply, callOutcome) {
+	ctx, cancel := withReplyTimeout(ctx, stopTimeout)
+	defer cancel()
+	reply, err := d.cfg.Workers.StopTask(ctx, w, req)
+	if err != nil {
+		d.cfg.Log.Debug().Err(err).Str("task", req.Task).Str("worker", string(w.ID)).Msg("cell: stop request failed")
+	}
+	return reply, outcomeOf(err)
+}
+
+// hold calls hold on a worker. If no reply has arrived in time it reports the call as unanswered, and reports a late
+// reply as well.
+func (d *Daemon) hold(parent context.Context, w platform.WorkerVM, req platform.HoldRequest, report func(platform.HoldReply, callOutcome)) {
+	ctx, cancel := context.WithTimeout(parent, req.Wait+lateHoldTimeout)
+	defer cancel()
+	unanswered := startReplyTimer(req.Wait+holdTimeoutMargin, func() { report(platform.HoldReply{}, callUnanswered) })
+	defer unanswered.stop()
+	reply, err := d.cfg.Workers.Hold(ctx, w, req)
+	if err != nil && parent.Err() == nil {
+		d.cfg.Log.Debug().Err(err).Str("worker", string(w.ID)).Msg("cell: hold call failed")
+	}
+	switch late := !unanswered.stop(); {
+	case !late:
+		report(reply, outcomeOf(err))
+	case err == nil:
+		report(reply, callLate)
+	}
+}
+
+// outcomeOf returns the outcome of a call to a worker that returned err.
+func outcomeOf(err error) callOutcome {
+	switch {
+	case err == nil:
+		return callAnswered
+	case mayHaveEffect(err):
+		return callUnanswered
+	}
+	return callNotSent
+}
+
 func (o *ownedShard) sendStart(e *pool.SendStart) {
 	reply, outcome := o.d.startTask(o.ctx, e.Worker, e.Request)
 	o.sendEvent(startAnswered(e, reply, outcome))
@@ -74,12 +143,13 @@
 func startAnswered(e *pool.SendStart, reply platform.StartReply, outcome callOutcome) *pool.StartAnswered {
 	answered := &pool.StartAnswered{Fence: e.Request.Fence, Task: e.Task, Run: e.Request.Run, Worker: e.Worker.ID, Reply: reply}
 	switch outcome {
+	case callAnswered:
 	case callNotSent:
 		// The worker did not get this request; a repeat tells nothing about the first one.
 		answered.Reply.Refusal = platform.RefusedUnhealthy
 	case callNotTried:
 		answered.NotTried = true
-	case callUnanswered, callLate:
+	default:
 		answered.ReplyLost = true
 	}
 	return answered
--- a/cluster/cell/workerlist.go
+++ b/cluster/cell/workerlist.go
@@ -58,7 +58,7 @@
 func (d *Daemon) requestWorkers(ctx context.Context, from cluster.DaemonID, id shardID) ([]platform.WorkerVM, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, listThroughTimeout)
 	defer cancel()
-	message, err := call[forwardedCalls](ctx, d, from, methodListWorkers, &listRequest{Shard: id.String()})
+	message, err := call[packedMessage](ctx, d, from, methodListWorkers, &listRequest{Shard: id.String()})
 	if err != nil {
 		return nil, 0, err
 	}
@@ -78,14 +78,14 @@
 }
 
 // serveWorkerList reads the workers of a shard for its owner.
-func (d *Daemon) serveWorkerList(ctx context.Context, r listRequest) (forwardedCalls, error) {
+func (d *Daemon) serveWorkerList(ctx context.Context, r listRequest) (packedMessage, error) {
 	layout := d.layout.Load()
 	if layout == nil {
-		return forwardedCalls{}, &Error{Op: "list workers", Kind: KindUnavailable, Err: errNoLayout}
+		return packedMessage{}, &Error{Op: "list workers", Kind: KindUnavailable, Err: errNoLayout}
 	}
 	list, err := d.cfg.Lister.ListWorkers(ctx)
 	if err != nil {
-		return forwardedCalls{}, err
+		return packedMessage{}, err
 	}
 	reply := workerList{Total: len(list)}
 	for _, vm := range layout.workersOf(list, parseShardID(r.Shard)) {
