cell: give up calls of silent forwarders outside the control loop

Cause: the control loop of an owner reported the calls of a silent forwarder as unanswered to its own event queue.

Change: the calls are reported by a goroutine of their own, once each.

Measured: TestStoppedForwarderDoesNotBlockLoop fails before and passes.

--- a/cluster/cell/forward.go
+++ b/cluster/cell/forward.go
@@ -104,7 +104,8 @@
 	return time.Since(f.d.transport.LastSeen(id)) > forwarderTimeout
 }
 
-// giveUpSilent reports the calls of silent forwarders as unanswered.
+// giveUpSilent reports the calls of silent forwarders as unanswered. The control loop calls it, which must not wait for
+// room in its own event queue.
 func (f *callForwarding) giveUpSilent() {
 	var ids []uint64
 	f.mu.Lock()
@@ -113,15 +114,19 @@
 		if _, checked := silent[c.forwarder]; !checked {
 			silent[c.forwarder] = f.isSilent(c.forwarder)
 		}
-		if silent[c.forwarder] && !c.overdue {
-			c.timer.stop()
+		if silent[c.forwarder] && !c.overdue && c.timer.stop() {
 			ids = append(ids, id)
 		}
 	}
 	f.mu.Unlock()
-	for _, id := range ids {
-		f.expire(id)
+	if len(ids) == 0 {
+		return
 	}
+	f.d.wg.Go(func() {
+		for _, id := range ids {
+			f.expire(id)
+		}
+	})
 }
 
 // register adds an outstanding call and returns its identifier.
--- a/cluster/cell/forward_test.go
+++ b/cluster/cell/forward_test.go
@@ -315,6 +315,31 @@
 	is.Equal(direct.requests.Load(), int64(1))
 }
 
+// Guards against a control loop that waits for room in its own event queue when a forwarder has stopped.
+func TestStoppedForwarderDoesNotBlockLoop(t *testing.T) {
+	is := is.New(t)
+	o, d, near := newForwardingOwner(t, &scriptedWorkers{holdDelay: time.Minute})
+	o.executeEffects([]pool.Effect{&pool.SendHold{Worker: testWorker("w"), Request: platform.HoldRequest{Wait: time.Minute}}})
+	near.transport.Close()
+	for len(o.events) < cap(o.events) {
+		o.events <- &pool.RecordWritten{}
+	}
+	waitUntil(t, func() bool { return d.forwarding.isSilent("near@1") })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		o.routedAt = time.Time{}
+		o.currentRoutes()
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the control loop is blocked")
+	}
+	is.Equal(len(o.events), cap(o.events))
+	o.stop()
+}
+
 // Guards against a daemon that was paused and then makes the calls that it received meanwhile, for an owner that may
 // have lost its shard.
 func TestPausedForwarderMakesNoCalls(t *testing.T) {
