cell: read every cancellation from the job feed

Cause: an owner that has another daemon read the job feed left out all rows that were announced to it. A cancellation that is announced before its job, whose own announcement was lost or went to the owner before, has no effect on the scheduler; the feed then brought only the job.

Change: only jobs count as announced; the owner reads each cancellation from the feed, after its job.

Measured: TestCancellationOfUnknownJobComesWithJobFeed fails before and passes.

--- a/cluster/cell/jobfeed.go
+++ b/cluster/cell/jobfeed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +14,8 @@
 // row whose key is no longer known is read again, which has no effect on a known job.
 const announcedKeyTTL = 30 * time.Second
 
-// announcedKeys holds the keys of the rows that were announced to an owner.
+// announcedKeys holds the keys of the jobs that were announced to an owner. It holds no cancellations: one that is
+// announced before its job has no effect, so the owner reads each from the feed, after the job.
 type announcedKeys struct {
 	mu      sync.Mutex
 	keys    map[string]time.Time
@@ -21,6 +23,9 @@
 }
 
 func (a *announcedKeys) add(key string, now time.Time) {
+	if strings.HasSuffix(key, cancelSuffix) {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.keys == nil {
--- a/cluster/cell/readthrough_test.go
+++ b/cluster/cell/readthrough_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
@@ -103,6 +104,30 @@
 	is.True(reply.AsOf >= 2)
 }
 
+// Guards against a cancelled job that runs on: its cancellation was announced to the owner, and dropped as that of an
+// unknown job, before the feed brought the job.
+func TestCancellationOfUnknownJobComesWithJobFeed(t *testing.T) {
+	is := is.New(t)
+	rows := &rowStore{rows: map[string]platform.Row{}}
+	o, d, _ := newForwardingOwner(t, nil, rows, rows)
+	job := &workload.Job{ID: recordedJob, Team: "team", Queue: "q", Terms: workload.Terms{Service: testShard.Service}, Steps: []workload.Step{{Tasks: 1, Estimate: time.Second}}}
+	key := jobKey(1, job.ID)
+	_, err := d.store.Commit(t.Context(), platform.Txn{Puts: []platform.Put{{Key: key, Value: must(workload.EncodeJob(job))}, {Key: key + cancelSuffix, Value: []byte{1}}}})
+	is.NoErr(err)
+	d.mu.Lock()
+	d.ownedShards[testShard] = o
+	d.mu.Unlock()
+	d.receiveAnnouncement(announcement{Shard: testShard.String(), Keys: []string{key + cancelSuffix}, Values: [][]byte{{1}}})
+	is.Equal(len(o.events), 1) // the owner does not know the job yet
+	reply, err := o.readJobFeed(0)
+	is.NoErr(err)
+	events := o.jobEvents(reply.Rows, nil)
+	is.Equal(len(events), 2)
+	_, accepted := events[0].(*pool.JobAccepted)
+	_, cancelled := events[1].(*pool.JobCancelled)
+	is.True(accepted && cancelled)
+}
+
 // Guards against a takeover that takes as long as the specifications of all ended jobs need on the owner's link, and
 // against a job that is loaded without its specification although it has not ended.
 func TestShardIsLoadedThroughAnotherDaemon(t *testing.T) {
