review: end the daemons also when a script is stopped

Cause: a script that got SIGTERM left its daemons running.

Added: the stand-ins catch SIGINT and SIGTERM, end the daemons, remove the temporary folder and exit with 2.

--- a/review/standin/daemon.go
+++ b/review/standin/daemon.go
@@ -31,6 +31,7 @@
 	args               []string
 	record             *record
 	isReady            atomic.Bool
+	launched           bool
 
 	mu      sync.Mutex
 	process *os.Process
@@ -129,7 +130,13 @@
 
 func (m *machine) settingsPath() string { return filepath.Join(m.dir, m.name+".yaml") }
 
-// run keeps the daemon running until stop is called.
+// launch starts the daemon and keeps it running until stop is called.
+func (m *machine) launch() {
+	m.launched = true
+	go m.run()
+}
+
+// run starts the daemon again whenever it ends.
 func (m *machine) run() {
 	defer close(m.done)
 	log, err := os.OpenFile(filepath.Join(m.dir, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -200,6 +207,9 @@
 
 // stop ends the daemon for good.
 func (m *machine) stop() {
+	if !m.launched {
+		return
+	}
 	m.mu.Lock()
 	m.stopped = true
 	if m.process != nil {
--- a/review/standin/env.go
+++ b/review/standin/env.go
@@ -39,6 +39,7 @@
 	// cut is set while the regions have no path to each other.
 	cut        atomic.Bool
 	manifestNo int
+	closed     atomic.Bool
 }
 
 func newEnv(binary, recordPath string) (*env, error) {
@@ -114,7 +115,7 @@
 	}
 	go e.fleet.loop(e.stop)
 	for _, m := range e.machines {
-		go m.run()
+		m.launch()
 		go m.probe(e.stop)
 	}
 	return e.await(30*time.Second, "the daemons to be ready", func() bool {
@@ -189,6 +190,9 @@
 
 // close ends the daemons and the platform and removes the temporary folder, unless KEEP names that it is to stay.
 func (e *env) close() {
+	if !e.closed.CompareAndSwap(false, true) {
+		return
+	}
 	for _, m := range e.machines {
 		m.stop()
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,6 +5,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +17,9 @@
 	exitNotRun = 2
 )
 
+// maxDuration limits a case; the issue allows 120 s.
+const maxDuration = 115 * time.Second
+
 // caseFunc plays a case and returns how the rule was broken; nothing if it held.
 type caseFunc func(e *env, trouble bool) (broken []string, err error)
 
@@ -50,13 +55,18 @@
 	defer e.close()
 	trouble := os.Getenv("TROUBLE") != "0"
 	e.record.add("case %s, trouble: %t", args[0], trouble)
-	time.AfterFunc(115*time.Second, func() {
-		e.record.add("gave up: the case takes too long")
-		for _, m := range e.machines {
-			m.stop()
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+		select {
+		case <-signals:
+			e.record.add("the case was stopped")
+		case <-time.After(maxDuration):
+			e.record.add("the case takes too long")
 		}
+		e.close()
 		os.Exit(exitNotRun)
-	})
+	}()
 	broken, err := c.play(e, trouble)
 	switch {
 	case err != nil:
