review: show that one job that can never be done stops the pool

Cause: the reservation for the missing tasks of a step that lasts counts workers without the required label and has no end, so that a job whose label no runner has keeps the whole free capacity for itself.

--- a/review/standin/env.go
+++ b/review/standin/env.go
@@ -20,8 +20,9 @@
 	host     = "booking.example"
 	apiKey   = "requester-key-1"
 	otherKey = "requester-key-2"
-	// configApply is config_apply_ms, visible visible_ms and finish finish_s of the settings.
+	// configApply is config_apply_ms, cancelTime cancel_ms, visible visible_ms and finish finish_s of the settings.
 	configApply = 3000 * time.Millisecond
+	cancelTime  = 3000 * time.Millisecond
 	visible     = 3000 * time.Millisecond
 	finish      = 14 * time.Second
 )
@@ -39,7 +40,9 @@
 	// cut is set while the regions have no path to each other.
 	cut        atomic.Bool
 	manifestNo int
-	closed     atomic.Bool
+	// secondTenant is the key of a second tenant; empty if there is only one.
+	secondTenant string
+	closed       atomic.Bool
 }
 
 func newEnv(binary, recordPath string) (*env, error) {
@@ -243,10 +246,14 @@
 	for s := range services {
 		ss = append(ss, map[string]any{"name": s, "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": false, "admission_check": false, "spare": false})
 	}
+	tenants := []map[string]any{tenant("tenant-1", keys)}
+	if e.secondTenant != "" {
+		tenants = append(tenants, tenant("tenant-2", []string{e.secondTenant}))
+	}
 	data, _ := json.Marshal(map[string]any{
 		"version": e.manifestNo, "routes": rs, "services": ss,
 		"limits":  map[string]int{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"tenants": []map[string]any{{"name": "tenant-1", "api_keys": keys, "priority": 1, "weight": 38, "cap": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
+		"tenants": tenants,
 	})
 	e.store.put("op", "config", data)
 	var text []string
@@ -256,6 +263,11 @@
 	e.record.add("operator: manifest %d acknowledged: routes %s; %d keys", e.manifestNo, strings.Join(text, ", "), len(keys))
 }
 
+// tenant is an entry of the manifest.
+func tenant(name string, keys []string) map[string]any {
+	return map[string]any{"name": name, "api_keys": keys, "priority": 1, "weight": 38, "cap": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}
+}
+
 // step is a step of a job as requesters send it.
 type step struct {
 	Count       int   `json:"count"`
@@ -265,6 +277,8 @@
 	After       []int `json:"after,omitempty"`
 	Gang        bool  `json:"gang,omitempty"`
 	LongRunning bool  `json:"long_running,omitempty"`
+	// RequiredLabel is the label that a runner must have.
+	RequiredLabel string `json:"required_label,omitempty"`
 
 	work time.Duration
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -33,6 +33,10 @@
 	"moved-pending": {playMovedPending, false},
 	"open-queue":    {playOpenQueue, false},
 	"repeated":      {playRepeated, false},
+	"hopeless":      {playHopeless, false},
+	"run-time":      {playRunTime, false},
+	"renamed-queue": {playRenamedQueue, false},
+	"moved-state":   {playMovedState, false},
 }
 
 func main() { os.Exit(playCase(os.Args[1:])) }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -192,6 +192,11 @@
 
 func stepOf(task string) string { return task[:max(0, strings.LastIndexByte(task, '.'))] }
 
+func jobOf(task string) string {
+	job, _, _ := strings.Cut(task, ".")
+	return job
+}
+
 func gangKey(task string, number uint64) string {
 	return stepOf(task) + "/" + strconv.FormatUint(number, 10)
 }
