pool: keep nothing for a step that the listed workers can't run

Cause: a step that can't start reserved capacity on its permitted workers, a part of its team's limit and shares of it, and a gang stopped other work, without the question whether the workers could run it. The size alone was compared, with idle workers.

Change: attainable counts the tasks that the workers could run once all work that ends has ended. Reservations, limits, shares and preemption claim no more, and a step without such a worker does not count as a reservation. It is tried again in each pass, so that a worker that is added later runs it.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -355,6 +355,7 @@
 	u.running = u.running.Sub(r.size)
 	if r.step.spec.LongRunning {
 		u.lasting = u.lasting.Sub(r.size)
+		w.lastingRuns--
 	}
 	t := &r.step.tasks[r.id.Index]
 	if t.run != r {
@@ -490,6 +491,7 @@
 	u.running = u.running.Add(r.size)
 	if st.spec.LongRunning {
 		u.lasting = u.lasting.Add(r.size)
+		w.lastingRuns++
 	}
 	return r
 }
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
@@ -234,7 +233,7 @@
 
 // candidate returns a worker as a candidate for a step, and false if no task of the step may start on it now.
 func (s *Scheduler) candidate(st *step, w *worker) (candidate, bool) {
-	if !w.usable || (st.spec.Label != "" && !slices.Contains(w.vm.Labels, st.spec.Label)) {
+	if !w.usable || !hasLabel(st, w) {
 		return candidate{}, false
 	}
 	n := taskCapacity(w.free(), accountedSize(st.spec))
@@ -353,7 +352,7 @@
 )
 
 // placeGang starts all tasks of a gang or none. While they do not fit, it reserves the free capacity of the
-// permitted workers.
+// permitted workers, unless the listed workers can't run the gang at all.
 func (s *Scheduler) placeGang(st *step) {
 	if st.pendingTasks < st.unfinishedTasks || st.gangRun != 0 {
 		return // the gang runs, or runs of an earlier attempt have not ended yet
@@ -374,6 +373,9 @@
 		fitting += c.taskCapacity
 	}
 	if fitting < need {
+		if s.attainable(st, need) < need {
+			return
+		}
 		if !st.limitWaitSince.IsZero() {
 			s.reserveLimit(st, need, limitCapacityWait)
 		}
@@ -412,52 +414,3 @@
 	}
 	return list
 }
-
-// idleCapacity returns how many tasks of a size the permitted workers of a step can run when they are idle.
-func (s *Scheduler) idleCapacity(st *step, size cluster.Resources) int {
-	tasks := 0
-	for _, w := range s.permittedWorkers(st) {
-		if w.usable {
-			tasks += taskCapacity(w.vm.Capacity, size)
-		}
-	}
-	return tasks
-}
-
-// partialReservationTime is for how long a gang may reserve workers that are too few for it even when they are idle.
-// Others would wait for as long as it gets no permits for more.
-const partialReservationTime = 2 * time.Second
-
-// reserve keeps free capacity from the steps that come later in this pass, on as few workers as the given number of
-// tasks needs. It returns false if the step may not reserve capacity.
-func (s *Scheduler) reserve(st *step, need int) bool {
-	if st.urgency > onTime || s.reservations >= max(minReservations, len(s.sortedWorkers)/workersPerReservation) {
-		return false
-	}
-	s.reservations++
-	size := accountedSize(st.spec)
-	switch {
-	case s.idleCapacity(st, size) >= need:
-		st.partialReservationSince = time.Time{}
-	case st.partialReservationSince.IsZero():
-		st.partialReservationSince = s.now
-	case s.now.Sub(st.partialReservationSince) >= partialReservationTime:
-		return true // it still asks about more workers
-	}
-	for _, w := range s.reservableWorkers(st) {
-		if need <= 0 {
-			break
-		}
-		need -= taskCapacity(w.vm.Capacity, size)
-		w.reserved = w.free().Max(cluster.Resources{})
-	}
-	return true
-}
-
-const (
-	// workersPerReservation is the number of workers in the pool for each gang that may reserve capacity at a
-	// time, so that reservations do not leave the pool idle.
-	workersPerReservation = 16
-	// minReservations is the number of gangs that may reserve capacity in a small pool.
-	minReservations = 3
-)
--- a/cluster/pool/preempt.go
+++ b/cluster/pool/preempt.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/goldcrestshift/goldcrestshift/cluster"
 )
 
 const (
@@ -34,7 +32,8 @@
 	var plan []preemption
 	fitting, victims := 0, 0
 	for _, w := range s.permittedWorkers(st) {
-		if !w.usable {
+		attainable := s.attainableOn(st, w)
+		if !w.usable || attainable == 0 {
 			continue
 		}
 		free := w.free()
@@ -48,11 +47,11 @@
 			}
 		}
 		slices.SortFunc(p.victims, compareRuns)
-		fittingNow := taskCapacity(free, size)
+		fittingNow := min(attainable, taskCapacity(free, size))
 		for _, r := range p.victims {
 			free = free.Add(r.size)
 		}
-		p.taskCapacity = taskCapacity(free, size)
+		p.taskCapacity = min(attainable, taskCapacity(free, size))
 		if p.taskCapacity == fittingNow {
 			p.victims = nil
 		}
@@ -99,24 +98,6 @@
 		Dur("waited", s.now.Sub(st.job.arrivedAt)).Msg("pool: preempted tasks of queues with lower precedence for a gang")
 }
 
-// reservableWorkers returns the workers on which a gang should reserve capacity: first those where tasks were
-// stopped for it, then those with the most free capacity.
-func (s *Scheduler) reservableWorkers(st *step) []*worker {
-	var usable []*worker
-	for _, w := range s.permittedWorkers(st) {
-		if w.usable && w.reserved == (cluster.Resources{}) {
-			usable = append(usable, w)
-		}
-	}
-	slices.SortStableFunc(usable, func(a, b *worker) int {
-		return cmp.Or(
-			-compareBool(slices.Contains(st.preemptedWorkers, a), slices.Contains(st.preemptedWorkers, b)),
-			cmp.Compare(b.free().DominantShare(b.vm.Capacity), a.free().DominantShare(a.vm.Capacity)),
-		)
-	})
-	return usable
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
--- a/cluster/pool/share.go
+++ b/cluster/pool/share.go
@@ -87,10 +87,10 @@
 		st.limitWaitSince = s.now
 	}
 	u, size := s.team(team.Name), st.spec.Size.Times(int64(n))
-	if u.reservedFor != nil || limitShare(size.Add(u.lasting), team.Limit) > WholeLimit {
+	if u.reservedFor != nil || !s.fitsWholeLimit(st, n) {
 		return
 	}
-	if s.now.Sub(st.limitWaitSince)%(2*reservationTime) >= reservationTime {
+	if s.now.Sub(st.limitWaitSince)%(2*reservationTime) >= reservationTime || s.claimableTasks(st) == 0 {
 		return
 	}
 	u.reservedFor, u.reserved = st, size
@@ -128,11 +128,17 @@
 	return limitShare(used.Add(st.spec.Size.Times(int64(n))), team.Limit)
 }
 
-// requestShare requests the share that a step's team lacks.
+// fitsWholeLimit reports whether n more tasks of a step fit its team's whole limit beside the tasks of the team that last.
+func (s *Scheduler) fitsWholeLimit(st *step, n int) bool {
+	team := s.snapshot.Teams[st.job.spec.Team]
+	return team == nil || limitShare(st.spec.Size.Times(int64(n)).Add(s.team(team.Name).lasting), team.Limit) <= WholeLimit
+}
+
+// requestShare requests the share that a step's team lacks, unless the step could not use it.
 func (s *Scheduler) requestShare(st *step, needed int) {
 	team := st.job.spec.Team
 	u := s.team(team)
-	if s.now.Before(u.nextShareRequestAt) {
+	if s.now.Before(u.nextShareRequestAt) || s.claimableTasks(st) == 0 {
 		return
 	}
 	u.nextShareRequestAt = s.now.Add(shareRetryDelay)
@@ -140,7 +146,8 @@
 }
 
 // ReduceShare reduces this shard's share of a team's limit by at most the wanted amount and returns by how much. It
-// keeps what the team's tasks use, and what those of its pending steps need that were released before releaseTime.
+// keeps what the team's tasks use, and what those of its pending steps need that were released before releaseTime and
+// could start.
 // Therefore the step of the team that was released first gets the free shares of all shards, and steps in
 // different shards can't block one another. Until the takeover is complete, the share is not reduced.
 func (s *Scheduler) ReduceShare(name cluster.TeamName, wanted int, releaseTime time.Time) int {
@@ -151,7 +158,7 @@
 	needed := s.team(name).running.Add(s.team(name).unconfirmed)
 	for _, st := range s.openSteps {
 		if st.job.spec.Team == name && st.pendingTasks > 0 && st.releaseTime.Before(releaseTime) && s.startable(st) {
-			needed = needed.Add(st.spec.Size.Times(int64(st.pendingTasks)))
+			needed = needed.Add(st.spec.Size.Times(int64(s.claimableTasks(st))))
 		}
 	}
 	reduction := min(wanted, s.share(name)-limitShare(needed, team.Limit))
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -183,8 +183,9 @@
 	// registeredGeneration is the generation of the first record that lists the worker; zero if none does yet.
 	registeredGeneration uint64
 	runs                 map[workload.TaskID]*run
-	// used is the total accounted size of the runs.
-	used cluster.Resources
+	// used is the total accounted size of the runs, lastingRuns the number of those of tasks that last.
+	used        cluster.Resources
+	lastingRuns int
 	// usable and reserved are valid during one placement pass only.
 	usable   bool
 	reserved cluster.Resources
--- a/cluster/pool/waiting.go
+++ b/cluster/pool/waiting.go
@@ -122,6 +122,8 @@
 		return "runs of an earlier attempt have not ended"
 	case st.isDelayed(s.now):
 		return "a start was refused"
+	case s.fitsWholeLimit(st, needed) && s.attainable(st, needed) < needed:
+		return "the listed workers can't run it"
 	case !s.withinLimit(st, needed) && u.reservedFor != nil && u.reservedFor != st:
 		return "the limit of its team is reserved for another step"
 	case !s.withinLimit(st, needed):
