pool, cell: end the mandate of an owner before its successor counts it as stopped

Cause: a successor takes the previous owner to send nothing from 2 s after its claim on. Nothing made the owner keep to that: without the store and its successor it renewed leases and started tasks for as long as its workers answered, and the fencing token stops it only on workers that the successor reaches.

Change: the owner starts tasks and renews leases only while a read of the owner row younger than 2 s named it, or every daemon that may claim the shard has heard it within 3.6 s without a gap, both less 4% for the clocks (pool.Mandate). A suspended owner still reads ends and acknowledges recorded ones. A claimant announces its claim to the previous owner, and waits longer if it heard that owner while the claim was written.

--- a/cluster/cell/announce.go
+++ b/cluster/cell/announce.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 )
@@ -41,6 +42,33 @@
 	}
 }
 
+// claimAnnouncement tells the previous owner of a shard that the sender has claimed it.
+type claimAnnouncement struct {
+	Shard string `msgpack:"Shard"`
+	Epoch uint64 `msgpack:"Epoch"`
+}
+
+// announceClaim tells the previous owner of a shard, if it is connected, that this daemon has claimed the shard. Pings
+// that this daemon sends after the claim arrive after the announcement, as they use the same connection.
+func (d *Daemon) announceClaim(id shardID, previous cluster.DaemonID, epoch uint64) {
+	body, err := encode("announce claim", &claimAnnouncement{Shard: id.String(), Epoch: epoch})
+	if err != nil {
+		d.cfg.Log.Error().Err(err).Msg("cell: claim can't be announced")
+		return
+	}
+	if !d.transport.Send(previous, &peer.Call{ID: noReplyID, Method: methodAnnounceClaim, Body: body}) {
+		d.cfg.Log.Debug().Str("peer", string(previous)).Msg("cell: claim not announced to the previous owner")
+	}
+}
+
+// receiveClaim ends the ownership of a shard that another daemon has claimed.
+func (d *Daemon) receiveClaim(from cluster.DaemonID, a claimAnnouncement) {
+	owned := d.lookupShard(parseShardID(a.Shard))
+	if owned != nil && a.Epoch > uint64(owned.epoch) {
+		owned.endOwnership("claimed by " + string(from))
+	}
+}
+
 // receiveAnnouncement passes announced rows to the scheduler if this daemon owns the shard. It does not wait for the
 // control loop: rows that don't fit in its queue come with the change feed.
 func (d *Daemon) receiveAnnouncement(a announcement) {
--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -28,6 +28,7 @@
 	// The methods below have no reply.
 	methodAnnounce       = "announce"
 	methodAnnounceConfig = "announceConfig"
+	methodAnnounceClaim  = "announceClaim"
 	methodForwardCalls   = "forwardCalls"
 	methodForwardResults = "forwardResults"
 )
@@ -237,6 +238,8 @@
 			d.receiveConfigAnnouncement(from, a)
 			return struct{}{}, nil
 		})
+	case methodAnnounceClaim:
+		return serve(c, func(a claimAnnouncement) (struct{}, error) { d.receiveClaim(from, a); return struct{}{}, nil })
 	case methodListWorkers:
 		return serve(c, func(r listRequest) (packedMessage, error) { return d.serveWorkerList(ctx, r) })
 	case methodJobFeed:
--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -180,7 +180,8 @@
 		return
 	}
 	if !previousOwnerStopped {
-		previousOwnersActiveUntil = time.Now().Add(pool.PreviousOwnerGrace)
+		d.announceClaim(id, cluster.DaemonID(o.row.Owner), row.Epoch)
+		previousOwnersActiveUntil = time.Now().Add(d.previousOwnerGrace(o, claimedAt))
 	}
 	d.cfg.Log.Info().Stringer("shard", id).Uint64("epoch", row.Epoch).Str("before", o.row.Owner).
 		Dur("sinceSeen", time.Since(o.seenAt)).Msg("cell: shard claimed")
@@ -195,6 +196,15 @@
 	d.wg.Go(owned.run)
 }
 
+// previousOwnerGrace returns for how long after a claim the previous owner may act. An owner that was heard again while
+// the claim was written counts on this daemon not to claim the shard.
+func (d *Daemon) previousOwnerGrace(o ownership, claimedAt time.Time) time.Duration {
+	if d.transport.LastSeen(cluster.DaemonID(o.row.Owner)).After(claimedAt.Add(-peerTimeout)) {
+		return pool.PreviousOwnerGrace + peerTimeout
+	}
+	return pool.PreviousOwnerGrace
+}
+
 // confirmClaim reads the owner row after the reply to a claim was lost.
 func (d *Daemon) confirmClaim(key string, row ownerRow) (cluster.Version, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -81,7 +81,7 @@
 	// the owner itself.
 	listThroughTimeout = 900 * time.Millisecond
 	// peerTimeout is the time without a message after which a daemon counts as failed: three ping intervals.
-	peerTimeout = 1600 * time.Millisecond
+	peerTimeout = pool.ClaimAfter
 	// peerCheckInterval is the time between two checks whether a called daemon has failed.
 	peerCheckInterval = 300 * time.Millisecond
 	// joinGrace is how long a new daemon waits for the pings of an owner before the owner counts as failed.
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 )
 
 // Daemon is one daemon of a cell.
@@ -61,6 +62,8 @@
 	ownedShards map[shardID]*ownedShard
 	// digests holds the latest digest of each other daemon.
 	digests map[cluster.DaemonID]peer.Digest
+	// heard holds for each other VM when its daemon has received messages of this one.
+	heard map[string]pool.HeardSpan
 	// unownedSince is when each shard was first seen to need a new owner.
 	unownedSince map[shardID]time.Time
 	// configHistory holds the configurations before the one in force, the newest last.
@@ -99,7 +102,7 @@
 	d := &Daemon{
 		cfg: cfg, calls: newCallTable(), startedAt: time.Now(), cellLoaded: make(chan struct{}),
 		members: map[string]memberRow{}, owners: map[shardID]ownership{}, ownedShards: map[shardID]*ownedShard{},
-		digests: map[cluster.DaemonID]peer.Digest{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
+		digests: map[cluster.DaemonID]peer.Digest{}, heard: map[string]pool.HeardSpan{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
 		storedStateReads: make(chan struct{}, maxStoredStateReads),
 		storedStateLimit: rate.NewLimiter(storedStateRate, storedStateRate),
 		configUpdates:    map[cluster.Version]configUpdate{}, configRetryAt: map[cluster.DaemonID]time.Time{},
@@ -168,6 +171,9 @@
 	case *peer.Ping:
 		d.mu.Lock()
 		d.digests[from] = v.Digest
+		if vm, _, _ := strings.Cut(string(from), daemonSeparator); !v.AsOf.IsZero() {
+			d.heard[vm] = d.heard[vm].Extend(v.AsOf)
+		}
 		d.mu.Unlock()
 	case *peer.Call:
 		d.wg.Go(func() { d.serveCall(from, v) })
--- /dev/null
+++ b/cluster/cell/mandate.go
@@ -0,0 +1,99 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
+)
+
+// mandateCheckInterval is the time between two checks whether the owner row is to be read.
+const mandateCheckInterval = 100 * time.Millisecond
+
+// maxConfirmReads bounds the reads of the owner row in flight.
+const maxConfirmReads = 8
+
+// ownerMandate is the mandate of an owner, which the control loop uses and the reads of the owner row extend.
+type ownerMandate struct {
+	mu      *sync.Mutex
+	mandate *pool.Mandate
+	// held is the last value that the scheduler was told; only the control loop uses it.
+	held bool
+}
+
+func newOwnerMandate(ownedSince time.Time) ownerMandate {
+	return ownerMandate{mu: &sync.Mutex{}, mandate: pool.NewMandate(ownedSince), held: true}
+}
+
+// claimants returns the other daemons that may claim a shard. In a large cell these are the candidates, and no others are
+// among the members.
+func (d *Daemon) claimants() []pool.Claimant {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make([]pool.Claimant, 0, len(d.members))
+	for vm := range d.members {
+		if vm != d.cfg.VM {
+			list = append(list, pool.Claimant{VM: vm, Heard: d.heard[vm]})
+		}
+	}
+	return list
+}
+
+// appendMandate appends the event for a change of the mandate.
+func (o *ownedShard) appendMandate(batch []pool.Event, now time.Time) []pool.Event {
+	claimants := o.d.claimants()
+	o.mandate.mu.Lock()
+	holds := o.mandate.mandate.Holds(now, claimants)
+	o.mandate.mu.Unlock()
+	if holds == o.mandate.held {
+		return batch
+	}
+	o.mandate.held = holds
+	return append(batch, &pool.MandateChanged{Holds: holds})
+}
+
+// confirmMandate reads the owner row while a daemon that may claim the shard is silent.
+func (o *ownedShard) confirmMandate() {
+	inFlight := make(chan struct{}, maxConfirmReads)
+	for o.ctx.Err() == nil {
+		o.sleep(mandateCheckInterval)
+		claimants := o.d.claimants()
+		o.mandate.mu.Lock()
+		due := o.mandate.mandate.ShouldConfirm(time.Now(), claimants)
+		o.mandate.mu.Unlock()
+		if !due {
+			continue
+		}
+		select {
+		case inFlight <- struct{}{}:
+			o.goroutines.Go(func() {
+				defer func() { <-inFlight }()
+				o.readMandate()
+			})
+		default:
+		}
+	}
+}
+
+// readMandate reads the owner row. It ends the ownership if the row names another owner.
+func (o *ownedShard) readMandate() {
+	ctx, cancel := context.WithTimeout(o.ctx, storeTimeout)
+	defer cancel()
+	sentAt := time.Now()
+	row, _, err := o.d.readOwner(ctx, ownerKey(o.id))
+	if err != nil {
+		if o.ctx.Err() == nil {
+			o.d.cfg.Log.Debug().Err(err).Stringer("shard", o.id).Msg("cell: the ownership can't be confirmed; retrying")
+		}
+		return
+	}
+	if row.Owner != string(o.d.cfg.Self) || row.Epoch != uint64(o.epoch) {
+		o.endOwnership("the owner row names another owner")
+		return
+	}
+	claimants := o.d.claimants()
+	o.mandate.mu.Lock()
+	defer o.mandate.mu.Unlock()
+	o.mandate.mandate.Confirm(sentAt, claimants)
+}
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -61,6 +61,7 @@
 	recordReads *partReads[[]platform.Row]
 	endOnce     sync.Once
 	shares      sharesState
+	mandate     ownerMandate
 }
 
 // eventQueueLength bounds the events that wait for the control loop.
@@ -73,6 +74,7 @@
 		configUpdates: make(chan struct{}, 1),
 	}
 	o.ctx, o.stop = context.WithCancel(d.ctx)
+	o.mandate = newOwnerMandate(ownedSince)
 	o.recordReads = newPartReads(recordParts, o.fencePart)
 	return o
 }
@@ -83,6 +85,7 @@
 	defer o.goroutines.Wait()
 	defer o.unregister()
 	defer o.stop()
+	o.goroutines.Go(o.confirmMandate)
 	version, ok := o.load()
 	if !ok {
 		return
@@ -335,7 +338,7 @@
 			return
 		}
 		lastStepAt = time.Now()
-		o.executeEffects(o.scheduler.Step(lastStepAt, batch))
+		o.executeEffects(o.scheduler.Step(lastStepAt, o.appendMandate(batch, lastStepAt)))
 		delay = min(max(o.batchDelay(), batchDelayFactor*time.Since(lastStepAt)), maxBatchDelay)
 		stepTimer.Reset(time.Until(o.scheduler.NextStepAt()))
 	}
--- a/cluster/cell/store_test.go
+++ b/cluster/cell/store_test.go
@@ -73,6 +73,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.transport = peer.New(peer.Config{Self: peer.Hello{From: d.cfg.Self}, Log: zerolog.Nop()})
 	d.setLayout(layoutRow{Shards: 1})
 	return d
 }
--- a/cluster/pool/event.go
+++ b/cluster/pool/event.go
@@ -31,6 +31,9 @@
 // JobCancelled reports a cancellation that is in the store.
 type JobCancelled struct{ ID cluster.JobName }
 
+// MandateChanged reports whether the owner may start tasks and renew leases, see Mandate.
+type MandateChanged struct{ Holds bool }
+
 // StartAnswered reports the result of a SendStart effect.
 type StartAnswered struct {
 	Task   workload.TaskID
@@ -111,6 +114,7 @@
 func (*AdviceAnswered) event() {}
 func (*RecordWritten) event()  {}
 func (*JobsDeleted) event()    {}
+func (*MandateChanged) event() {}
 
 // Effect is an action that the caller of Scheduler.Step carries out: one of the types below.
 type Effect interface{ effect() }
--- a/cluster/pool/metrics.go
+++ b/cluster/pool/metrics.go
@@ -20,6 +20,8 @@
 	// whose progress waits to be recorded.
 	unrecordedEnds tally.Gauge
 	changedJobs    tally.Gauge
+	// suspensions counts how often the mandate of the owner ended.
+	suspensions tally.Counter
 	// stoppedGangs counts the attempts of gangs that were stopped, gangEnd is the time until their last member ended.
 	stoppedGangs tally.Counter
 	gangEnd      tally.Histogram
@@ -45,7 +47,7 @@
 		wait: scope.Histogram("task_wait_seconds", waitBuckets), open: scope.Gauge("open_steps"), startWindow: scope.Gauge("start_window"),
 		waiting: scope.Gauge("waiting_steps"), stoppedGangs: scope.Counter("stopped_gangs_total"),
 		gangEnd: scope.Histogram("stopped_gang_end_seconds", waitBuckets), unrecordedEnds: scope.Gauge("unrecorded_run_ends"),
-		changedJobs: scope.Gauge("unrecorded_jobs"),
+		changedJobs: scope.Gauge("unrecorded_jobs"), suspensions: scope.Counter("owner_suspensions_total"),
 	}
 	for i := range m.lost {
 		tagged := scope.Tagged(map[string]string{"reason": lossReason(i).String()})
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -118,7 +118,7 @@
 	s.cfg.Log.Warn().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(r.number)).
 		Str("worker", string(w.vm.ID)).Bool("repeated", r.startRepeated).Msg("pool: no reply to a start request")
 	w.inSync = false
-	if !r.startRepeated && r.start.Request.Fence == s.fence(w) {
+	if !r.startRepeated && !s.suspended && r.start.Request.Fence == s.fence(w) {
 		r.startRepeated = true
 		s.sendStart(r)
 		s.requestSync(w)
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -40,6 +40,8 @@
 	takeoverComplete bool
 	// stopped is set when a later owner has superseded this one.
 	stopped bool
+	// suspended is true while a successor may count this owner as stopped. It then starts no task and renews no lease.
+	suspended bool
 	// loaded is set by the first step, whose events include the jobs accepted before the takeover.
 	loaded bool
 	// previousOwnerActiveUntil is until when the previous owner may have sent requests.
@@ -169,7 +171,9 @@
 	s.checkTakeover()
 	s.checkRuns()
 	s.checkCongestion()
-	s.place()
+	if !s.suspended {
+		s.place()
+	}
 	s.sendHolds()
 	s.emitRecord()
 	s.publishStatuses()
@@ -201,6 +205,8 @@
 		s.recordWritten(v.Generation)
 	case *JobsDeleted:
 		s.jobsDeleted(v)
+	case *MandateChanged:
+		s.changeMandate(v.Holds)
 	}
 }
 
@@ -232,6 +238,25 @@
 	s.emit(&Superseded{Worker: w})
 }
 
+// changeMandate suspends the scheduler while its mandate does not hold. The leases of the workers are renewed at once
+// when it holds again.
+func (s *Scheduler) changeMandate(holds bool) {
+	if s.suspended == !holds {
+		return
+	}
+	s.suspended = !holds
+	s.cfg.Log.Warn().Uint64("epoch", uint64(s.cfg.Epoch)).Bool("holds", holds).Int("workers", len(s.workers)).Msg("pool: mandate of the owner changed; without it no task is started and no lease is renewed")
+	if s.suspended {
+		s.metrics.suspensions.Inc(1)
+		return
+	}
+	for _, w := range s.sortedWorkers {
+		if w.hasRuns() && w.fenceAccepted {
+			s.sendHold(w, true)
+		}
+	}
+}
+
 // acceptJob adds a job that is in the store; a known job is left unchanged. A row that was read or sent before it
 // was deleted is ignored.
 func (s *Scheduler) acceptJob(spec *workload.Job, progress *workload.Progress) {
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -45,6 +45,8 @@
 	snapshot      *cluster.Snapshot
 	jobs          map[cluster.JobName]*workload.Job
 	cancellations map[cluster.JobName]time.Time
+	// reaches reports whether the requests of an owner reach a worker; nil if all do.
+	reaches func(*Scheduler, *fakeWorker) bool
 	// impossible holds the jobs that no worker can run.
 	impossible map[cluster.JobName]bool
 	// progress and recordedWorkers are the rows of the store.
@@ -367,7 +369,7 @@
 	if latency+simLatency > requestTimeout {
 		sim.deliver(owner, requestTimeout, result(true))
 		sim.scheduleAfter(latency, func() {
-			if !f.unreachable && !f.gone {
+			if !f.unreachable && !f.gone && (sim.reaches == nil || sim.reaches(owner, f)) {
 				request()
 			}
 		})
@@ -375,7 +377,7 @@
 	}
 	executeRequest := func() bool {
 		// A restarted worker keeps its identifier, so requests reach the new incarnation.
-		if f.unreachable || f.gone {
+		if f.unreachable || f.gone || sim.reaches != nil && !sim.reaches(owner, f) {
 			return false
 		}
 		request()
--- a/cluster/pool/workers.go
+++ b/cluster/pool/workers.go
@@ -292,7 +292,7 @@
 		w.lastEndAcknowledged = w.lastEndRecorded
 	}
 	// An unresponsive worker gets no longer lease; otherwise its runs would never count as expired.
-	if w.fenceAccepted && w.inSync && !w.recordedUnresponsive {
+	if w.fenceAccepted && w.inSync && !w.recordedUnresponsive && !s.suspended {
 		req.Until = s.grantLease(w)
 	}
 	if w.fenceAccepted && w.inSync && !extra && len(w.unrecordedEnds) == 0 && !w.moreEnds && w.hasRuns() {
