pool: start a gang that lasts again after it was done

Cause: the run number of a gang is reset when it is stopped. An end as done left it, and a gang that has one is not placed.

Change: a gang that lasts is stopped after an end as done like after any other.

--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -235,6 +235,9 @@
 	}
 	switch e.Outcome {
 	case platform.RunDone:
+		if st.spec.LongRunning && st.gangRun == e.Run {
+			s.abortGang(st, e.Outcome.String(), id, w.vm.ID) // it starts again as a whole
+		}
 		s.taskDone(st, id.Index)
 	case platform.RunFailed:
 		s.taskFailed(st, id, e.Run, w)
--- a/cluster/pool/fakeworker_test.go
+++ b/cluster/pool/fakeworker_test.go
@@ -88,7 +88,7 @@
 	f.lastEndNumber++
 	f.highestRun[name] = max(f.highestRun[name], r.run)
 	f.unacknowledgedEnds = append(f.unacknowledgedEnds, platform.RunEnd{Number: f.lastEndNumber, Task: name, Run: r.run, Outcome: outcome})
-	if outcome == platform.RunDone {
+	if outcome == platform.RunDone && !r.longRunning {
 		sim.doneTasks[name], sim.everDoneTasks[name] = true, true
 	}
 	if outcome == platform.RunFailed {
