cell: write the member row by its version

What callers saw: not reported; found by the review. A shard could be claimed from an owner that runs, without the wait for its requests, so that a task runs twice.

Cause: the row was written without a condition. A write of an earlier process of the VM that the store executes late replaced the row of the present process, which then counted as stopped.

Change: the write checks the version of the row that it replaces and is repeated after a read. One more read for each start of a daemon.

Evidence: TestLateMemberRowDoesNotReplaceLaterProcess failed before the change (the row named the earlier process) and passes.

--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -222,7 +222,8 @@
 	}
 }
 
-// joinCell writes the member row of this daemon.
+// joinCell writes the member row of this daemon. The write checks the version of the row that it replaces: one of an
+// earlier process of the VM, which the store executes late, must not replace this one.
 func (d *Daemon) joinCell() {
 	row := memberRow{
 		ID: string(d.cfg.Self), Addr: d.cfg.PeerAddr.String(), Region: string(d.cfg.Place.Region), Zone: string(d.cfg.Place.Zone), Cores: d.cfg.Cores,
@@ -234,7 +235,7 @@
 		return
 	}
 	for {
-		_, err := d.store.Commit(d.ctx, platform.Txn{Puts: []platform.Put{{Key: memberKey(d.cfg.VM), Value: data}}})
+		err := d.writeMember(data)
 		if err == nil {
 			d.cfg.Log.Info().Msg("cell: member row written")
 			return
@@ -246,6 +247,21 @@
 	}
 }
 
+// writeMember replaces the member row of the VM. A row that was written by a call without a reply is written again.
+func (d *Daemon) writeMember(data []byte) error {
+	key := memberKey(d.cfg.VM)
+	reply, err := d.store.Read(d.ctx, platform.ReadRequest{Keys: []string{key}})
+	if err != nil {
+		return err
+	}
+	check := platform.Check{Key: key}
+	for _, r := range reply.Rows {
+		check.Version = r.Version
+	}
+	_, err = d.store.Commit(d.ctx, platform.Txn{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: key, Value: data}}})
+	return err
+}
+
 // rowFeed describes rows to follow.
 type rowFeed struct {
 	// name is used in log lines.
