pool: tell stalled runs by their reported progress

Cause: a run counted as stalled after 2.5 s or 3% of the declared time without a change of its percent. The percent changes once in a hundredth of the true time, or less often if it is coarse.

Change: the limit is 2.5 times the longest time between two changes of the run or of its step; without a change it is the former one, corrected by what the queue's runs took, or 10 s if the queue has none, and doubles for later runs of the step. A job quarantines one worker of eight at most.

--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -68,10 +68,6 @@
 	recentRestartTime = 10 * time.Second
 	// MaxClockSkew is the largest difference between the clocks of two daemons.
 	MaxClockSkew = 2500 * time.Millisecond
-	// minStallTime is how long a run may make no progress before it counts as stalled. For a run so long that
-	// one percent takes more time, the limit is stallShare of its estimate.
-	minStallTime = 2500 * time.Millisecond
-	stallShare   = 0.03
 	// refusedStartDelay is the delay before a task is started again after a worker refused it.
 	refusedStartDelay = 100 * time.Millisecond
 	// adviceRetryDelay is the delay after a failed advice request.
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -388,7 +388,7 @@
 		s.confirmRun(r)
 		r.reportedByWorker = true
 		if tr.Percent != r.percent {
-			r.percent, r.progressedAt = tr.Percent, s.now
+			s.noteProgress(r, tr.Percent)
 		}
 		if tr.Checkpoint != "" {
 			r.step.saveCheckpoint(id.Index, tr.Checkpoint)
@@ -486,7 +486,7 @@
 
 // trackRun creates a run and adds its size to the usage of its worker and its team.
 func (s *Scheduler) trackRun(w *worker, st *step, index int, number platform.RunNumber) *run {
-	r := &run{id: st.taskID(index), number: number, step: st, worker: w, size: accountedSize(st.spec), startSentAt: s.now, progressedAt: s.now}
+	r := &run{id: st.taskID(index), number: number, step: st, worker: w, size: accountedSize(st.spec), startSentAt: s.now, progressedAt: s.now, stallDoublings: st.stallDoublings}
 	w.runs[r.id] = r
 	s.countUnansweredStart(r, 1)
 	w.used = w.used.Add(r.size)
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -275,26 +275,6 @@
 	}
 }
 
-// stalled reports whether a run makes no progress on a worker that is in sync. A member of a gang that has
-// finished its own work waits for the others and does not count as stalled, nor does a run that may have ended.
-func (s *Scheduler) stalled(r *run) bool {
-	if r.state != runActive || r.step.spec.LongRunning || r.step.spec.BestEffortCPU || !r.worker.inSync || r.worker.moreEnds || r.percent >= 100 {
-		return false
-	}
-	limit := max(minStallTime, time.Duration(stallShare*float64(r.step.spec.Estimate)))
-	return s.now.Sub(r.progressedAt) > limit
-}
-
-// stopStalled stops a run that makes no progress and quarantines its worker.
-func (s *Scheduler) stopStalled(r *run) {
-	s.cfg.Log.Warn().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(r.number)).
-		Str("worker", string(r.worker.vm.ID)).Int("percent", r.percent).Dur("still", s.now.Sub(r.progressedAt)).Msg("pool: run is stalled")
-	if s.now.After(r.worker.quarantinedUntil) {
-		s.quarantine(r.worker, quarantineTime)
-	}
-	s.stopRunOrGang(r)
-}
-
 // stopRunOrGang stops a run together with the gang that it belongs to, as the other members would only wait for it.
 func (s *Scheduler) stopRunOrGang(r *run) {
 	if r.step.spec.Gang && r.step.gangRun == r.number {
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -31,6 +31,10 @@
 	finalGeneration uint64
 	// visibleState is the state reported to callers; a final state is reported only once it is recorded.
 	visibleState workload.State
+	// stallQuarantines is the number of workers that were to be quarantined for stalled runs of the job until
+	// stallQuarantinesUntil.
+	stallQuarantines      int
+	stallQuarantinesUntil time.Time
 	// arrivedAt is when this scheduler received the job, after a takeover later than Job.AcceptedAt.
 	arrivedAt time.Time
 }
@@ -65,6 +69,12 @@
 	nextSearchAt time.Time
 	// partialReservationSince is since when the workers that a gang can reserve are too few for it; zero if they are not.
 	partialReservationSince time.Time
+	// progressInterval is the longest time between two changes of the percent of a run; zero before the first.
+	progressInterval time.Duration
+	// stallDoublings is how often the time was doubled after which a run that never progressed counts as stalled,
+	// stalledAt is when it was last.
+	stallDoublings int
+	stalledAt      time.Time
 	// gangRun is the run number that the members of a gang share; zero if the gang does not run.
 	gangRun platform.RunNumber
 	// gangStoppedAt is when the gang was stopped; zero if none of its members is being stopped.
@@ -155,6 +165,10 @@
 	// percent is the last reported progress, progressedAt when it changed last.
 	percent      int
 	progressedAt time.Time
+	// progressInterval is the longest time between two changes of the percent; zero before the first.
+	progressInterval time.Duration
+	// stallDoublings is that of the step when the run was started.
+	stallDoublings int
 }
 
 // worker is a worker of the pool.
