peer, cell: stay connected to daemons that restart while the store is away

Cause: a restarted daemon has an identifier that the owner can learn only from the store. The owner dialled the earlier identifier at the same address and closed the connection, which had replaced the good one on the other side. It had no daemon to relay its calls, and announcements of jobs were lost.

Calls are relayed through the identifier of a VM that was heard last, and the pings of the later process extend the owner's mandate.

--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -62,6 +62,9 @@
 	ownedShards map[shardID]*ownedShard
 	// digests holds the latest digest of each other daemon.
 	digests map[cluster.DaemonID]peer.Digest
+	// presentIDs holds for each other VM the daemon that has sent the last ping. It differs from the member row while the
+	// row of a restarted daemon can't be read.
+	presentIDs map[string]cluster.DaemonID
 	// heard holds for each other VM when its daemon has received messages of this one.
 	heard map[string]pool.HeardSpan
 	// unownedSince is when each shard was first seen to need a new owner.
@@ -102,7 +105,7 @@
 	d := &Daemon{
 		cfg: cfg, calls: newCallTable(), startedAt: time.Now(), cellLoaded: make(chan struct{}),
 		members: map[string]memberRow{}, owners: map[shardID]ownership{}, ownedShards: map[shardID]*ownedShard{},
-		digests: map[cluster.DaemonID]peer.Digest{}, heard: map[string]pool.HeardSpan{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
+		digests: map[cluster.DaemonID]peer.Digest{}, heard: map[string]pool.HeardSpan{}, presentIDs: map[string]cluster.DaemonID{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
 		storedStateReads: make(chan struct{}, maxStoredStateReads),
 		storedStateLimit: rate.NewLimiter(storedStateRate, storedStateRate),
 		configUpdates:    map[cluster.Version]configUpdate{}, configRetryAt: map[cluster.DaemonID]time.Time{},
@@ -171,7 +174,9 @@
 	case *peer.Ping:
 		d.mu.Lock()
 		d.digests[from] = v.Digest
-		if vm, _, _ := strings.Cut(string(from), daemonSeparator); !v.AsOf.IsZero() {
+		vm, _, _ := strings.Cut(string(from), daemonSeparator)
+		d.presentIDs[vm] = from
+		if !v.AsOf.IsZero() {
 			d.heard[vm] = d.heard[vm].Extend(v.AsOf)
 		}
 		d.mu.Unlock()
@@ -191,8 +196,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var sameRegion, otherRegions []cluster.DaemonID
-	for _, m := range d.members {
-		id := cluster.DaemonID(m.ID)
+	for vm, m := range d.members {
+		id := d.presentID(vm, m)
 		if id == d.cfg.Self || !d.digests[id].StoreVisible || time.Since(d.transport.LastSeen(id)) > peerTimeout {
 			continue
 		}
@@ -207,6 +212,15 @@
 	return slices.Concat(sameRegion, otherRegions)[:min(len(sameRegion)+len(otherRegions), maxRelays)]
 }
 
+// presentID returns the daemon of a VM that was heard last; d.mu is held.
+func (d *Daemon) presentID(vm string, m memberRow) cluster.DaemonID {
+	stored, present := cluster.DaemonID(m.ID), d.presentIDs[vm]
+	if present != "" && d.transport.LastSeen(present).After(d.transport.LastSeen(stored)) {
+		return present
+	}
+	return stored
+}
+
 // maxRelays bounds the daemons that one call to the store is relayed to.
 const maxRelays = 2
 
--- a/cluster/cell/mandate_test.go
+++ b/cluster/cell/mandate_test.go
@@ -101,3 +101,19 @@
 	is.Equal(d.previousOwnerGrace(o, time.Now().Add(2*peerTimeout)), pool.PreviousOwnerGrace)
 	is.Equal(d.previousOwnerGrace(ownership{row: ownerRow{Owner: "unknown@1"}}, time.Now()), pool.PreviousOwnerGrace)
 }
+
+// Guards against an owner without the store that has no daemon to read and write through, because it knows only the
+// identifiers of processes that have been replaced meanwhile.
+func TestRestartedDaemonRelaysForDaemonWithoutStore(t *testing.T) {
+	is := is.New(t)
+	d := newTestDaemon(t, &slowStore{})
+	const present = cluster.DaemonID("other@2")
+	connectPeer(t, d, present, func(peer.Message) {})
+	d.mu.Lock()
+	d.members["other"] = memberRow{ID: "other@1"}
+	d.mu.Unlock()
+	d.handleMessage(present, &peer.Ping{Digest: peer.Digest{StoreVisible: true}})
+	is.Equal(d.relayDaemons(), []cluster.DaemonID{present})
+	d.handleMessage(present, &peer.Ping{})
+	is.Equal(len(d.relayDaemons()), 0) // it does not reach the store either
+}
--- a/cluster/peer/transport_test.go
+++ b/cluster/peer/transport_test.go
@@ -201,6 +201,44 @@
 	})
 }
 
+// Guards against a daemon that knows only the identifier of an earlier process at an address: it is not connected to the
+// present one, or its dials replace the good connection of that one again and again.
+func TestDialThatReachesLaterProcessConnects(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		dialler, later int
+		laterDials     bool
+	}{
+		{name: "the later process knows no peer", dialler: 0, later: 1},
+		{name: "both dial, the dialler has the lower identifier", dialler: 0, later: 1, laterDials: true},
+		{name: "both dial, the dialler has the higher identifier", dialler: 1, later: 0, laterDials: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := newMemNetwork()
+				a, b := startDaemon(n, c.dialler, nil), startDaemon(n, c.later, nil)
+				defer a.Close()
+				defer b.Close()
+				if c.laterDials {
+					b.SetPeers(peerList(2))
+					time.Sleep(time.Second)
+				}
+				a.SetPeers([]Peer{{ID: "earlier", Addr: address(c.later)}})
+				time.Sleep(2 * redialMaxDelay)
+				closed := strings.Count(a.log.String()+b.log.String(), "peer: connection closed")
+				for range 20 {
+					time.Sleep(PingInterval)
+					is.True(time.Since(a.LastSeen(daemonID(c.later))) <= PingInterval)
+					is.True(time.Since(b.LastSeen(daemonID(c.dialler))) <= PingInterval)
+				}
+				is.Equal(strings.Count(a.log.String()+b.log.String(), "peer: connection closed"), closed) // the connection is stable
+				is.True(a.Send(daemonID(c.later), &ConfigPoll{}))
+			})
+		})
+	}
+}
+
 // Guards against a Ping.AsOf later than the creation of the digest: a delayed ping
 // must not make old state look current.
 func TestPingAsOfIsTimeOfEchoedPing(t *testing.T) {
