cell: apply the end of the mandate before the other events of a step

Cause: the event for a change of the mandate came last in its batch. Events before it may have a hold call sent, which still renewed the leases of a worker after the mandate had ended.

Change: the event comes first. What callers saw: nothing; found by reading.

Evidence: TestEndOfMandateComesBeforeOtherEvents has the order, which was the other one before.

--- a/cluster/cell/mandate.go
+++ b/cluster/cell/mandate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,8 +41,8 @@
 	return list
 }
 
-// appendMandate appends the event for a change of the mandate.
-func (o *ownedShard) appendMandate(batch []pool.Event, now time.Time) []pool.Event {
+// prependMandate puts the event for a change of the mandate before the others, which may have leases renewed.
+func (o *ownedShard) prependMandate(batch []pool.Event, now time.Time) []pool.Event {
 	claimants := o.d.claimants()
 	o.mandate.mu.Lock()
 	holds := o.mandate.mandate.Holds(now, claimants)
@@ -50,7 +51,7 @@
 		return batch
 	}
 	o.mandate.held = holds
-	return append(batch, &pool.MandateChanged{Holds: holds})
+	return slices.Insert(batch, 0, pool.Event(&pool.MandateChanged{Holds: holds}))
 }
 
 // confirmMandate reads the owner row while a daemon that may claim the shard is silent.
--- a/cluster/cell/mandate_test.go
+++ b/cluster/cell/mandate_test.go
@@ -117,3 +117,16 @@
 	d.handleMessage(present, &peer.Ping{})
 	is.Equal(len(d.relayDaemons()), 0) // it does not reach the store either
 }
+
+// Guards against an owner whose mandate has ended and that still renews leases for the other events of the same step.
+func TestEndOfMandateComesBeforeOtherEvents(t *testing.T) {
+	is := is.New(t)
+	d := newTestDaemon(t, &slowStore{})
+	d.members["other"] = memberRow{ID: "other@1"}
+	now := time.Now()
+	o := newOwnedShard(d, testShard, 1, 1, now, now)
+	other := &pool.JobCancelled{}
+	is.Equal(o.prependMandate([]pool.Event{other}, now), []pool.Event{other})
+	is.Equal(o.prependMandate([]pool.Event{other}, now.Add(time.Minute)), []pool.Event{&pool.MandateChanged{}, other})
+	is.Equal(o.prependMandate([]pool.Event{other}, now.Add(time.Minute)), []pool.Event{other})
+}
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -338,7 +338,7 @@
 			return
 		}
 		lastStepAt = time.Now()
-		o.executeEffects(o.scheduler.Step(lastStepAt, o.appendMandate(batch, lastStepAt)))
+		o.executeEffects(o.scheduler.Step(lastStepAt, o.prependMandate(batch, lastStepAt)))
 		delay = min(max(o.batchDelay(), batchDelayFactor*time.Since(lastStepAt)), maxBatchDelay)
 		stepTimer.Reset(time.Until(o.scheduler.NextStepAt()))
 	}
--- a/cluster/pool/partition_test.go
+++ b/cluster/pool/partition_test.go
@@ -355,7 +355,7 @@
 	n.owned.events = nil
 	if holds := n.mandate.Holds(sim.now, sim.claimants(n)); holds != n.held {
 		n.held = holds
-		events = append(events, &MandateChanged{Holds: holds})
+		events = slices.Insert(events, 0, Event(&MandateChanged{Holds: holds}))
 	}
 	s := n.owned.scheduler
 	sim.previousOwners = nil
