pool: keep the mandate of an owner over a short silence of a claimant

Cause: with many daemons the pings are 0.9 s apart, so that a claimant that skips the echo of one ping seems silent for longer than a claim takes. It then counted as not heard at all until the owner row was read, and the owner was suspended for that time; when it went on it called hold on every worker.

Change: until the read, the time before the silence counts, from which the mandate lasts as before. After a suspension only the leases that may expire before the next periodic hold call are renewed at once.

What callers saw: nothing is reported; found by reading.

Evidence: the cases of testdata/mandate.json on short and repeated silences, which need the new fields of HeardSpan.

--- a/cluster/pool/mandate.go
+++ b/cluster/pool/mandate.go
@@ -23,8 +23,11 @@
 }
 
 // HeardSpan is a time in which a claimant has received messages of this daemon so often that it could claim no shard of
-// it. It is zero if there is none.
-type HeardSpan struct{ Since, Until time.Time }
+// it, with the earlier one that the last silence has ended. Both are zero if there is none.
+type HeardSpan struct {
+	Since, Until               time.Time
+	EarlierSince, EarlierUntil time.Time
+}
 
 // Extend adds a time at or after which the claimant has received a message of this daemon.
 func (s HeardSpan) Extend(at time.Time) HeardSpan {
@@ -32,15 +35,17 @@
 	case !at.After(s.Until):
 		return s
 	case at.Sub(s.Until) < mandateTime(ClaimAfter):
-		return HeardSpan{Since: s.Since, Until: at}
+		s.Until = at
+		return s
 	}
-	return HeardSpan{Since: at, Until: at}
+	return HeardSpan{Since: at, Until: at, EarlierSince: s.Since, EarlierUntil: s.Until}
 }
 
 // Mandate tells the owner of a shard until when no successor counts it as stopped. A claimant that has heard the owner
 // does not claim the shard for ClaimAfter, and a read of the owner row that names the owner precedes any later claim. A
 // successor counts on requests of the owner for PreviousOwnerGrace after its claim. Both clocks may be slow or fast. A
-// claimant that was silent may have claimed the shard meanwhile; it counts as heard only after the next such read.
+// claimant that was silent may have claimed the shard meanwhile; until the next such read only the time counts in which it
+// heard the owner before.
 type Mandate struct {
 	ownedSince time.Time
 	// confirmedAt is when the last read of the owner row was sent that named the owner.
@@ -68,7 +73,7 @@
 		return true
 	}
 	for _, c := range claimants {
-		if !m.isGone(c) && (m.mayHaveClaimed(c) || now.Sub(c.Heard.Until) >= mandateTime(ClaimAfter+PreviousOwnerGrace)) {
+		if !m.isGone(c) && now.Sub(m.heardUntil(c)) >= mandateTime(ClaimAfter+PreviousOwnerGrace) {
 			return false
 		}
 	}
@@ -80,9 +85,17 @@
 	return ok && heardAt.Equal(c.Heard.Until)
 }
 
-// mayHaveClaimed reports whether a claimant could claim the shard between the last confirmation and the time in which it
-// has heard the owner.
-func (m *Mandate) mayHaveClaimed(c Claimant) bool { return c.Heard.Since.After(m.confirmedAt) }
+// heardUntil returns until when a claimant has heard the owner without a silence since the last confirmation, in which it
+// could have claimed the shard.
+func (m *Mandate) heardUntil(c Claimant) time.Time {
+	switch {
+	case !c.Heard.Since.After(m.confirmedAt):
+		return c.Heard.Until
+	case !c.Heard.EarlierSince.After(m.confirmedAt):
+		return c.Heard.EarlierUntil
+	}
+	return time.Time{}
+}
 
 // ShouldConfirm reports whether the owner row is to be read now. It counts on the read.
 func (m *Mandate) ShouldConfirm(now time.Time, claimants []Claimant) bool {
@@ -90,7 +103,7 @@
 		return false
 	}
 	for _, c := range claimants {
-		if !m.isGone(c) && (m.mayHaveClaimed(c) || now.Sub(c.Heard.Until) >= confirmAfter) {
+		if !m.isGone(c) && (c.Heard.Since.After(m.confirmedAt) || now.Sub(c.Heard.Until) >= confirmAfter) {
 			m.confirmSent = now
 			return true
 		}
--- a/cluster/pool/mandate_test.go
+++ b/cluster/pool/mandate_test.go
@@ -25,8 +25,9 @@
 
 // heardCase is a claimant; it has heard nothing if Until is zero.
 type heardCase struct {
-	VM           string
-	Since, Until float64
+	VM                         string
+	Since, Until               float64
+	EarlierSince, EarlierUntil float64
 }
 
 // Guards against an owner that starts tasks or renews leases while its successor counts it as stopped, and against one that
@@ -49,6 +50,9 @@
 					if h.Until != 0 {
 						claimant.Heard = HeardSpan{Since: at(h.Since), Until: at(h.Until)}
 					}
+					if h.EarlierUntil != 0 {
+						claimant.Heard.EarlierSince, claimant.Heard.EarlierUntil = at(h.EarlierSince), at(h.EarlierUntil)
+					}
 					claimants = append(claimants, claimant)
 				}
 				return claimants
@@ -76,7 +80,7 @@
 	is.Equal(span, HeardSpan{Since: start, Until: start.Add(2500 * time.Millisecond)})
 	is.Equal(span.Extend(start.Add(time.Second)), span) // a late ping
 	again := start.Add(2500*time.Millisecond + ClaimAfter)
-	is.Equal(span.Extend(again), HeardSpan{Since: again, Until: again})
+	is.Equal(span.Extend(again), HeardSpan{Since: again, Until: again, EarlierSince: span.Since, EarlierUntil: span.Until})
 }
 
 // Guards against an owner without a mandate that starts a task, repeats a start request or renews a lease, and against one
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -238,8 +238,8 @@
 	s.emit(&Superseded{Worker: w})
 }
 
-// changeMandate suspends the scheduler while its mandate does not hold. The leases of the workers are renewed at once
-// when it holds again.
+// changeMandate suspends the scheduler while its mandate does not hold. When it holds again, the leases that may expire
+// before the next periodic hold call are renewed at once.
 func (s *Scheduler) changeMandate(holds bool) {
 	if s.suspended == !holds {
 		return
@@ -251,7 +251,7 @@
 		return
 	}
 	for _, w := range s.sortedWorkers {
-		if w.hasRuns() && w.fenceAccepted {
+		if w.hasRuns() && w.fenceAccepted && w.leaseExpiry.Sub(s.now) < 2*holdMaxWait {
 			s.sendHold(w, true)
 		}
 	}
