soak: cut sides of daemons and runners off from the store and all others

A proxy asks the kernel which daemon has opened a connection (netlink, SOCK_DIAG). The faults and jobs have random numbers of their own, so that earlier schedules stay.

--- a/soak/bound.go
+++ b/soak/bound.go
@@ -15,9 +15,9 @@
 	ownerTimeout = 1600 * time.Millisecond
 	claimDelay   = time.Second
 	loadDuration = 2 * time.Second
-	// previousOwnerGrace is how long a previous owner may send requests, clockSkew the
-	// difference of the clocks of two daemons.
-	previousOwnerGrace = 2 * time.Second
+	// previousOwnerGrace is how long a previous owner may send requests, if it was heard
+	// while the claim was written, and clockSkew the difference of the clocks of two daemons.
+	previousOwnerGrace = 2*time.Second + ownerTimeout
 	clockSkew          = 2500 * time.Millisecond
 	// maxLease is the longest lease that a worker grants, on a clock that is 2% slow.
 	maxLease       = 6 * time.Second
@@ -73,9 +73,9 @@
 
 // completionBound is the time from the end of the faults in which all jobs end if
 // the open wide steps run one after the other in one shard, and before them the
-// plain ones, of which one for each permitted worker runs at a time.
+// plain ones, of which one for each permitted worker runs at a time. Tasks that run for long run beside the others.
 func completionBound(cfg *config, plainSteps, wideSteps int) time.Duration {
 	workers, parallel := cfg.workers+spareWorkers, cfg.minPermitted()
-	return min(completionTimeout, recoveryBound+adviceTimeoutMargin+pollBound+
+	return min(completionTimeout, recoveryBound+adviceTimeoutMargin+pollBound+longTaskDuration+
 		time.Duration((plainSteps+parallel-1)/parallel)*stepBound(plainAdvice, workers, taskDuration)+time.Duration(wideSteps)*stepBound(wideAdvice, workers, wideTaskDuration))
 }
--- a/soak/client.go
+++ b/soak/client.go
@@ -57,6 +57,8 @@
 	submitAfter    time.Duration
 	cancelOnAccept bool
 	steps          []step
+	// long means that its tasks run for longTaskDuration.
+	long bool
 
 	mu      sync.Mutex
 	current jobState
@@ -76,7 +78,10 @@
 
 // taskDuration returns how long a task of the job runs.
 func (j *job) taskDuration() time.Duration {
-	if j.prefix == wideQueuePrefix {
+	switch {
+	case j.long:
+		return longTaskDuration
+	case j.prefix == wideQueuePrefix:
 		return wideTaskDuration
 	}
 	return taskDuration
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -78,6 +79,8 @@
 	jobsByID map[string]*job
 	// configVersion is the version of the configuration in the store.
 	configVersion atomic.Uint64
+	// cut is the side that is cut off; nil if none is.
+	cut atomic.Pointer[side]
 }
 
 // newDeployment starts the fake platform and prepares the daemons, which run starts.
@@ -112,9 +115,21 @@
 		}
 		d.processes = append(d.processes, p)
 	}
+	d.connectCuts()
 	return d, nil
 }
 
+// connectCuts lets cuts hold back the connections of the daemons, which are not running yet.
+func (d *deployment) connectCuts() {
+	for i, p := range d.processes {
+		p.storeProxy.cutBy(func(net.Conn) int { return i }, d.cutFromStore)
+		p.peerProxy.cutBy(d.sourceOf, func(daemon int) bool { return d.cutFromDaemon(daemon, i) })
+	}
+	for i, w := range d.workers {
+		w.proxy.cutBy(d.sourceOf, func(daemon int) bool { return d.cutFromRunner(daemon, i) })
+	}
+}
+
 // startServer serves a handler on loopback and returns the address.
 func (d *deployment) startServer(h http.Handler) string {
 	s := httptest.NewServer(h)
@@ -179,6 +194,9 @@
 	}
 	wideJobs, burstTimes := newWideJobs(newRand(d.cfg.seed, 4), d.cfg.length, d.cfg.minPermitted())
 	jobs = append(jobs, wideJobs...)
+	if !d.cfg.workerFaultsOnly {
+		jobs = append(jobs, newLongJobs(newRand(d.cfg.seed, 7), d.cfg.length)...)
+	}
 	for _, j := range jobs {
 		d.jobsByID[j.id] = j
 	}
@@ -190,6 +208,7 @@
 	rnd := newRand(d.cfg.seed, 0)
 	schedule := newSchedule(rnd, d.cfg.length, d.cfg.daemons, d.cfg.workers)
 	schedule = append(schedule, newPeerAndPartFaults(newRand(d.cfg.seed, 1), d.cfg.length, d.cfg.daemons)...)
+	schedule = append(schedule, newSideCuts(newRand(d.cfg.seed, 6), d.cfg.length, d.cfg.daemons, d.cfg.workers)...)
 	if d.cfg.workerFaultsOnly {
 		schedule = nil
 	}
--- a/soak/process.go
+++ b/soak/process.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -40,6 +41,8 @@
 	adviceProxy *proxy
 	// peerProxy forwards the connections of the other daemons.
 	peerProxy *proxy
+	// pid is the identifier of the last process.
+	pid atomic.Int64
 	// shardWorkers is the value of the daemon's flag --shard-workers.
 	shardWorkers int
 
@@ -127,6 +130,7 @@
 	}
 	exited := make(chan struct{})
 	p.cmd, p.exited, p.killSent, p.startedAt = cmd, exited, false, time.Now()
+	p.pid.Store(int64(cmd.Process.Pid))
 	p.mu.Unlock()
 	err = cmd.Wait()
 	close(exited)
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -75,7 +75,11 @@
 	target   string
 	// requests and replies limit the two directions of the connections; nil means no limit.
 	requests, replies *link
-	wg                conc.WaitGroup
+	// sourceOf returns the daemon that has opened a connection, isCut whether the bytes of its connections are held back
+	// in both directions. They are nil if no connection is cut by its source.
+	sourceOf func(net.Conn) int
+	isCut    func(daemon int) bool
+	wg       conc.WaitGroup
 
 	mu   sync.Mutex
 	mode proxyMode
@@ -99,6 +103,13 @@
 	return p, nil
 }
 
+// cutBy lets isCut hold back the connections by their source; call it before the first one.
+func (p *proxy) cutBy(sourceOf func(net.Conn) int, isCut func(daemon int) bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sourceOf, p.isCut = sourceOf, isCut
+}
+
 func (p *proxy) addr() string { return p.listener.Addr().String() }
 
 func (p *proxy) acceptConns() {
@@ -114,15 +125,23 @@
 		}
 		p.mu.Lock()
 		p.conns[client], p.conns[server] = true, true
+		sourceOf := p.sourceOf
 		p.mu.Unlock()
-		p.wg.Go(func() { p.forward(server, client, modeBlockRequests, p.requests) })
-		p.wg.Go(func() { p.forward(client, server, modeBlockReplies, p.replies) })
+		source := noSource
+		if sourceOf != nil {
+			source = sourceOf(client)
+		}
+		p.wg.Go(func() { p.forward(server, client, source, modeBlockRequests, p.requests) })
+		p.wg.Go(func() { p.forward(client, server, source, modeBlockReplies, p.replies) })
 	}
 }
 
-// forward copies the bytes of one direction; blockingMode is the mode that holds
+// noSource is the source of a connection that no known daemon has opened.
+const noSource = -1
+
+// forward copies the bytes of one direction of a connection from a daemon; blockingMode is the mode that holds
 // back only this direction.
-func (p *proxy) forward(to, from net.Conn, blockingMode proxyMode, limit *link) {
+func (p *proxy) forward(to, from net.Conn, source int, blockingMode proxyMode, limit *link) {
 	defer p.closeConns(to, from)
 	size := proxyBufferSize
 	if limit != nil {
@@ -132,7 +151,7 @@
 	for {
 		n, err := from.Read(buf)
 		limit.carry(n)
-		if n > 0 && p.waitUntilAllowed(blockingMode) {
+		if n > 0 && p.waitUntilAllowed(source, blockingMode) {
 			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
 				return
 			}
@@ -145,14 +164,15 @@
 
 // waitUntilAllowed waits until a chunk may be forwarded and returns false if the
 // proxy is closed.
-func (p *proxy) waitUntilAllowed(blockingMode proxyMode) bool {
+func (p *proxy) waitUntilAllowed(source int, blockingMode proxyMode) bool {
 	for {
 		p.mu.Lock()
-		mode, modeChanged, closed := p.mode, p.modeChanged, p.closed
+		mode, modeChanged, closed, isCut := p.mode, p.modeChanged, p.closed, p.isCut
 		p.mu.Unlock()
 		switch {
 		case closed:
 			return false
+		case isCut != nil && isCut(source):
 		case mode == modeDelayed:
 			time.Sleep(proxyDelay)
 			return true
@@ -178,6 +198,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = mode
+	p.wakeLocked()
+}
+
+// wake makes the held back connections check again whether they are cut.
+func (p *proxy) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakeLocked()
+}
+
+// wakeLocked is wake with p.mu held.
+func (p *proxy) wakeLocked() {
 	close(p.modeChanged)
 	p.modeChanged = make(chan struct{})
 }
@@ -201,8 +233,7 @@
 	err := p.listener.Close()
 	p.mu.Lock()
 	p.closed = true
-	close(p.modeChanged)
-	p.modeChanged = make(chan struct{})
+	p.wakeLocked()
 	p.mu.Unlock()
 	p.resetConns()
 	p.wg.Wait()
