review: one large gang keeps a small pool idle

Cause: a gang that is on time reserves all that is free on the workers that it would need if they were idle, for as long as it waits (reserve.go).

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -396,3 +397,54 @@
 	}
 	return held, nil
 }
+
+// starved: one large gang waits until a long job has ended, as it needs more than what is free. A small job, for which most
+// of the service is free, must run.
+func starved(c *cell) (int, error) {
+	const urgent, prefix, small = "/pule252/", "/pufi791/", "00000000000000b0"
+	var mu sync.Mutex
+	begun := time.Time{}
+	for i := range 8 {
+		r := c.addRunner(fmt.Sprintf("i-%d", i+1), "till-settle", 75*time.Second, "a", fmt.Sprintf("r1-%d", i%2))
+		r.mu.Lock()
+		r.onStart = func(task string, _ uint64, _ string) {
+			if strings.HasPrefix(task, small) {
+				mu.Lock()
+				begun = time.Now()
+				mu.Unlock()
+			}
+		}
+		r.mu.Unlock()
+	}
+	urgentRoutes["r-check"] = true
+	c.manifest([]string{"till-settle"}, route{"r-check", urgent, "till-settle"}, route{"r-stmt", prefix, "till-settle"})
+	if err := c.startDaemons(3); err != nil {
+		return failed, err
+	}
+	if !c.submit(prefix, "00000000000000a0", `{"spec":"long","steps":[{"count":8,"cpu":1000,"mem_mb":256,"estimate_ms":75000}]}`) {
+		return failed, fmt.Errorf("the long job was not accepted")
+	}
+	if !await(5*time.Second, func() bool { return busy(c.runners) == 8 }) {
+		return failed, fmt.Errorf("the long job has not begun")
+	}
+	if fault() && !c.submit(urgent, "00000000000000c0", `{"spec":"large","steps":[{"count":26,"cpu":1000,"mem_mb":256,"estimate_ms":20000,"gang":true}]}`) {
+		return failed, fmt.Errorf("the large job was not accepted")
+	}
+	time.Sleep(time.Second)
+	if !c.submit(prefix, small, `{"spec":"small","steps":[{"count":1,"cpu":1000,"mem_mb":256,"estimate_ms":2000}]}`) {
+		return failed, fmt.Errorf("the small job was not accepted")
+	}
+	c.rec.add("end of the traffic")
+	time.Sleep(finish)
+	c.rec.add("finish_s is over; %d of 32 cores are in use, no cap", busy(c.runners))
+	time.Sleep(5 * time.Second)
+	c.state(prefix, small)
+	mu.Lock()
+	defer mu.Unlock()
+	if begun.IsZero() {
+		c.rec.add("LOST: %s, which needs one core, has had nothing running for 5 s since finish_s, with %d of 32 cores in use", small, busy(c.runners))
+		return broken, nil
+	}
+	c.rec.add("%s has begun %.1f s ago", small, time.Since(begun).Seconds())
+	return held, nil
+}
--- a/review/standin2/cell.go
+++ b/review/standin2/cell.go
@@ -229,6 +229,9 @@
 // route is a queue of the manifest.
 type route struct{ name, prefix, service string }
 
+// urgentRoutes are the routes with priority 0; the others have 1.
+var urgentRoutes = map[string]bool{}
+
 const (
 	host = "stall.example"
 	key  = "3fexd9dnn2ctnfzs989a"
@@ -239,9 +242,13 @@
 	c.version += 3
 	var r, s []map[string]any
 	for _, x := range routes {
+		priority := 1
+		if urgentRoutes[x.name] {
+			priority = 0
+		}
 		r = append(r, map[string]any{
 			"name": x.name, "host": host, "path_prefix": x.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "target_duration_ms": 3000,
-			"priority": 1, "service": x.service, "max_attempts": 3, "stretch": 4.0, "allow_anonymous": false,
+			"priority": priority, "service": x.service, "max_attempts": 3, "stretch": 4.0, "allow_anonymous": false,
 		})
 	}
 	for _, x := range services {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -19,6 +19,7 @@
 	"otherkind": otherKind,
 	"repeated":  repeated,
 	"lasting":   lasting,
+	"starved":   starved,
 }
 
 func main() {
