review: show the idle pool with work of the usual lengths

Cause: as before; a gang that waits for another job reserves all that is free on the workers that it needs (reserve.go).

--- a/review/standin2/cell.go
+++ b/review/standin2/cell.go
@@ -45,6 +45,7 @@
 type daemon struct {
 	name, ip, zone string
 	front, ready   string
+	peer           string
 	settings       string
 	cmd            *exec.Cmd
 	done           chan struct{}
@@ -84,7 +85,10 @@
 }
 
 // addDaemon writes the settings of a daemon, as those of a small deployment.
-func (c *cell) addDaemon(zone string) error {
+func (c *cell) addDaemon(zone string) error { return c.addDaemonAt(zone, nil) }
+
+// addDaemonAt is addDaemon for a daemon to which a view of the store is served; nil is the store itself.
+func (c *cell) addDaemonAt(zone string, view func(*daemon) http.Handler) error {
 	i := len(c.daemons) + 1
 	ip := fmt.Sprintf("127.%d.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250), i)
 	ports, err := freePorts(ip, 4)
@@ -93,7 +97,24 @@
 	}
 	d := &daemon{name: fmt.Sprintf("frontend-%s-%d", zone, i), ip: ip, zone: zone}
 	d.front, d.ready = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
+	d.peer = fmt.Sprintf("%s:%d", ip, ports[2])
+	storeAddr := c.addr
+	if view != nil {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		storeAddr = l.Addr().String()
+		go func() { _ = http.Serve(l, view(d)) }()
+	}
 	d.settings = filepath.Join(c.tmp, d.name+".yaml")
+	region, south := "north", "north"
+	if view != nil {
+		south = "south"
+		if zone == "zone-b" {
+			region = south
+		}
+	}
 	text := fmt.Sprintf(`node_name: "%s"
 role: "scheduler"
 machine_class: "frontend"
@@ -101,10 +122,10 @@
   - "frontend"
 ip: "%s"
 zone: "%s"
-region: "north"
+region: "%s"
 zones:
   zone-a: "north"
-  zone-b: "north"
+  zone-b: "%s"
 listen_addrs:
   front: "%s"
   ready: "%s"
@@ -143,7 +164,7 @@
   row_bytes: 65536
   across: false
   history_s: 20
-`, d.name, d.ip, d.zone, d.front, d.ready, ports[2], ports[2]+1, c.addr)
+`, d.name, d.ip, d.zone, region, south, d.front, d.ready, ports[2], ports[2]+1, storeAddr)
 	if err := os.WriteFile(d.settings, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/review/standin2/runner.go
+++ b/review/standin2/runner.go
@@ -44,6 +44,8 @@
 	server    *http.Server
 	// firstHold is when this boot has answered the first hold; zero before that.
 	firstHold time.Time
+	// length returns how long a task takes; nil if all take as long as work.
+	length func(task string) time.Duration
 	// fate returns how long a run lasts and how it ends, where tasks last until they fail; nil on a runner of other tasks.
 	fate func(task string) (time.Duration, string)
 	// onStart is called for each start, with mu held.
@@ -57,6 +59,7 @@
 	begun  time.Time
 	timer  *time.Timer
 	lasts  bool
+	work   time.Duration
 }
 
 type end struct {
@@ -270,6 +273,10 @@
 	t := &run{number: b.Run, begun: time.Now()}
 	r.runs[b.Task] = t
 	life, work, how := r.life, r.work, "done"
+	if r.length != nil {
+		work = r.length(b.Task)
+	}
+	t.work = work
 	if r.fate != nil {
 		work, how = r.fate(b.Task)
 	}
@@ -312,7 +319,7 @@
 	}
 	running, ended := [][]any{}, [][]any{}
 	for task, t := range r.runs {
-		percent := min(99, int(100*time.Since(t.begun)/r.work))
+		percent := min(99, int(100*time.Since(t.begun)/max(t.work, time.Millisecond)))
 		if t.lasts && time.Since(t.begun) > time.Second {
 			percent = 100 // at work after a short startup
 		}
