review: play a gang that keeps its team's cap from a small job

Cause: reserveLimit keeps what the first waiting step of a team needs of its limit for 10 s at a time, whatever is free.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -385,7 +385,17 @@
 
 // starved: the last step of a large job is a gang that needs more than what is free beside another job. A small job, for
 // which most of the service is free, must go on.
-func starved(c *cell) (int, error) {
+func starved(c *cell) (int, error) { return waitsBeside(c, 8, 26) }
+
+// capped is starved for the cap of the tenant: the gang needs more than what is left of it beside the other job, while
+// most of the service is free and less than half of the cap is used.
+func capped(c *cell) (int, error) {
+	capCPU = 10000
+	return waitsBeside(c, 4, 7)
+}
+
+// waitsBeside plays a small job beside another one with so many tasks and a large job with a gang of so many.
+func waitsBeside(c *cell, others, gang int) (int, error) {
 	const urgent, prefix = "/pule252/", "/pufi791/"
 	const small, large, other = "00000000000000b0", "00000000000000c0", "00000000000000a0"
 	// How long the tasks of each step take, as declared.
@@ -435,12 +445,12 @@
 		}
 		return `{"spec":"statement","steps":[` + strings.Join(steps, ",") + `]}`
 	}
-	if !c.submit(prefix, other, job(other, 8, 8)) || fault() && !c.submit(urgent, large, job(large, 1, 1, 26)) || !c.submit(prefix, small, job(small, 1, 1, 1)) {
+	if !c.submit(prefix, other, job(other, others, others)) || fault() && !c.submit(urgent, large, job(large, 1, 1, gang)) || !c.submit(prefix, small, job(small, 1, 1, 1)) {
 		return failed, fmt.Errorf("a job was not accepted")
 	}
 	c.rec.add("end of the traffic")
 	time.Sleep(finish)
-	c.rec.add("finish_s is over; %d of 32 cores are in use, no cap", busy(c.runners))
+	c.rec.add("finish_s is over; %d of 32 cores are in use, the cap is %d (0 is none)", busy(c.runners), capCPU)
 	if !await(3*time.Second, func() bool { mu.Lock(); defer mu.Unlock(); return !dueAt.IsZero() }) {
 		return failed, fmt.Errorf("the small job has not come to its last step")
 	}
--- a/review/standin2/cell.go
+++ b/review/standin2/cell.go
@@ -250,6 +250,9 @@
 // route is a queue of the manifest.
 type route struct{ name, prefix, service string }
 
+// capCPU is the cap of the tenant in thousandths of a core; 0 is no limit.
+var capCPU = 0
+
 // urgentRoutes are the routes with priority 0; the others have 1.
 var urgentRoutes = map[string]bool{}
 
@@ -279,7 +282,7 @@
 	}
 	c.store.put("op", "config", map[string]any{
 		"version": c.version, "routes": r, "services": s, "limits": map[string]any{},
-		"tenants": []map[string]any{{"name": "kaje80", "api_keys": []string{key}, "weight": 50, "cap": map[string]int{"cpu": 0, "mem_mb": 0, "gpu": 0}}},
+		"tenants": []map[string]any{{"name": "kaje80", "api_keys": []string{key}, "weight": 50, "cap": map[string]int{"cpu": capCPU, "mem_mb": 0, "gpu": 0}}},
 	})
 	c.rec.add("manifest %d acknowledged: routes %v", c.version, routes)
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -20,6 +20,7 @@
 	"repeated":  repeated,
 	"lasting":   lasting,
 	"starved":   starved,
+	"capped":    capped,
 	"regions":   regions,
 }
 
