crowd: move the crowds of the node's tests to a package of their own

Cause: goldcrestd serve needs the same tests as goldcrestd node, and its tests are in another package.

Change: the connections of a crowd and the reading of a process's memory, descriptors and unread bytes move from goldcrestd/node/crowd_test.go to goldcrestd/crowd, which only tests use. Cases, bounds and checks are the same; the file of the cases is read in one function, so that two checks of its reading became one.

--- a/goldcrestd/node/crowd_test.go
+++ b/goldcrestd/node/crowd_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -14,184 +11,39 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/loopback"
+	"github.com/goldcrestshift/goldcrestshift/goldcrestd/crowd"
 )
 
 const (
 	// crowdMemoryMB and crowdMaxFDs are the limits of the daemon in its settings and the bounds of the tests.
 	crowdMemoryMB = 144
 	crowdMaxFDs   = 1024
-	// crowdTimeout ends the sending of a crowd whose connections the daemon neither reads nor closes.
-	crowdTimeout = 15 * time.Second
-	// crowdDwell is how long a crowd stays after it has sent everything, before the ordinary request.
-	crowdDwell = time.Second
-	// sampleInterval is the interval at which the daemon's open descriptors are counted.
-	sampleInterval = 20 * time.Millisecond
 	// attemptTimeout limits one attempt of the ordinary request, and crowdPatience all of them.
 	attemptTimeout = 5 * time.Second
 	crowdPatience  = 60 * time.Second
-	// pieceDelay is the time between two pieces of a body.
-	pieceDelay = 2 * time.Millisecond
 )
 
-// crowdCase is a number of connections that all do the same.
-type crowdCase struct {
-	Group string `json:"group"`
-	Name  string `json:"name"`
-	// Listener is front, ready, metrics or peer.
-	Listener string `json:"listener"`
-	// Kind is what a connection sends: silent, headerPart, body, requests or frame.
-	Kind        string `json:"kind"`
-	Connections int    `json:"connections"`
-	// CompleteEvery is the interval of the connections that send their body to the end; zero means none does.
-	CompleteEvery int `json:"completeEvery"`
-	BodyBytes     int `json:"bodyBytes"`
-	// SentBytes is how much of the body is sent; absent means all but the last byte.
-	SentBytes *int `json:"sentBytes"`
-	// PieceBytes is the size of one write; zero means one write. ChunkBytes is the size of a chunk; zero means a body
-	// with a Content-Length.
-	PieceBytes  int    `json:"pieceBytes"`
-	ChunkBytes  int    `json:"chunkBytes"`
-	HeaderBytes int    `json:"headerBytes"`
-	Requests    int    `json:"requests"`
-	UnknownKey  bool   `json:"unknownKey"`
-	Content     string `json:"content"`
-	// StoreUnavailable makes the store refuse all calls while the crowd sends.
-	StoreUnavailable bool `json:"storeUnavailable"`
-	// Parts are crowds that come at once; a case with parts has no connections of its own.
-	Parts []crowdCase `json:"parts"`
-}
-
-// content returns a body of exactly BodyBytes.
-func (c *crowdCase) content() []byte {
-	head, unit, tail := jobBody, " ", ""
+// crowdContent returns the body of a case.
+func crowdContent(c *crowd.Case) []byte {
 	switch c.Content {
 	case "emptySteps":
-		head, unit, tail = `{"spec":"s","steps":[{}`, ",{}", "]}"
+		return crowd.Fill(`{"spec":"s","steps":[{}`, ",{}", "]}", c.BodyBytes)
 	case "dependencies":
-		head, unit, tail = `{"spec":"s","steps":[{"count":1,"estimate_ms":50},{"count":1,"estimate_ms":50,"after":[0`, ",0", "]}]}"
-	}
-	body := head + strings.Repeat(unit, (c.BodyBytes-len(head)-len(tail))/len(unit)) + tail
-	return []byte(body + strings.Repeat(" ", c.BodyBytes-len(body)))
-}
-
-// payload returns what one connection sends.
-func (c *crowdCase) payload(connection int) []byte {
-	key := testKey
-	if c.UnknownKey {
-		key = "unknown"
-	}
-	header := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Bearer %s\r\n", jobPath(1000+connection), testHost, key)
-	switch c.Kind {
-	case "headerPart":
-		return append([]byte(header+"X-Filler: "), bytes.Repeat([]byte("x"), c.HeaderBytes-len(header))...)
-	case "requests":
-		return []byte(strings.Repeat("GET /metrics HTTP/1.1\r\nHost: "+testHost+"\r\n\r\n", c.Requests))
-	case "frame":
-		return append(binary.BigEndian.AppendUint32(nil, uint32(c.BodyBytes)), make([]byte, c.BodyBytes-1)...)
-	case "body":
-		return append([]byte(header), c.framedBody(connection)...)
+		return crowd.Fill(`{"spec":"s","steps":[{"count":1,"estimate_ms":50},{"count":1,"estimate_ms":50,"after":[0`, ",0", "]}]}", c.BodyBytes)
 	}
-	return nil
+	return crowd.Fill(jobBody, " ", "", c.BodyBytes)
 }
 
-// framedBody returns the rest of the header of a request and as much of its body as the connection sends.
-func (c *crowdCase) framedBody(connection int) []byte {
-	content := c.content()
-	var framed bytes.Buffer
-	if c.ChunkBytes == 0 {
-		fmt.Fprintf(&framed, "Content-Length: %d\r\n\r\n", len(content))
-	} else {
-		framed.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-	}
-	start := framed.Len()
-	if c.ChunkBytes == 0 {
-		framed.Write(content)
-	}
-	for c.ChunkBytes > 0 && len(content) > 0 {
-		n := min(c.ChunkBytes, len(content))
-		fmt.Fprintf(&framed, "%x\r\n%s\r\n", n, content[:n])
-		content = content[n:]
-	}
-	data := framed.Bytes()
-	switch {
-	case c.CompleteEvery > 0 && connection%c.CompleteEvery == 0:
-		if c.ChunkBytes > 0 {
-			data = append(data, "0\r\n\r\n"...)
-		}
-	case c.SentBytes != nil:
-		data = data[:start+*c.SentBytes]
-	case c.ChunkBytes > 0:
-		// The last byte of the last chunk is followed by its line end.
-		data = data[:len(data)-3]
-	default:
-		data = data[:len(data)-1]
-	}
-	return data
-}
-
-// run opens the connections of the crowd or of its parts and sends on them until all is sent or crowdTimeout ends. The
-// connections stay open until the returned function is called.
-func (c *crowdCase) run(addrs map[string]string) (leave func()) {
-	parts := c.Parts
-	if len(parts) == 0 {
-		parts = []crowdCase{*c}
-	}
-	leaves := make([]func(), len(parts))
-	var wg sync.WaitGroup
-	for i := range parts {
-		wg.Go(func() { leaves[i] = parts[i].send(addrs[parts[i].Listener]) })
-	}
-	wg.Wait()
-	time.Sleep(crowdDwell)
-	return func() {
-		for _, leave := range leaves {
-			leave()
-		}
-	}
-}
-
-// send is run for one part.
-func (c *crowdCase) send(addr string) (leave func()) {
-	end := time.Now().Add(crowdTimeout)
-	conns := make([]net.Conn, c.Connections)
-	var wg sync.WaitGroup
-	for i := range conns {
-		wg.Go(func() {
-			conn, err := net.DialTimeout("tcp", addr, time.Until(end))
-			if err != nil {
-				return
-			}
-			conns[i] = conn
-			// An error of a write means that the daemon has closed the connection, which it may do.
-			_ = conn.SetWriteDeadline(end)
-			payload := c.payload(i)
-			piece := len(payload)
-			if c.PieceBytes > 0 {
-				piece = c.PieceBytes
-			}
-			for len(payload) > 0 {
-				n := min(piece, len(payload))
-				if _, err := conn.Write(payload[:n]); err != nil {
-					return
-				}
-				if payload = payload[n:]; len(payload) > 0 {
-					time.Sleep(pieceDelay)
-				}
-			}
-		})
-	}
-	wg.Wait()
-	return func() {
-		for _, conn := range conns {
-			if conn != nil {
-				_ = conn.Close()
-			}
-		}
+// target is what the crowds of a daemon send to.
+func (p *daemonProcess) target() *crowd.Target {
+	return &crowd.Target{
+		Addrs: p.addrs, Host: testHost, Key: testKey, Content: crowdContent,
+		Path: func(connection int) string { return jobPath(1000 + connection) },
 	}
 }
 
@@ -214,10 +66,6 @@
 	addrs  map[string]string
 	log    *bytes.Buffer
 	exited chan struct{}
-	// maxFDs is the largest number of open descriptors that was counted, and maxUnreadKB the largest amount that was
-	// received and not read, which the platform counts as memory of the process.
-	maxFDs      atomic.Int64
-	maxUnreadKB atomic.Int64
 }
 
 // startProcess starts the daemon as a process with the limits of the crowd tests and waits until it is ready.
@@ -280,64 +128,6 @@
 	return p
 }
 
-// sample counts the open descriptors and the unread bytes of the process until stop is closed.
-func (p *daemonProcess) sample(stop <-chan struct{}) {
-	for {
-		p.maxUnreadKB.Store(max(p.maxUnreadKB.Load(), p.unreadBytes()>>10))
-		if entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)); err == nil {
-			p.maxFDs.Store(max(p.maxFDs.Load(), int64(len(entries))))
-		}
-		select {
-		case <-stop:
-			return
-		case <-time.After(sampleInterval):
-		}
-	}
-}
-
-// unreadBytes returns the number of bytes in the receive queues of the connections to the daemon's listeners.
-func (p *daemonProcess) unreadBytes() int64 {
-	data, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return 0
-	}
-	ports := map[string]bool{}
-	for _, addr := range p.addrs {
-		_, port, _ := net.SplitHostPort(addr)
-		n, _ := strconv.Atoi(port)
-		ports[fmt.Sprintf("%04X", n)] = true
-	}
-	sum := int64(0)
-	for line := range strings.Lines(string(data)) {
-		fields := strings.Fields(line)
-		if len(fields) < 5 {
-			continue
-		}
-		_, port, _ := strings.Cut(fields[1], ":")
-		_, queue, _ := strings.Cut(fields[4], ":")
-		// The queue of a listening socket (state 0A) counts connections.
-		if n, err := strconv.ParseInt(queue, 16, 64); err == nil && ports[port] && fields[3] != "0A" {
-			sum += n
-		}
-	}
-	return sum
-}
-
-// peakMemoryKB returns the largest resident size of the process so far in KiB, or zero if it has ended.
-func (p *daemonProcess) peakMemoryKB() int {
-	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	_, after, _ := strings.Cut(string(data), "VmHWM:")
-	fields := strings.Fields(after)
-	if len(fields) == 0 {
-		return 0
-	}
-	kb, _ := strconv.Atoi(fields[0])
-	return kb
-}
-
 // alive reports whether the process has not exited.
 func (p *daemonProcess) alive() bool {
 	select {
@@ -366,33 +156,38 @@
 	return resp.StatusCode
 }
 
+// checkUsage checks that the daemon is alive and has stayed inside the limits of its settings.
+func (p *daemonProcess) checkUsage(t *testing.T, usage *crowd.Usage) {
+	t.Helper()
+	peak, unread := crowd.PeakMemory(p.cmd.Process.Pid), usage.MaxUnread()
+	t.Logf("memory %d KiB at its peak; %d KiB unread; %d descriptors", peak/cluster.KiB, unread/cluster.KiB, usage.MaxFDs())
+	if !p.alive() {
+		t.Error("the daemon has exited")
+	}
+	if peak == 0 || peak+unread >= crowdMemoryMB*cluster.MiB {
+		t.Errorf("the daemon used %d KiB beside %d KiB unread; its limit is %d KiB", peak/cluster.KiB, unread/cluster.KiB, crowdMemoryMB<<10)
+	}
+	if n := usage.MaxFDs(); n >= crowdMaxFDs {
+		t.Errorf("the daemon had %d open descriptors; its limit is %d", n, crowdMaxFDs)
+	}
+}
+
 // runCrowds plays the cases of a group, each against a daemon of its own, and checks that the daemon stays alive
 // inside the limits of its settings and still accepts an ordinary job.
 func runCrowds(t *testing.T, group string) {
-	data, err := os.ReadFile("testdata/crowds.json")
+	cases, err := crowd.Load("testdata/crowds.json", group)
 	if err != nil {
 		t.Fatal(err)
 	}
-	var cases []crowdCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
-	for _, crowd := range cases {
-		if crowd.Group != group {
-			continue
-		}
-		t.Run(crowd.Name, func(t *testing.T) {
+	for _, crowdCase := range cases {
+		t.Run(crowdCase.Name, func(t *testing.T) {
 			c := newTestCluster(t, 1)
 			daemon := c.startProcess("vm-1")
 			c.waitUntil("a job is accepted before the crowd comes", func() bool { return daemon.submit(1) == http.StatusOK })
-			before := daemon.peakMemoryKB()
-			stop, counted := make(chan struct{}), make(chan struct{})
-			go func() {
-				defer close(counted)
-				daemon.sample(stop)
-			}()
-			c.store.SetUnavailable(crowd.StoreUnavailable)
-			leave := crowd.run(daemon.addrs)
+			before := crowd.PeakMemory(daemon.cmd.Process.Pid)
+			usage := crowd.Watch(daemon.cmd.Process.Pid, daemon.addrs)
+			c.store.SetUnavailable(crowdCase.StoreUnavailable)
+			leave := crowdCase.Run(daemon.target())
 			defer leave()
 			c.store.SetUnavailable(false)
 			accepted := false
@@ -401,23 +196,12 @@
 					time.Sleep(100 * time.Millisecond)
 				}
 			}
-			close(stop)
-			<-counted
-			peak := daemon.peakMemoryKB()
-			unread := int(daemon.maxUnreadKB.Load())
-			t.Logf("memory %d KiB before, %d KiB at its peak; %d KiB unread; %d descriptors", before, peak, unread, daemon.maxFDs.Load())
-			if !daemon.alive() {
-				t.Error("the daemon has exited")
-			}
+			usage.Stop()
+			t.Logf("%d KiB before", before/cluster.KiB)
+			daemon.checkUsage(t, usage)
 			if !accepted {
 				t.Error("no ordinary job was accepted beside the crowd")
 			}
-			if peak == 0 || peak+unread >= crowdMemoryMB<<10 {
-				t.Errorf("the daemon used %d KiB beside %d KiB unread; its limit is %d KiB", peak, unread, crowdMemoryMB<<10)
-			}
-			if n := daemon.maxFDs.Load(); n >= crowdMaxFDs {
-				t.Errorf("the daemon had %d open descriptors; its limit is %d", n, crowdMaxFDs)
-			}
 		})
 	}
 }
