clientlimit: make the limits of the node usable by other programs

Cause: the reading of bodies within a budget was part of the adapter to the platform, and the listeners with their log lines and metrics were part of goldcrestd/node. goldcrestd serve needs both.

Change: clientlimit.BodyReader receives a body, clientlimit.Guard holds the limits of the listeners.

--- a/cluster/clientlimit/bodies.go
+++ b/cluster/clientlimit/bodies.go
@@ -10,19 +10,13 @@
 	// reach on average after that. A body of 256 KiB may take 37 s.
 	bodyGrace   = 5 * time.Second
 	minBodyRate = 8 << 10
-	// maxBodyTime limits the time for a body, whatever deadline its client gives.
-	maxBodyTime = 30 * time.Second
+	// MaxBodyTime limits the time for the body of a job, whatever deadline its client gives.
+	MaxBodyTime = 30 * time.Second
 )
 
-// BodyDeadline returns the time by which the next byte of a body must arrive. limit is the deadline of the request.
-func BodyDeadline(start time.Time, received int64, limit time.Time) time.Time {
-	deadline := start.Add(bodyGrace + time.Duration(float64(received)/minBodyRate*float64(time.Second)))
-	for _, other := range []time.Time{start.Add(maxBodyTime), limit} {
-		if other.Before(deadline) {
-			deadline = other
-		}
-	}
-	return deadline
+// rateDeadline returns the time by which the next byte of a body must arrive at minBodyRate.
+func rateDeadline(start time.Time, received int64) time.Time {
+	return start.Add(bodyGrace + time.Duration(float64(received)/minBodyRate*float64(time.Second)))
 }
 
 // Bodies is a Budget that is safe for concurrent use and aborts the bodies that it evicts.
--- a/cluster/clientlimit/clientlimit_test.go
+++ b/cluster/clientlimit/clientlimit_test.go
@@ -107,7 +107,8 @@
 		{250_000, 2 * time.Second, 2 * time.Second},
 		{0, 150 * time.Millisecond, 150 * time.Millisecond},
 	} {
-		if got := BodyDeadline(start, c.received, start.Add(c.limit)).Sub(start); got != c.want {
+		reader := BodyReader{Deadline: start.Add(c.limit), MaxTime: MaxBodyTime}
+		if got := reader.bodyDeadline(start, c.received).Sub(start); got != c.want {
 			t.Errorf("%d bytes, limit %s: %s, want %s", c.received, c.limit, got, c.want)
 		}
 	}
--- a/goldcrestd/node/clients_test.go
+++ b/cluster/clientlimit/guard_test.go
@@ -1,4 +1,4 @@
-package node
+package clientlimit
 
 import (
 	"bytes"
@@ -12,7 +12,6 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
-	"github.com/goldcrestshift/goldcrestshift/cluster/clientlimit"
 )
 
 // Guards against refusals that fill the log, hide other kinds of refusals, or are not counted.
@@ -20,12 +19,12 @@
 	is := is.New(t)
 	var log bytes.Buffer
 	scope := tally.NewTestScope("", nil)
-	clients := newClientLimits(clientlimit.Derive(144*cluster.MiB, 3075), zerolog.New(&log), scope)
+	clients := NewGuard(GuardConfig{Limits: Derive(144*cluster.MiB, 3075), Log: zerolog.New(&log), Metrics: scope})
 	for range 100 {
-		clients.refused(frontListener, "first")
+		clients.Refused(FrontListener, "first")
 	}
-	clients.refused(frontListener, "second")
-	clients.refused(readyListener, "first")
+	clients.Refused(FrontListener, "second")
+	clients.Refused(ReadyListener, "first")
 	is.Equal(strings.Count(log.String(), "client refused by a limit"), 3)
 	counts := map[string]int64{}
 	for _, c := range scope.Snapshot().Counters() {
@@ -37,14 +36,14 @@
 // Guards against limits of connections that stay as they were when the settings file changes.
 func TestChangedLimitsApply(t *testing.T) {
 	is := is.New(t)
-	clients := newClientLimits(clientlimit.Limits{}, zerolog.Nop(), tally.NoopScope)
-	for name, want := range map[listenerName]int{frontListener: 3, readyListener: 2, metricsListener: 2} {
-		netListener, err := clientlimit.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	clients := NewGuard(GuardConfig{Log: zerolog.Nop(), Metrics: tally.NoopScope})
+	for name, want := range map[ListenerName]int{FrontListener: 3, ReadyListener: 2, MetricsListener: 2} {
+		netListener, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"))
 		is.NoErr(err)
 		defer func() { _ = netListener.Close() }()
-		clients.setLimits(clientlimit.Limits{FrontConns: 1, ProbeConns: 1, PartialConns: 1})
-		listener := clients.wrap(name, netListener)
-		clients.setLimits(clientlimit.Limits{FrontConns: 3, ProbeConns: 2, PartialConns: 1})
+		clients.SetLimits(Limits{FrontConns: 1, ProbeConns: 1, PartialConns: 1})
+		listener := clients.Wrap(name, netListener)
+		clients.SetLimits(Limits{FrontConns: 3, ProbeConns: 2, PartialConns: 1})
 		for range 2 * want {
 			conn, err := net.Dial("tcp", netListener.Addr().String())
 			is.NoErr(err)
@@ -54,5 +53,5 @@
 		}
 		is.Equal(listener.Open(), want)
 	}
-	clients.report()
+	clients.Report()
 }
--- a/cluster/clientlimit/listener.go
+++ b/cluster/clientlimit/listener.go
@@ -39,6 +39,8 @@
 	ReasonReplaced Reason = "connection closed for a new one"
 	// ReasonPartial means that too many headers had arrived in part; the oldest connection was closed.
 	ReasonPartial Reason = "too many partial headers"
+	// ReasonStalled means that a client did not read its response, whose memory others needed.
+	ReasonStalled Reason = "response not read"
 	// ReasonBody means that an unfinished body was closed for a new connection.
 	ReasonBody Reason = "unfinished body closed for a new connection"
 )
@@ -196,6 +198,21 @@
 	return conns, since
 }
 
+// CloseStalled closes the connection whose client has been late with the reading of a response for longest. It returns false
+// if none is late.
+func (l *Listener) CloseStalled() bool {
+	l.mu.Lock()
+	oldest, since := l.oldest()
+	l.mu.Unlock()
+	victim := oldest[phaseWriting]
+	if victim == nil || int64(time.Since(processStart))-since[phaseWriting] < int64(stalledWrite) {
+		return false
+	}
+	l.cfg.Closed(ReasonStalled)
+	_ = victim.closeNow()
+	return true
+}
+
 // limitPartial closes the connection whose header has been incomplete longest if there are too many of them.
 func (l *Listener) limitPartial() {
 	if l.partial.Load() <= l.maxPartial.Load() {
--- a/cluster/clientlimit/skip.go
+++ b/cluster/clientlimit/skip.go
@@ -56,6 +56,60 @@
 	})
 }
 
+// SkipUnread returns a handler that calls SkipBody before the response to a request whose body was not read to its end.
+func SkipUnread(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := &readToEnd{ReadCloser: r.Body}
+		r.Body = body
+		next.ServeHTTP(&skippingWriter{ResponseWriter: w, request: r, body: body}, r)
+	})
+}
+
+// readToEnd is a body that knows whether it was read to its end.
+type readToEnd struct {
+	io.ReadCloser
+	ended bool
+}
+
+// Read reads from the body.
+func (b *readToEnd) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.ended = b.ended || err == io.EOF
+	return n, err
+}
+
+// skippingWriter skips the rest of the body of a request before the response.
+type skippingWriter struct {
+	http.ResponseWriter
+	request *http.Request
+	body    *readToEnd
+	begun   bool
+}
+
+// WriteHeader writes the header of the response.
+func (w *skippingWriter) WriteHeader(status int) {
+	if !w.begun && !w.body.ended {
+		SkipBody(w.ResponseWriter, w.request)
+	}
+	w.begun = true
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes to the body of the response.
+func (w *skippingWriter) Write(p []byte) (int, error) {
+	if !w.begun {
+		w.WriteHeader(http.StatusOK)
+	}
+	return w.ResponseWriter.Write(p)
+}
+
+// Unwrap returns the wrapped writer, which http.ResponseController needs.
+func (w *skippingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
 // Buffered returns a handler that serves at most n requests at once, and sends their responses when they are complete,
 // so that a client that does not read its response holds up no other one.
 func Buffered(n int, next http.Handler) http.Handler {
--- a/goldcrestd/node/node.go
+++ b/goldcrestd/node/node.go
@@ -100,7 +100,7 @@
 
 // node is a daemon with its HTTP servers; servers[i] serves listeners[i].
 type node struct {
-	clients       *clientLimits
+	clients       *clientlimit.Guard
 	settings      *platform.Settings
 	log           zerolog.Logger
 	logger        *logger
@@ -123,7 +123,7 @@
 	scope, closer, metricsHandler := metrics.New(log, metricsInterval)
 	n.metricsCloser = closer
 	limits := clientlimit.Derive(s.MemoryLimit, s.MaxFDs)
-	n.clients = newClientLimits(limits, log, scope)
+	n.clients = clientlimit.NewGuard(clientlimit.GuardConfig{Limits: limits, Log: log, Metrics: scope})
 	workers := &platform.WorkerClient{Client: n.client, Log: log}
 	advertiseAddr := s.PeerAddr
 	if cfg.AdvertiseAddr.IsValid() {
@@ -142,27 +142,27 @@
 	}
 	workers.Table = n.daemon.Store()
 	clientAPI := &platform.ClientAPI{
-		Cell: n.daemon, Log: log, Now: time.Now, Metrics: scope, Bodies: n.clients.bodies,
-		Limited: func(limit string) { n.clients.refused(frontListener, limit) },
+		Cell: n.daemon, Log: log, Now: time.Now, Metrics: scope, Bodies: n.clients.Bodies,
+		Limited: func(limit string) { n.clients.Refused(clientlimit.FrontListener, limit) },
 	}
-	if err := n.listen(frontListener, s.ClientAPIAddr, clientAPI); err != nil {
+	if err := n.listen(clientlimit.FrontListener, s.ClientAPIAddr, clientAPI); err != nil {
 		return nil, err
 	}
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", clientlimit.Buffered(maxMetricsReads, metricsHandler))
-	if err := n.listen(metricsListener, netip.AddrPortFrom(s.PeerAddr.Addr(), cfg.MetricsPort), clientlimit.SkipBodies(metricsMux)); err != nil {
+	if err := n.listen(clientlimit.MetricsListener, netip.AddrPortFrom(s.PeerAddr.Addr(), cfg.MetricsPort), clientlimit.SkipBodies(metricsMux)); err != nil {
 		return nil, err
 	}
-	return n, n.listen(readyListener, s.ReadyAddr, clientlimit.SkipBodies(http.HandlerFunc(n.serveReadiness)))
+	return n, n.listen(clientlimit.ReadyListener, s.ReadyAddr, clientlimit.SkipBodies(http.HandlerFunc(n.serveReadiness)))
 }
 
 // listen opens a listener and adds a server that run starts on it.
-func (n *node) listen(name listenerName, addr netip.AddrPort, handler http.Handler) error {
+func (n *node) listen(name clientlimit.ListenerName, addr netip.AddrPort, handler http.Handler) error {
 	netListener, err := clientlimit.Listen(addr)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	listener := n.clients.wrap(name, netListener)
+	listener := n.clients.Wrap(name, netListener)
 	n.listeners = append(n.listeners, listener)
 	n.servers = append(n.servers, &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -209,7 +209,7 @@
 			n.log.Warn().Int64("lines", lines).Msg("node: log lines were dropped")
 		}
 		n.reload(settingsPath)
-		n.clients.report()
+		n.clients.Report()
 	}
 }
 
@@ -227,7 +227,7 @@
 	if s.MemoryLimit != n.settings.MemoryLimit {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(s.MemoryLimit)))
 	}
-	n.clients.setLimits(clientlimit.Derive(s.MemoryLimit, s.MaxFDs))
+	n.clients.SetLimits(clientlimit.Derive(s.MemoryLimit, s.MaxFDs))
 	n.settings = s
 	n.log.Info().Msg("node: settings changed")
 }
