pool, cell: bound the memory of accepted jobs

What callers saw: a daemon that was ended for its memory, its successor too, and no answers between, after clients had handed in whole legal jobs of some 20 KB.

Cause: what a job takes once it is accepted was in no limit. Most of it were the tasks, 96 bytes each; the steps of all occurrences of a scheduled job were created when it was accepted, and those of ended jobs were kept for 120 s. An owner that loaded a shard held all rows beside the jobs made from them.

Change: a task takes 24 bytes until it is interrupted. Steps exist from the time an occurrence is due until it has ended and its end is recorded. The scheduler counts the memory of each job, and the jobs of a daemon get a third of the memory of the smallest VM that may have to load them. A job that exceeds it, or the part of its team, is refused before it is written, with 429 and the time in which jobs release enough; without an owner that answers only a small credit is accepted. Repeats of accepted jobs are not refused. Rows are decoded part by part when a shard is loaded.

Why it works: the estimate is never below the heap that the jobs take (TestJobsTakeNoMoreThanTheirQuota), and no job is written without it.

--- a/cluster/admission/outage.go
+++ b/cluster/admission/outage.go
@@ -18,3 +18,8 @@
 	shortest := max(minReturn, longest/2)
 	return (shortest + spread(part, longest-shortest+time.Second)).Truncate(time.Second)
 }
+
+// SpreadReturn spreads the return of clients over half of the given time after it. The part of the spread is in [0, 1).
+func SpreadReturn(t time.Duration, part float64) time.Duration {
+	return t + spread(part, max(minReturn, t/2))
+}
--- a/cluster/cell/admit.go
+++ b/cluster/cell/admit.go
@@ -102,7 +102,7 @@
 	}
 	request := admissionRequest(shard, job)
 	verdict := a.decide(time.Now(), request)
-	if !verdict.Admitted && a.mayBeStored(ctx, job.ID, verdict.Report.Daemons) {
+	if !verdict.Admitted && a.findStored(ctx, job.ID, verdict.Report.Daemons) != notStored {
 		verdict.Admitted = true
 		a.record(time.Now(), request, verdict)
 		a.repeats.Inc(1)
@@ -214,10 +214,23 @@
 	return job != nil && (job.writing > 0 || time.Now().Before(job.until))
 }
 
-// mayBeStored reports whether a job is in the store, may be written by an earlier submission, or can't be looked up.
-func (a *admitter) mayBeStored(ctx context.Context, id cluster.JobName, daemons int) bool {
-	if a.isUnresolved(id) || !a.storeSettled() || !a.allowLookup(daemons) {
-		return true
+// storedResult says whether a job is in the store.
+type storedResult int
+
+const (
+	notStored storedResult = iota
+	stored
+	// storedUnknown means that the job can't be looked up.
+	storedUnknown
+)
+
+// findStored finds out whether a job is in the store or may be written by an earlier submission.
+func (a *admitter) findStored(ctx context.Context, id cluster.JobName, daemons int) storedResult {
+	if a.isUnresolved(id) {
+		return stored
+	}
+	if !a.storeSettled() || !a.allowLookup(daemons) {
+		return storedUnknown
 	}
 	ctx, cancel := context.WithTimeout(ctx, repeatReadTimeout)
 	defer cancel()
@@ -225,14 +238,17 @@
 	case a.repeatReads <- struct{}{}:
 		defer func() { <-a.repeatReads }()
 	case <-ctx.Done():
-		return true
+		return storedUnknown
 	}
 	reply, err := a.d.store.Read(ctx, platform.ReadRequest{Keys: jobKeys(a.d.shardCount(), id)})
-	if err != nil {
+	switch {
+	case err != nil:
 		a.d.cfg.Log.Info().Err(err).Str("job", string(id)).Msg("cell: job to be rejected can't be looked up")
-		return true
+		return storedUnknown
+	case len(reply.Rows) > 0:
+		return stored
 	}
-	return len(reply.Rows) > 0
+	return notStored
 }
 
 // allowLookup reports whether this daemon may look up a job now.
--- a/cluster/cell/announce.go
+++ b/cluster/cell/announce.go
@@ -82,7 +82,7 @@
 	}
 	dropped := 0
 	for _, row := range rows {
-		for _, e := range owned.jobEvents([]platform.Row{row}, nil) {
+		for _, e := range owned.decodeJobs(platform.ReadReply{Rows: []platform.Row{row}}, nil).events() {
 			select {
 			case owned.events <- e:
 				owned.announced.add(row.Key, time.Now())
--- a/cluster/cell/calls.go
+++ b/cluster/cell/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	methodListWorkers   = "listWorkers"
 	methodJobFeed       = "jobFeed"
 	methodLoadJobs      = "loadJobs"
+	methodReserveMemory = "reserveMemory"
 	// The methods below have no reply.
 	methodAnnounce       = "announce"
 	methodAnnounceConfig = "announceConfig"
@@ -250,12 +252,22 @@
 		return serve(c, func(r jobFeedRequest) (jobFeedReply, error) { return d.serveJobFeed(ctx, r) })
 	case methodLoadJobs:
 		return serveParts(c, func(r loadRequest) ([]loadedPart, error) { return d.serveLoad(ctx, r) })
+	case methodReserveMemory:
+		return serve(c, func(r memoryRequest) (memoryReply, error) { return d.grantMemory(r) })
 	case methodForwardCalls:
 		return serve(c, func(m packedMessage) (struct{}, error) { return struct{}{}, d.forwardServer.serve(from, m) })
 	case methodForwardResults:
 		return serve(c, func(m packedMessage) (struct{}, error) { return struct{}{}, d.forwarding.receiveResults(from, m) })
 	}
-	return nil, &Error{Op: "serve call", Kind: KindMalformed, Err: errors.New("unknown method " + c.Method)}
+	return nil, &Error{Op: "serve call", Kind: KindMalformed, Err: errors.New(unknownMethod + c.Method)}
+}
+
+// unknownMethod begins the failure of a call whose method the other daemon, of an earlier version, does not know.
+const unknownMethod = "unknown method "
+
+// isUnknownMethod reports whether a call failed because the other daemon does not know its method.
+func isUnknownMethod(err error) bool {
+	return err != nil && strings.Contains(err.Error(), unknownMethod)
 }
 
 func serve[Q, R any](c *peer.Call, handle func(Q) (R, error)) ([][]byte, error) {
--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -29,6 +29,7 @@
 func (d *Daemon) claimLoop() {
 	for d.sleep(claimInterval) {
 		d.updateGauges()
+		d.updateJobMemory()
 		if d.leaving.Load() || !d.store.reachable() {
 			d.restartClaimDelays()
 			continue
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -188,6 +188,8 @@
 	MaxPeerHandshakes int
 	// MaxIntakeBytes limits the size of the submitted jobs that are not written yet; zero means a default.
 	MaxIntakeBytes cluster.Bytes
+	// MaxJobBytes limits the memory of the accepted jobs of the shards that this daemon owns; zero means no limit.
+	MaxJobBytes cluster.Bytes
 
 	Store   platform.TableService
 	Lister  platform.WorkerLister
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/jobquota"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
@@ -34,6 +35,13 @@
 	advisor   *advisor
 	pending   *pendingCache
 	admitter  *admitter
+	// jobs counts the memory of the jobs of the owned shards, credits that of the jobs that are written without asking the
+	// owner. maxJobBytes and daemonCount are set by updateJobMemory.
+	jobs           *jobquota.Ledger
+	credits        *jobCredits
+	maxJobBytes    atomic.Int64
+	daemonCount    atomic.Int64
+	memoryRefusals tally.Counter
 	// forwarding sends calls to workers through other daemons, forwardServer makes those of other daemons.
 	forwarding    *callForwarding
 	forwardServer *forwardServer
@@ -119,6 +127,9 @@
 	d.intake = newIntake(d)
 	d.advisor = newAdvisor(d)
 	d.admitter = newAdmitter(d)
+	d.jobs, d.credits = jobquota.New(cfg.MaxJobBytes), newJobCredits(d)
+	d.memoryRefusals = cfg.Metrics.Counter("job_memory_refusals_total")
+	d.updateJobMemory()
 	d.forwarding = newCallForwarding(d)
 	d.forwardServer = newForwardServer(d)
 	d.pending = &pendingCache{d: d, entries: map[cluster.ServiceName]*pendingEntry{}}
@@ -250,7 +261,7 @@
 func (d *Daemon) joinCell() {
 	row := memberRow{
 		ID: string(d.cfg.Self), Addr: d.cfg.PeerAddr.String(), Region: string(d.cfg.Place.Region), Zone: string(d.cfg.Place.Zone), Cores: d.cfg.Cores,
-		LinkRate: int64(d.cfg.LinkRate), ForwardsCalls: true,
+		LinkRate: int64(d.cfg.LinkRate), ForwardsCalls: true, JobBytes: int64(d.cfg.MaxJobBytes),
 	}
 	data, err := encode("join", &row)
 	if err != nil {
--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -68,6 +68,11 @@
 	if err := d.admitter.admit(ctx, shard, job); err != nil {
 		return err
 	}
+	written, err := d.reserveMemory(ctx, shard, job)
+	if err != nil {
+		return err
+	}
+	defer written()
 	d.admitter.begin(job.ID)
 	err = d.write(ctx, shard, job.ID, data)
 	d.admitter.end(job.ID, err)
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 	"github.com/sourcegraph/conc"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/jobquota"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/pool"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
@@ -65,6 +67,8 @@
 	mandate     ownerMandate
 	evacuations evacuationState
 	loadReports loadReporter
+	// quota counts the memory of the jobs of the shard.
+	quota *jobquota.Account
 }
 
 // eventQueueLength bounds the events that wait for the control loop.
@@ -80,6 +84,7 @@
 	o.mandate = newOwnerMandate(ownedSince)
 	o.recordReads = newPartReads(recordParts, o.fencePart)
 	o.usage = newUsageKeeper(o)
+	o.quota = d.jobs.Open()
 	return o
 }
 
@@ -87,6 +92,7 @@
 func (o *ownedShard) run() {
 	defer close(o.done)
 	defer o.goroutines.Wait()
+	defer func() { o.quota.Close(time.Now()) }()
 	defer o.unregister()
 	defer o.stop()
 	o.goroutines.Go(o.confirmMandate)
@@ -127,8 +133,12 @@
 func (o *ownedShard) load() (cluster.Version, bool) {
 	var records loadedRecords
 	var shares map[cluster.TeamName]int
-	var jobs []platform.ReadReply
-	jobReads := newPartReads(jobParts, func(part int) (platform.ReadReply, error) { return o.loadJobPart(part, &records) })
+	var jobs []jobRows
+	// The rows of each part are decoded as they arrive, so that they are not in memory together.
+	jobReads := newPartReads(jobParts, func(part int) (jobRows, error) {
+		reply, err := o.loadJobPart(part, &records)
+		return o.decodeJobs(reply, records.progress), err
+	})
 	loaded := o.retryRead(func() (err error) { records, err = o.loadRecords(); return err }) &&
 		o.expectWorkers(len(records.workers.Workers)) &&
 		o.retryRead(func() (err error) { shares, err = o.claimShares(); return err }) &&
@@ -136,9 +146,9 @@
 	if !loaded {
 		return 0, false
 	}
-	merged := mergeReplies(jobs)
-	o.startScheduler(records, shares, merged.Rows)
-	return merged.AsOf, true
+	merged := mergeJobRows(jobs)
+	o.startScheduler(records, shares, merged)
+	return merged.asOf, true
 }
 
 // retryRead repeats a read of the load until it succeeds. It returns false if the ownership ends before.
@@ -177,19 +187,19 @@
 	return true
 }
 
-func (o *ownedShard) startScheduler(records loadedRecords, shares map[cluster.TeamName]int, jobs []platform.Row) {
+func (o *ownedShard) startScheduler(records loadedRecords, shares map[cluster.TeamName]int, jobs jobRows) {
 	workers := records.workers.recordedWorkers()
 	o.scheduler = pool.New(pool.Config{
 		Service: o.id.Service, Shard: o.id.Index, Shards: o.d.shardCount(), Epoch: o.epoch, Now: o.ownedSince, MaxLease: o.d.cfg.MaxLease, EvacuateBound: o.d.cfg.EvacuateBound,
 		InheritedWorkers: workers, PreviousOwnersActiveUntil: o.previousOwnersActiveUntil, UseHalfLife: o.d.cfg.UseHalfLife,
-		Log: o.d.cfg.Log, Metrics: o.d.cfg.Metrics,
+		Quota: o.quota, Log: o.d.cfg.Log, Metrics: o.d.cfg.Metrics,
 	})
 	events := []pool.Event{&pool.ConfigChanged{Snapshot: o.d.Snapshot()}, &pool.SharesChanged{Shares: shares}}
-	events = append(events, o.jobEvents(jobs, records.progress)...)
+	events = append(events, jobs.events()...)
 	effects := o.scheduler.Step(time.Now(), o.prependEvacuations(events))
 	close(o.loaded)
 	o.executeEffects(effects)
-	o.d.cfg.Log.Info().Stringer("shard", o.id).Uint64("epoch", uint64(o.epoch)).Int("rows", len(jobs)).
+	o.d.cfg.Log.Info().Stringer("shard", o.id).Uint64("epoch", uint64(o.epoch)).Int("rows", len(jobs.accepted)+len(jobs.cancelled)).
 		Int("workers", len(workers)).Dur("took", time.Since(o.ownedSince)).Msg("cell: shard loaded")
 }
 
@@ -203,16 +213,37 @@
 	return mergeReplies(parts), nil
 }
 
-// jobEvents converts rows of jobs to events, cancellations last.
-func (o *ownedShard) jobEvents(rows []platform.Row, progress map[cluster.JobName]*workload.Progress) []pool.Event {
-	var accepted, cancelled []pool.Event
-	for _, r := range rows {
+// jobRows holds the events of rows of jobs that were read as of a version.
+type jobRows struct {
+	accepted, cancelled []pool.Event
+	asOf                cluster.Version
+}
+
+// events returns all events, cancellations last.
+func (r jobRows) events() []pool.Event { return slices.Concat(r.accepted, r.cancelled) }
+
+// mergeJobRows merges the rows of several parts. Its version is the lowest of all; see mergeReplies.
+func mergeJobRows(parts []jobRows) jobRows {
+	merged := jobRows{asOf: parts[0].asOf}
+	for _, part := range parts {
+		merged.accepted = append(merged.accepted, part.accepted...)
+		merged.cancelled = append(merged.cancelled, part.cancelled...)
+		merged.asOf = min(merged.asOf, part.asOf)
+	}
+	return merged
+}
+
+// decodeJobs converts rows of jobs to events. Of jobs that have ended according to their progress it keeps only what is
+// needed after that.
+func (o *ownedShard) decodeJobs(reply platform.ReadReply, progress map[cluster.JobName]*workload.Progress) jobRows {
+	decoded := jobRows{asOf: reply.AsOf}
+	for _, r := range reply.Rows {
 		name := rowName(r.Key)
 		if r.Deleted {
 			continue
 		}
 		if id, ok := strings.CutSuffix(name, cancelSuffix); ok {
-			cancelled = append(cancelled, &pool.JobCancelled{ID: cluster.JobName(id)})
+			decoded.cancelled = append(decoded.cancelled, &pool.JobCancelled{ID: cluster.JobName(id)})
 			continue
 		}
 		job, err := workload.DecodeJob(cluster.JobName(name), r.Value)
@@ -220,11 +251,16 @@
 			o.d.cfg.Log.Error().Err(err).Str("job", name).Msg("cell: job row can't be read")
 			continue
 		}
-		if o.d.shardOf(job.Terms.Service, job.ID) == o.id {
-			accepted = append(accepted, &pool.JobAccepted{Job: job, Progress: progress[job.ID]})
+		if o.d.shardOf(job.Terms.Service, job.ID) != o.id {
+			continue
+		}
+		p := progress[job.ID]
+		if p != nil && p.State.Final() {
+			job = job.WithoutPayload()
 		}
+		decoded.accepted = append(decoded.accepted, &pool.JobAccepted{Job: job, Progress: p})
 	}
-	return append(accepted, cancelled...)
+	return decoded
 }
 
 func (o *ownedShard) followJobs(version cluster.Version) {
@@ -242,7 +278,7 @@
 			continue
 		}
 		version = max(version, reply.AsOf)
-		for _, e := range o.jobEvents(reply.Rows, nil) {
+		for _, e := range o.decodeJobs(reply, nil).events() {
 			o.sendEvent(e)
 		}
 		o.sleep(jobFeedDelay)
--- a/cluster/cell/ownedshard_test.go
+++ b/cluster/cell/ownedshard_test.go
@@ -60,7 +60,7 @@
 			starts := 0
 			for _, service := range []cluster.ServiceName{"s", "moved"} {
 				o := newOwnedShard(d, shardID{Service: service}, 1, 1, time.Now(), time.Time{})
-				starts += countStarts(service, append([]pool.Event{&pool.ConfigChanged{Snapshot: snapshot}}, o.jobEvents(rows, nil)...))
+				starts += countStarts(service, append([]pool.Event{&pool.ConfigChanged{Snapshot: snapshot}}, o.decodeJobs(platform.ReadReply{Rows: rows}, nil).events()...))
 			}
 			is.True(starts > 0)
 		})
@@ -100,7 +100,7 @@
 			o, loaded := newRecordOwner(t, d, epoch)
 			jobs, err := o.readJobs()
 			is.NoErr(err)
-			return o, countStarts("s", o.jobEvents(jobs.Rows, loaded.progress))
+			return o, countStarts("s", o.decodeJobs(jobs, loaded.progress).events())
 		}
 		first, starts := load(1)
 		is.True(starts > 0)
--- a/cluster/cell/readthrough_test.go
+++ b/cluster/cell/readthrough_test.go
@@ -121,7 +121,7 @@
 	is.Equal(len(o.events), 1) // the owner does not know the job yet
 	reply, err := o.readJobFeed(0)
 	is.NoErr(err)
-	events := o.jobEvents(reply.Rows, nil)
+	events := o.decodeJobs(reply, nil).events()
 	is.Equal(len(events), 2)
 	_, accepted := events[0].(*pool.JobAccepted)
 	_, cancelled := events[1].(*pool.JobCancelled)
--- a/cluster/cell/records_test.go
+++ b/cluster/cell/records_test.go
@@ -267,7 +267,7 @@
 		rows, err := o.readJobs()
 		is.NoErr(err)
 		s := pool.New(pool.Config{Service: "s", Now: time.Now()})
-		s.Step(time.Now(), o.jobEvents(rows.Rows, nil))
+		s.Step(time.Now(), o.decodeJobs(rows, nil).events())
 		state, _, _, known := s.State(job.ID)
 		is.True(known)
 		is.True(state == workload.StateQueued || state == workload.StateCancelled)
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -123,6 +123,8 @@
 	LinkRate int64 `msgpack:"l"`
 	// ForwardsCalls means that the daemon forwards calls to workers; daemons of earlier versions don't.
 	ForwardsCalls bool `msgpack:"f"`
+	// JobBytes is the memory for accepted jobs; zero if it is not limited or not known.
+	JobBytes int64 `msgpack:"m"`
 }
 
 // ownerRow is the owner row of a shard. Owner is empty after the owner has released the shard.
--- a/cluster/clientlimit/clientlimit_test.go
+++ b/cluster/clientlimit/clientlimit_test.go
@@ -119,10 +119,10 @@
 func TestDerivedLimits(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Derive(144*cluster.MiB, 3075), Limits{
-		BodyBytes: 18 * cluster.MiB, IntakeBytes: 6 * cluster.MiB, FrontConns: 658, ProbeConns: 64, PeerConns: 718, PartialConns: 64,
+		BodyBytes: 18 * cluster.MiB, IntakeBytes: 6 * cluster.MiB, JobBytes: 48 * cluster.MiB, FrontConns: 658, ProbeConns: 64, PeerConns: 718, PartialConns: 64,
 	})
 	is.Equal(Derive(536*cluster.MiB, 8192), Limits{
-		BodyBytes: 67 * cluster.MiB, IntakeBytes: 536 * cluster.MiB / 24, FrontConns: 2450, ProbeConns: 64, PeerConns: 1024, PartialConns: 64,
+		BodyBytes: 67 * cluster.MiB, IntakeBytes: 536 * cluster.MiB / 24, JobBytes: 536 * cluster.MiB / 3, FrontConns: 2450, ProbeConns: 64, PeerConns: 1024, PartialConns: 64,
 	})
 	for _, memory := range []cluster.Bytes{1, 64, 144, 1024, 65536} {
 		for _, fds := range []int{512, 1024, 3075, 8192, 1 << 20} {
--- a/cluster/clientlimit/limits.go
+++ b/cluster/clientlimit/limits.go
@@ -14,6 +14,9 @@
 	intakeShare = 24
 	// minIntakeBytes is the least budget for such jobs.
 	minIntakeBytes = 4 * cluster.MiB
+	// jobShare is the part of the memory for accepted jobs, for which the Go runtime collects garbage often enough once they
+	// take that much.
+	jobShare = 3
 	// connShare is the part of the memory for connections of clients, and connBytes the size of one: stacks, buffers
 	// and objects of the server, and the receive buffer, which the kernel doubles.
 	connShare = 4
@@ -53,6 +56,8 @@
 	// BodyBytes is the memory for bodies and the data decoded from them, IntakeBytes that for jobs that wait for the store.
 	BodyBytes   cluster.Bytes
 	IntakeBytes cluster.Bytes
+	// JobBytes is the memory for accepted jobs.
+	JobBytes cluster.Bytes
 	// FrontConns, ProbeConns and PeerConns are the most open connections of clients, on the readiness port and the
 	// metrics port each, and of other daemons.
 	FrontConns int
@@ -69,6 +74,7 @@
 	front := max(minProbeConns, min(fds/frontFDShare, int(memory/connShare/connBytes)))
 	return Limits{
 		BodyBytes: max(minBodyBytes, memory/bodyShare), IntakeBytes: max(minIntakeBytes, memory/intakeShare), FrontConns: front,
+		JobBytes:     memory / jobShare,
 		ProbeConns:   min(maxProbeConns, max(minProbeConns, fds/probeFDShare)),
 		PeerConns:    min(maxPeerConns, max(minPeerConns, fds/peerFDShare)),
 		PartialConns: min(maxPartialConns, max(minPartialConns, front/partialShare)),
--- a/cluster/pool/advice.go
+++ b/cluster/pool/advice.go
@@ -250,7 +250,7 @@
 // adviceAnswered applies the reply to an advice request.
 func (s *Scheduler) adviceAnswered(e *AdviceAnswered) {
 	j := s.jobs[e.Step.Job]
-	if j == nil || len(j.steps) == 0 {
+	if j == nil || !s.isBuilt(j, e.Step.Occurrence) {
 		return
 	}
 	st := j.steps[e.Step.Occurrence*len(j.spec.Steps)+e.Step.Step]
--- a/cluster/pool/burstbacklog_test.go
+++ b/cluster/pool/burstbacklog_test.go
@@ -53,7 +53,7 @@
 					continue
 				}
 				accepted++
-				if j.progress.State == workload.StateCompleted && !j.progress.EndedAt.After(j.steps[0].deadline) {
+				if j.progress.State == workload.StateCompleted && !j.progress.EndedAt.After(p.owner.deadline(j, j.spec.AcceptedAt)) {
 					onTime++
 				}
 			}
--- a/cluster/pool/config.go
+++ b/cluster/pool/config.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/jobquota"
 )
 
 // Timeouts, intervals and limits of a Scheduler.
@@ -109,6 +110,8 @@
 	// UseHalfLife is the half-life of the past use of the teams. Zero means that their use does not change the order of
 	// the waiting steps.
 	UseHalfLife time.Duration
-	Log         zerolog.Logger
-	Metrics     tally.Scope
+	// Quota counts the memory of the jobs; nil means that it is not limited.
+	Quota   *jobquota.Account
+	Log     zerolog.Logger
+	Metrics tally.Scope
 }
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -251,11 +251,11 @@
 // saveCheckpoint stores the checkpoint from which a task, or all members of a gang, resume.
 func (st *step) saveCheckpoint(index int, checkpoint string) {
 	if !st.spec.Gang {
-		st.tasks[index].checkpoint = checkpoint
+		st.tasks[index].record().checkpoint = checkpoint
 		return
 	}
 	for i := range st.tasks {
-		st.tasks[i].checkpoint = checkpoint
+		st.tasks[i].record().checkpoint = checkpoint
 	}
 }
 
@@ -282,7 +282,7 @@
 		return
 	}
 	if st.spec.LongRunning {
-		t.notBefore = s.now
+		t.record().notBefore = s.now
 		return
 	}
 	if t.run == nil {
@@ -295,6 +295,9 @@
 	st.job.unfinishedTasks--
 	s.markStarted(st.job)
 	st.job.progress.SetDone(st.job.spec.TaskIndex(st.taskID(index)))
+	if st.unfinishedTasks == 0 {
+		s.checkOccurrenceEnded(st)
+	}
 }
 
 // taskFailed counts a failed run of a task or a gang, and fails the job after the last attempt.
--- a/cluster/pool/expired.go
+++ b/cluster/pool/expired.go
@@ -31,6 +31,7 @@
 func (s *Scheduler) jobsDeleted(e *JobsDeleted) {
 	for _, id := range e.Deleted {
 		delete(s.jobs, id)
+		s.cfg.Quota.Remove(s.now, id)
 		s.deletedStatuses = append(s.deletedStatuses, id)
 		s.deletedJobs.add(id, s.now)
 	}
--- a/cluster/pool/impossible_test.go
+++ b/cluster/pool/impossible_test.go
@@ -99,11 +99,11 @@
 				}
 			}
 			submitLater(4 * time.Second)
-			is.True(sim.owner.jobs[waiting].steps[0].pendingTasks == step.Tasks)
+			is.True(sim.pendingTasks(waiting) == step.Tasks)
 			sim.addWorker("w8", "r9")
 			sim.addWorker("w9", "r9")
 			submitLater(4 * time.Second)
-			is.True(sim.owner.jobs[waiting].steps[0].pendingTasks == 0)
+			is.True(sim.pendingTasks(waiting) == 0)
 			is.Equal(sim.violations, nil)
 		})
 	}
--- a/cluster/pool/loss.go
+++ b/cluster/pool/loss.go
@@ -85,7 +85,7 @@
 		Str("worker", string(r.worker.vm.ID)).Stringer("state", r.state).Stringer("reason", reason).Bool("repeated", r.startRepeated).
 		Bool("listed", r.worker.inPlatformList).Dur("sinceHeartbeat", s.now.Sub(r.worker.heartbeatSeenAt)).Msg("pool: run lost")
 	s.metrics.lost[reason].Inc(1)
-	r.step.tasks[r.id.Index].lost = lostRun{number: r.number, reason: reason, lostAt: s.now}
+	r.step.tasks[r.id.Index].record().lost = lostRun{number: r.number, reason: reason, lostAt: s.now}
 	s.releaseRun(r)
 	if st := r.step; st.spec.Gang && st.gangRun == r.number {
 		s.abortGang(st, reason.String(), r.id, r.worker.vm.ID)
@@ -95,11 +95,12 @@
 // lostRunReported logs and counts that a worker reports a run that counted as lost.
 func (s *Scheduler) lostRunReported(w *worker, st *step, task string, index int, number platform.RunNumber, state string) {
 	t := &st.tasks[index]
-	if t.lost.number == 0 || t.lost.number != number {
+	lost := t.past().lost
+	if lost.number == 0 || lost.number != number {
 		return
 	}
 	s.cfg.Log.Warn().Str("job", string(st.id.Job)).Str("task", task).Uint64("run", uint64(number)).Str("worker", string(w.vm.ID)).
-		Str("state", state).Stringer("reason", t.lost.reason).Dur("sinceLoss", s.now.Sub(t.lost.lostAt)).Bool("startedAgain", t.run != nil).
+		Str("state", state).Stringer("reason", lost.reason).Dur("sinceLoss", s.now.Sub(lost.lostAt)).Bool("startedAgain", t.run != nil).
 		Msg("pool: a worker reports a run that counted as lost")
-	s.metrics.reportedLost[t.lost.reason].Inc(1)
+	s.metrics.reportedLost[lost.reason].Inc(1)
 }
--- /dev/null
+++ b/cluster/pool/occurrence.go
@@ -0,0 +1,230 @@
+package pool
+
+import (
+	"slices"
+	"time"
+	"unsafe"
+
+	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
+)
+
+const (
+	// releaseInterval is the time between two searches for ended occurrences whose steps can be released.
+	releaseInterval = time.Second
+	// jobIndexBytes is the memory of the entries of a job in the maps of a scheduler, its quota and its statuses, and of its
+	// identifier after its deletion.
+	jobIndexBytes = 600
+	// runBytes is the memory of a run with its start request and its entries in the maps of its worker.
+	runBytes = 600
+	// fewTasksCPU is the size from which the capacity of a pool allows only few runs. Smaller tasks count as if all of them
+	// ran.
+	fewTasksCPU = cluster.Core / 2
+	// permitsBytes is the memory of the permits of a step whose queue has an advice policy.
+	permitsBytes = 1 << 10
+	// allocationOverhead is the part of its size that an object takes in addition, as it is rounded up to a size class.
+	allocationOverhead = 6
+)
+
+// endedOccurrence is an occurrence without open tasks whose steps are to be released.
+type endedOccurrence struct {
+	job   *job
+	index int
+}
+
+// EndedJobMemory returns an estimate of the memory that a scheduler needs for a job after its end.
+func EndedJobMemory(spec *workload.Job) cluster.Bytes {
+	size := jobIndexBytes + int(unsafe.Sizeof(job{})+unsafe.Sizeof(workload.Job{})+unsafe.Sizeof(workload.Progress{}))
+	size += len(spec.Team) + len(spec.Queue) + len(spec.Terms.Service)
+	size += len(spec.Steps) * int(unsafe.Sizeof(workload.Step{})+unsafe.Sizeof(time.Duration(0)))
+	return allocated(size + spec.TasksPerOccurrence()*spec.Occurrences()/8)
+}
+
+// allocated returns the memory of objects of the given size.
+func allocated(size int) cluster.Bytes { return cluster.Bytes(size + size/allocationOverhead) }
+
+// JobMemory returns an estimate of the memory that a scheduler needs for a job of which one occurrence is open.
+func JobMemory(spec *workload.Job) cluster.Bytes {
+	size := len(spec.Spec) + len(spec.Steps)*spec.Occurrences()*int(unsafe.Sizeof(uintptr(0)))
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
+		size += len(st.Label) + len(st.Affinity) + len(st.Image) + len(st.After)*int(unsafe.Sizeof(0))
+	}
+	return EndedJobMemory(spec) + allocated(size) + occurrenceMemory(spec)
+}
+
+// occurrenceMemory returns an estimate of the memory of the steps of one occurrence.
+func occurrenceMemory(spec *workload.Job) cluster.Bytes {
+	size := len(spec.Steps) * int(unsafe.Sizeof(step{}))
+	for i := range spec.Steps {
+		st := &spec.Steps[i]
+		size += st.Tasks * int(unsafe.Sizeof(task{}))
+		if st.Size.CPU < fewTasksCPU {
+			size += st.Tasks * runBytes
+		}
+		if spec.Terms.Advice != nil {
+			size += permitsBytes
+		}
+	}
+	return allocated(size)
+}
+
+// buildDueOccurrences creates the steps of the occurrences of a job that are due. Beyond the first, an occurrence that
+// overlaps others waits until there is memory for it. It returns false if there are occurrences that are not due or wait.
+func (s *Scheduler) buildDueOccurrences(j *job) bool {
+	for ; j.nextOccurrence < j.spec.Occurrences(); j.nextOccurrence++ {
+		if s.now.Before(j.spec.OccurrenceStart(j.nextOccurrence)) {
+			return false
+		}
+		if s.isBuilt(j, j.nextOccurrence) || j.isOccurrenceDone(j.nextOccurrence) {
+			continue
+		}
+		if j.builtOccurrences > 0 && !s.cfg.Quota.HasRoom(j.spec.Team, occurrenceMemory(j.spec)) {
+			return false
+		}
+		s.buildOccurrence(j, j.nextOccurrence)
+	}
+	return true
+}
+
+// buildScheduled creates the steps of the occurrences that have become due.
+func (s *Scheduler) buildScheduled() {
+	s.scheduledJobs = slices.DeleteFunc(s.scheduledJobs, func(j *job) bool {
+		return j.progress.State.Final() || s.buildDueOccurrences(j)
+	})
+}
+
+func (s *Scheduler) isBuilt(j *job, occurrence int) bool {
+	return len(j.steps) > 0 && j.steps[occurrence*len(j.spec.Steps)] != nil
+}
+
+// isOccurrenceDone reports whether all tasks of an occurrence are recorded as done.
+func (j *job) isOccurrenceDone(occurrence int) bool {
+	tasks := j.spec.TasksPerOccurrence()
+	for index := occurrence * tasks; index < (occurrence+1)*tasks; index++ {
+		if !j.progress.IsDone(index) {
+			return false
+		}
+	}
+	return true
+}
+
+// countUnfinishedTasks sets the number of tasks that are not recorded as done.
+func (s *Scheduler) countUnfinishedTasks(j *job) {
+	total := j.spec.TasksPerOccurrence() * j.spec.Occurrences()
+	j.unfinishedTasks = total
+	for index := range min(total, 8*len(j.progress.Done)) {
+		if j.progress.IsDone(index) {
+			j.unfinishedTasks--
+		}
+	}
+	if j.unfinishedTasks < total {
+		s.markStarted(j)
+	}
+}
+
+// buildOccurrence creates the steps of an occurrence of a job from its specification and recorded progress.
+func (s *Scheduler) buildOccurrence(j *job, occurrence int) {
+	if len(j.steps) == 0 {
+		j.steps = make([]*step, len(j.spec.Steps)*j.spec.Occurrences())
+	}
+	if j.builtOccurrences++; j.builtOccurrences > 1 {
+		s.cfg.Quota.Grow(s.now, j.spec.ID, occurrenceMemory(j.spec))
+	}
+	open := false
+	for i := range j.spec.Steps {
+		st := &step{
+			id: StepID{Job: j.spec.ID, Occurrence: occurrence, Step: i}, job: j, spec: &j.spec.Steps[i],
+			tasks: make([]task, j.spec.Steps[i].Tasks), scheduledStart: j.spec.OccurrenceStart(occurrence),
+		}
+		s.setDeadline(st)
+		first := j.spec.TaskIndex(st.taskID(0))
+		for k := range st.tasks {
+			if st.tasks[k].done = j.progress.IsDone(first + k); !st.tasks[k].done {
+				st.unfinishedTasks++
+			}
+		}
+		st.pendingTasks = st.unfinishedTasks
+		j.steps[occurrence*len(j.spec.Steps)+i] = st
+		if !st.closed() {
+			open = true
+			s.openSteps = append(s.openSteps, st)
+		}
+	}
+	if !open {
+		s.occurrenceEnded(j, occurrence)
+	}
+}
+
+// occurrenceEnded notes that no task of an occurrence is to be started any more.
+func (s *Scheduler) occurrenceEnded(j *job, occurrence int) {
+	s.endedOccurrences = append(s.endedOccurrences, endedOccurrence{job: j, index: occurrence})
+}
+
+// checkOccurrenceEnded notes the end of an occurrence if all tasks of its steps are done.
+func (s *Scheduler) checkOccurrenceEnded(st *step) {
+	n := len(st.job.spec.Steps)
+	first := st.id.Occurrence * n
+	for _, other := range st.job.steps[first : first+n] {
+		if other.unfinishedTasks > 0 {
+			return
+		}
+	}
+	s.occurrenceEnded(st.job, st.id.Occurrence)
+}
+
+// releaseEnded releases the steps of ended occurrences, which are created again if a worker reports one of their runs, and
+// the specifications of jobs whose end is recorded.
+func (s *Scheduler) releaseEnded() {
+	if s.now.Sub(s.releasedAt) < releaseInterval {
+		return
+	}
+	s.releasedAt = s.now
+	s.endedOccurrences = shrink(slices.DeleteFunc(s.endedOccurrences, func(o endedOccurrence) bool { return s.releaseOccurrence(o.job, o.index) }))
+}
+
+// shrink returns the list without most of its unused capacity if that is large.
+func shrink[T any](list []T) []T {
+	const minCapacity = 1024
+	if cap(list) < minCapacity || len(list) > cap(list)/4 {
+		return list
+	}
+	return append(make([]T, 0, 2*len(list)), list...)
+}
+
+// releaseOccurrence releases the steps of an occurrence, and the payload of its job if that has ended. It returns false if
+// they are still needed.
+func (s *Scheduler) releaseOccurrence(j *job, occurrence int) bool {
+	ended := j.progress.State.Final()
+	if ended && !j.visibleState.Final() {
+		return false // the end is not recorded
+	}
+	if s.isBuilt(j, occurrence) {
+		first := occurrence * len(j.spec.Steps)
+		steps := j.steps[first : first+len(j.spec.Steps)]
+		if slices.ContainsFunc(steps, (*step).isNeeded) {
+			return false
+		}
+		clear(steps)
+		if j.builtOccurrences--; j.builtOccurrences > 0 {
+			s.cfg.Quota.Grow(s.now, j.spec.ID, -occurrenceMemory(j.spec))
+		}
+	}
+	if ended && j.builtOccurrences == 0 {
+		s.releaseJob(j)
+	}
+	return true
+}
+
+// isNeeded reports whether a step may still change: its tasks are to be started, or a request about it is in flight.
+func (st *step) isNeeded() bool { return !st.closed() || st.adviceInFlight || st.oldestRun() != nil }
+
+// releaseJob releases what is only needed to run a job.
+func (s *Scheduler) releaseJob(j *job) {
+	if j.steps == nil && j.released {
+		return
+	}
+	j.steps, j.criticalPaths, j.released = nil, nil, true
+	j.spec = j.spec.WithoutPayload()
+	s.cfg.Quota.Set(s.now, j.spec.ID, j.spec.Team, EndedJobMemory(j.spec))
+}
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -24,6 +24,7 @@
 	s.removeClosedSteps()
 	s.metrics.open.Update(float64(len(s.openSteps)))
 	if len(s.openSteps) == 0 {
+		s.ready = nil
 		s.metrics.waiting.Update(0)
 		s.updateUseMetrics(nil, true)
 		return
@@ -74,6 +75,8 @@
 		s.lateStepsPlacedAt = s.now
 	}
 	s.waitingSteps = 0
+	// The steps of the last pass may have ended.
+	clear(s.ready)
 	s.ready = s.ready[:0]
 	for _, st := range s.openSteps {
 		if st.pendingTasks == 0 || !s.startable(st) {
@@ -319,7 +322,7 @@
 	}
 	for index := range st.tasks {
 		t := &st.tasks[index]
-		if t.done || t.run != nil || s.now.Before(t.notBefore) {
+		if t.done || t.run != nil || s.now.Before(t.past().notBefore) {
 			continue
 		}
 		if !s.mayStart() {
@@ -396,7 +399,7 @@
 	found := s.candidates(st)
 	need := st.unfinishedTasks
 	for i := range st.tasks {
-		if s.now.Before(st.tasks[i].notBefore) {
+		if s.now.Before(st.tasks[i].past().notBefore) {
 			return
 		}
 	}
--- a/cluster/pool/random_advice_test.go
+++ b/cluster/pool/random_advice_test.go
@@ -297,6 +297,9 @@
 	s := sim.owner
 	fmt.Fprintf(&b, "long requests %d, advisors %d", s.advice.long, s.advisors)
 	for _, st := range s.jobs[id].steps {
+		if st == nil {
+			continue
+		}
 		valid, earlier, dropped := 0, 0, 0
 		for _, p := range st.permits {
 			switch {
@@ -345,7 +348,7 @@
 	named := map[*worker]int{}
 	for _, j := range sim.owner.jobs {
 		for _, st := range j.steps {
-			if !st.adviceInFlight {
+			if st == nil || !st.adviceInFlight {
 				continue
 			}
 			load.add(st.adviceRequest, 1)
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/admission"
 	"github.com/goldcrestshift/goldcrestshift/cluster/fairshare"
+	"github.com/goldcrestshift/goldcrestshift/cluster/jobquota"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
@@ -51,6 +52,12 @@
 	// previousOwnerActiveUntil is until when the previous owner may have sent requests.
 	previousOwnerActiveUntil time.Time
 
+	// scheduledJobs are the jobs with occurrences that have no steps yet, endedOccurrences those whose steps are to be
+	// released. releasedAt is when the latter were last searched.
+	scheduledJobs    []*job
+	endedOccurrences []endedOccurrence
+	releasedAt       time.Time
+
 	dirtyJobs   []*job
 	expiredJobs []cluster.JobName
 	endedJobs   []*job
@@ -119,6 +126,9 @@
 		cfg.MaxLease = DefaultMaxLease
 	}
 	cfg.Shards = max(cfg.Shards, 1)
+	if cfg.Quota == nil {
+		cfg.Quota = jobquota.New(0).Open()
+	}
 	if cfg.Metrics == nil {
 		cfg.Metrics = tally.NoopScope
 	}
@@ -185,6 +195,7 @@
 		s.apply(e)
 	}
 	s.loaded = true
+	s.buildScheduled()
 	s.reportEvacuations()
 	s.applyDeferredEnds()
 	s.checkTakeover()
@@ -195,6 +206,7 @@
 	}
 	s.sendHolds()
 	s.emitRecord()
+	s.releaseEnded()
 	s.emitUsage()
 	s.publishStatuses()
 	return s.effects
@@ -286,10 +298,17 @@
 // acceptJob adds a job that is in the store; a known job is left unchanged. A row that was read or sent before it
 // was deleted is ignored.
 func (s *Scheduler) acceptJob(spec *workload.Job, progress *workload.Progress) {
-	if s.jobs[spec.ID] != nil || s.deletedJobs.contains(spec) {
+	if s.jobs[spec.ID] != nil {
+		return
+	}
+	if s.deletedJobs.contains(spec) {
+		s.cfg.Quota.Remove(s.now, spec.ID)
 		return
 	}
 	j := &job{spec: spec, team: s.team(spec.Team), progress: progress, arrivedAt: s.now, criticalPaths: spec.CriticalPaths()}
+	for _, path := range j.criticalPaths {
+		j.longestPath = max(j.longestPath, path)
+	}
 	if progress == nil {
 		j.progress = &workload.Progress{}
 	}
@@ -301,12 +320,17 @@
 	if j.progress.State.Final() {
 		s.showState(j, j.progress.State)
 		s.endedJobs = append(s.endedJobs, j)
+		s.releaseJob(j)
 		s.readDeferredRuns(j)
 		return
 	}
+	s.cfg.Quota.Set(s.now, spec.ID, spec.Team, JobMemory(spec))
 	j.surplus = !s.consumeToken(spec.Team)
 	s.countAcceptedJob(j)
-	s.buildSteps(j)
+	s.countUnfinishedTasks(j)
+	if !s.buildDueOccurrences(j) {
+		s.scheduledJobs = append(s.scheduledJobs, j)
+	}
 	s.readDeferredRuns(j)
 	s.cfg.Log.Info().Str("job", string(spec.ID)).Str("queue", string(spec.Queue)).Str("team", string(spec.Team)).
 		Int("tasks", j.unfinishedTasks).Bool("surplus", j.surplus).Bool("exposed", j.possiblyRunning).Msg("pool: job accepted")
@@ -321,33 +345,6 @@
 	return spec.AcceptedAt.Before(s.previousOwnerActiveUntil)
 }
 
-// buildSteps creates the steps of all occurrences of a job from its specification and recorded progress.
-func (s *Scheduler) buildSteps(j *job) {
-	for occurrence := range j.spec.Occurrences() {
-		for i := range j.spec.Steps {
-			st := &step{
-				id: StepID{Job: j.spec.ID, Occurrence: occurrence, Step: i}, job: j, spec: &j.spec.Steps[i],
-				tasks: make([]task, j.spec.Steps[i].Tasks), scheduledStart: j.spec.OccurrenceStart(occurrence),
-			}
-			s.setDeadline(st)
-			for k := range st.tasks {
-				if j.progress.IsDone(j.spec.TaskIndex(st.taskID(k))) {
-					st.tasks[k].done = true
-					s.markStarted(j)
-					continue
-				}
-				st.unfinishedTasks++
-			}
-			st.pendingTasks = st.unfinishedTasks
-			j.unfinishedTasks += st.unfinishedTasks
-			j.steps = append(j.steps, st)
-			if !st.closed() {
-				s.openSteps = append(s.openSteps, st)
-			}
-		}
-	}
-}
-
 func (st *step) taskID(index int) workload.TaskID {
 	return workload.TaskID{Job: st.id.Job, Occurrence: st.id.Occurrence, Step: st.id.Step, Index: index}
 }
@@ -358,12 +355,13 @@
 	if st.releaseTime.IsZero() {
 		st.releaseTime = st.job.spec.AcceptedAt
 	}
-	var longestPath time.Duration
-	for _, path := range st.job.criticalPaths {
-		longestPath = max(longestPath, path)
-	}
-	terms := s.terms(st.job)
-	st.deadline = st.releaseTime.Add(time.Duration(terms.Stretch*float64(longestPath)) + terms.Target)
+	st.deadline = s.deadline(st.job, st.releaseTime)
+}
+
+// deadline returns the deadline of an occurrence of a job.
+func (s *Scheduler) deadline(j *job, releaseTime time.Time) time.Time {
+	terms := s.terms(j)
+	return releaseTime.Add(time.Duration(terms.Stretch*float64(j.longestPath)) + terms.Target)
 }
 
 // stepOf returns the step of a task, or nil if there is no such task.
@@ -372,9 +370,10 @@
 	if j == nil || id.Step >= len(j.spec.Steps) || id.Occurrence >= j.spec.Occurrences() {
 		return nil
 	}
-	if len(j.steps) == 0 {
-		// Runs of a job that had ended before it was loaded may still have to be stopped.
-		s.buildSteps(j)
+	if !s.isBuilt(j, id.Occurrence) {
+		// Runs of an occurrence whose steps were released, or that a previous owner started, may have to be stopped or
+		// adopted.
+		s.buildOccurrence(j, id.Occurrence)
 	}
 	st := j.steps[id.Occurrence*len(j.spec.Steps)+id.Step]
 	if id.Index >= len(st.tasks) {
@@ -400,7 +399,14 @@
 	// A completed job has no run left to stop: the members of a gang end together.
 	if state != workload.StateCompleted {
 		for _, st := range j.steps {
-			s.stopStep(st)
+			if st != nil {
+				s.stopStep(st)
+			}
+		}
+	}
+	for occurrence := range j.spec.Occurrences() {
+		if occurrence == 0 || s.isBuilt(j, occurrence) {
+			s.occurrenceEnded(j, occurrence)
 		}
 	}
 	s.markDirty(j)
@@ -427,6 +433,7 @@
 		st.permits, st.advisedWorkers, st.preemptedWorkers = nil, nil, nil
 		return true
 	})
+	s.openSteps = shrink(s.openSteps)
 }
 
 // consumeToken counts a job against the job rate of its team and returns false if the rate is exceeded. The rate
--- a/cluster/pool/simulation_test.go
+++ b/cluster/pool/simulation_test.go
@@ -173,6 +173,16 @@
 	size        cluster.Resources
 }
 
+// pendingTasks returns the number of tasks of the first step of a job that have no run. The steps of a job that has
+// completed may have been released.
+func (sim *simulation) pendingTasks(id cluster.JobName) int {
+	j := sim.owner.jobs[id]
+	if !sim.owner.isBuilt(j, 0) && j.progress.State == workload.StateCompleted {
+		return 0
+	}
+	return j.steps[0].pendingTasks
+}
+
 func newSimulation(seed uint64, workers int) *simulation {
 	sim := &simulation{
 		rnd: rand.New(rand.NewPCG(seed, seed)), now: time.Unix(1_800_000_000, 0), jobs: map[cluster.JobName]*workload.Job{}, impossible: map[cluster.JobName]bool{},
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -15,8 +15,17 @@
 	team          *usage
 	progress      *workload.Progress
 	criticalPaths []time.Duration
-	// steps holds the steps of all occurrences, grouped by occurrence.
+	// longestPath is the longest of criticalPaths.
+	longestPath time.Duration
+	// steps holds the steps of all occurrences, grouped by occurrence. Those of an occurrence that is not due, or that has
+	// ended, are nil; see occurrence.go. It is nil for a job that had ended when it was loaded.
 	steps []*step
+	// nextOccurrence is the first occurrence that has not been due yet. builtOccurrences is the number of occurrences that
+	// have steps.
+	nextOccurrence   int
+	builtOccurrences int
+	// released means that the payload of the ended job has been released.
+	released bool
 	// unfinishedTasks is the number of tasks that are not done.
 	unfinishedTasks int
 	// possiblyRunning means that the previous owner may have started tasks of the job.
@@ -119,6 +128,12 @@
 	// run is the current run of the task; nil if there is none.
 	run  *run
 	done bool
+	// history is nil for a task that has not been interrupted, as most are.
+	history *taskHistory
+}
+
+// taskHistory is what earlier runs of a task have left.
+type taskHistory struct {
 	// checkpoint is the checkpoint from which the next run resumes; empty if there is none.
 	checkpoint string
 	// notBefore is the earliest time of the next start.
@@ -127,6 +142,22 @@
 	lost lostRun
 }
 
+// past returns the history of a task to be read.
+func (t *task) past() taskHistory {
+	if t.history == nil {
+		return taskHistory{}
+	}
+	return *t.history
+}
+
+// record returns the history of a task to be changed.
+func (t *task) record() *taskHistory {
+	if t.history == nil {
+		t.history = &taskHistory{}
+	}
+	return t.history
+}
+
 // runState is the state of a run as known to the scheduler.
 type runState int
 
--- a/cluster/workload/job.go
+++ b/cluster/workload/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -114,6 +115,17 @@
 	return j.Recurrence.FirstStart.Add(time.Duration(occurrence) * j.Recurrence.Interval)
 }
 
+// WithoutPayload returns a copy of the job that has its tasks but not what is only needed to run them.
+func (j *Job) WithoutPayload() *Job {
+	ended := *j
+	ended.Spec, ended.Steps = "", slices.Clone(j.Steps)
+	for i := range ended.Steps {
+		s := &ended.Steps[i]
+		s.After, s.Label, s.Affinity, s.Image = nil, "", "", ""
+	}
+	return &ended
+}
+
 // TasksPerOccurrence returns the number of tasks of all steps.
 func (j *Job) TasksPerOccurrence() int {
 	n := 0
--- a/goldcrestd/node/node.go
+++ b/goldcrestd/node/node.go
@@ -132,7 +132,7 @@
 	n.daemon, err = cell.New(cell.Config{
 		VM: s.VM, Self: cell.NewID(s.VM, time.Now()), Place: s.Place, Cores: s.Cores, LinkRate: s.LinkRate, MaxLease: s.MaxLease,
 		EvacuateBound: s.EvacuateBound, ShardWorkers: cfg.ShardWorkers, UseHalfLife: cfg.UseHalfLife, Admission: cfg.Admission, PeerAddr: advertiseAddr,
-		Listener: peerListener, MaxPeerConns: limits.PeerConns, MaxPeerHandshakes: limits.PartialConns, MaxIntakeBytes: limits.IntakeBytes,
+		Listener: peerListener, MaxPeerConns: limits.PeerConns, MaxPeerHandshakes: limits.PartialConns, MaxIntakeBytes: limits.IntakeBytes, MaxJobBytes: limits.JobBytes,
 		Store: store, Lister: workers, Workers: workers, Advice: &platform.AdviceClient{Client: n.client, Addr: s.AdviceAddr},
 		Reader: platform.ConfigReader{}, Evacuations: platform.EvacuationReader{},
 		Log: log, Metrics: scope, PaidLink: paidlink.New(paidlink.Config{Self: s.Place.Region, Metrics: scope}),
