pool: drop closed steps before they are released

Cause: placement drops closed steps from the open ones, but it does not run while an owner is suspended. The steps of jobs that ended then were released while the report of the load still went over them, and the control loop of the shard panicked. The panic was kept by the goroutine group until the daemon closes, so that nothing was logged; the daemon claimed its own shard again 4 s later.

The new test panics without the change.

Change: closed steps are dropped before any are released. A panic in the control loop is logged. The history of a task is no longer copied to be read, and the limit of the memory for jobs is computed once a second.

Why it works: a step that is released is closed, and none of those is left in the list that the load, the limits and the placement go over.

--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -27,9 +27,13 @@
 // claimLoop updates the gauges, creates the shard layout if there is none, and claims the shards that need a new
 // owner.
 func (d *Daemon) claimLoop() {
+	var memoryUpdatedAt time.Time
 	for d.sleep(claimInterval) {
 		d.updateGauges()
-		d.updateJobMemory()
+		if time.Since(memoryUpdatedAt) >= jobMemoryInterval {
+			memoryUpdatedAt = time.Now()
+			d.updateJobMemory()
+		}
 		if d.leaving.Load() || !d.store.reachable() {
 			d.restartClaimDelays()
 			continue
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"slices"
 	"strings"
 	"sync"
@@ -93,6 +94,7 @@
 	defer close(o.done)
 	defer o.goroutines.Wait()
 	defer func() { o.quota.Close(time.Now()) }()
+	defer o.logPanic()
 	defer o.unregister()
 	defer o.stop()
 	o.goroutines.Go(o.confirmMandate)
@@ -111,6 +113,15 @@
 	o.loop()
 }
 
+// logPanic logs a panic and lets it go on. Otherwise it would be seen only when the daemon is closed, as another daemon or
+// this one claims the shard.
+func (o *ownedShard) logPanic() {
+	if v := recover(); v != nil {
+		o.d.cfg.Log.Error().Interface("panic", v).Bytes("stack", debug.Stack()).Stringer("shard", o.id).Msg("cell: panic in the control loop; ownership ended")
+		panic(v)
+	}
+}
+
 func (o *ownedShard) unregister() {
 	o.d.mu.Lock()
 	defer o.d.mu.Unlock()
--- a/cluster/cell/quota.go
+++ b/cluster/cell/quota.go
@@ -19,6 +19,8 @@
 	creditShare = 4
 	// creditRenewInterval is the shortest time between two requests for a new credit without a job that needs it.
 	creditRenewInterval = 200 * time.Millisecond
+	// jobMemoryInterval is the time between two updates of the limit.
+	jobMemoryInterval = time.Second
 	// ownerReturn is when a client returns whose job needs the permission of an owner that does not answer, before it is
 	// spread. A new owner is there after about that time.
 	ownerReturn = 2 * time.Second
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -251,11 +251,11 @@
 // saveCheckpoint stores the checkpoint from which a task, or all members of a gang, resume.
 func (st *step) saveCheckpoint(index int, checkpoint string) {
 	if !st.spec.Gang {
-		st.tasks[index].record().checkpoint = checkpoint
+		st.tasks[index].changeHistory().checkpoint = checkpoint
 		return
 	}
 	for i := range st.tasks {
-		st.tasks[i].record().checkpoint = checkpoint
+		st.tasks[i].changeHistory().checkpoint = checkpoint
 	}
 }
 
@@ -282,7 +282,7 @@
 		return
 	}
 	if st.spec.LongRunning {
-		t.record().notBefore = s.now
+		t.changeHistory().notBefore = s.now
 		return
 	}
 	if t.run == nil {
--- a/cluster/pool/loss.go
+++ b/cluster/pool/loss.go
@@ -85,7 +85,7 @@
 		Str("worker", string(r.worker.vm.ID)).Stringer("state", r.state).Stringer("reason", reason).Bool("repeated", r.startRepeated).
 		Bool("listed", r.worker.inPlatformList).Dur("sinceHeartbeat", s.now.Sub(r.worker.heartbeatSeenAt)).Msg("pool: run lost")
 	s.metrics.lost[reason].Inc(1)
-	r.step.tasks[r.id.Index].record().lost = lostRun{number: r.number, reason: reason, lostAt: s.now}
+	r.step.tasks[r.id.Index].changeHistory().lost = lostRun{number: r.number, reason: reason, lostAt: s.now}
 	s.releaseRun(r)
 	if st := r.step; st.spec.Gang && st.gangRun == r.number {
 		s.abortGang(st, reason.String(), r.id, r.worker.vm.ID)
@@ -95,7 +95,7 @@
 // lostRunReported logs and counts that a worker reports a run that counted as lost.
 func (s *Scheduler) lostRunReported(w *worker, st *step, task string, index int, number platform.RunNumber, state string) {
 	t := &st.tasks[index]
-	lost := t.past().lost
+	lost := t.lost()
 	if lost.number == 0 || lost.number != number {
 		return
 	}
--- a/cluster/pool/memory_test.go
+++ b/cluster/pool/memory_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/jobquota"
+	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
@@ -105,3 +106,33 @@
 		})
 	}
 }
+
+// Guards against an owner whose control loop ends because a job has ended while the owner was suspended, and its steps are
+// still considered for the load of the pool.
+func TestJobsEndWhileOwnerIsSuspended(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	s := New(Config{Service: testService, Now: now})
+	step := func(events ...Event) {
+		now = now.Add(releaseInterval)
+		for _, e := range s.Step(now, events) {
+			if r, ok := e.(*WriteRecord); ok {
+				s.Step(now, []Event{&RecordWritten{Generation: r.Generation}})
+			}
+		}
+		s.Load()
+	}
+	job := &workload.Job{ID: singleTaskJob, Team: testTeam, Queue: testQueue, AcceptedAt: now, Steps: []workload.Step{
+		{Tasks: 1, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second},
+		{Tasks: 4, Size: cluster.Resources{CPU: cluster.Core}, Estimate: time.Second, Gang: true, After: []int{0}},
+	}}
+	vm := platform.WorkerVM{ID: "w", Service: testService, Capacity: cluster.Resources{CPU: 8 * cluster.Core}}
+	step(&WorkersListed{Workers: []platform.WorkerVM{vm}}, &JobAccepted{Job: job})
+	s.sortedWorkers[0].usable = true
+	step(&MandateChanged{Holds: false}, &JobCancelled{ID: job.ID})
+	for range 5 {
+		step()
+	}
+	is.Equal(len(s.openSteps), 0)
+	is.Equal(len(s.jobs[job.ID].steps), 0)
+}
--- a/cluster/pool/occurrence.go
+++ b/cluster/pool/occurrence.go
@@ -180,6 +180,8 @@
 		return
 	}
 	s.releasedAt = s.now
+	// Placement, which drops closed steps, does not run while the owner is suspended.
+	s.removeClosedSteps()
 	s.endedOccurrences = shrink(slices.DeleteFunc(s.endedOccurrences, func(o endedOccurrence) bool { return s.releaseOccurrence(o.job, o.index) }))
 }
 
--- a/cluster/pool/place.go
+++ b/cluster/pool/place.go
@@ -322,7 +322,7 @@
 	}
 	for index := range st.tasks {
 		t := &st.tasks[index]
-		if t.done || t.run != nil || s.now.Before(t.past().notBefore) {
+		if t.done || t.run != nil || t.isDelayed(s.now) {
 			continue
 		}
 		if !s.mayStart() {
@@ -399,7 +399,7 @@
 	found := s.candidates(st)
 	need := st.unfinishedTasks
 	for i := range st.tasks {
-		if s.now.Before(st.tasks[i].past().notBefore) {
+		if st.tasks[i].isDelayed(s.now) {
 			return
 		}
 	}
--- a/cluster/pool/requests.go
+++ b/cluster/pool/requests.go
@@ -28,7 +28,7 @@
 	s.metrics.wait.RecordDuration(s.now.Sub(st.job.arrivedAt))
 	r.start = &SendStart{Worker: w.vm, Task: r.id, Request: platform.StartRequest{
 		Task: r.id.String(), Run: number, Fence: s.fence(w), Spec: st.job.spec.Spec, Until: s.grantLease(w),
-		Checkpoint: st.tasks[index].past().checkpoint, Ticket: ticket,
+		Checkpoint: st.tasks[index].checkpoint(), Ticket: ticket,
 	}}
 	s.sendStart(r)
 	line := s.cfg.Log.Info().Str("job", string(r.id.Job)).Stringer("task", r.id).Uint64("run", uint64(number)).Str("worker", string(w.vm.ID)).
@@ -106,7 +106,7 @@
 
 // startRefused frees the task of a run if no start request of the run can be carried out any more.
 func (s *Scheduler) startRefused(r *run) {
-	r.step.tasks[r.id.Index].record().notBefore = s.now.Add(refusedStartDelay)
+	r.step.tasks[r.id.Index].changeHistory().notBefore = s.now.Add(refusedStartDelay)
 	if !s.loseIfOver(r, refusalEvidence{}) {
 		s.markUnconfirmed(r)
 	}
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -142,16 +142,27 @@
 	lost lostRun
 }
 
-// past returns the history of a task to be read.
-func (t *task) past() taskHistory {
+// isDelayed reports whether a task may not be started again yet.
+func (t *task) isDelayed(now time.Time) bool { return t.history != nil && now.Before(t.history.notBefore) }
+
+// checkpoint returns the checkpoint from which the next run resumes; empty if there is none.
+func (t *task) checkpoint() string {
+	if t.history == nil {
+		return ""
+	}
+	return t.history.checkpoint
+}
+
+// lost returns the last lost run; its number is zero if there is none.
+func (t *task) lost() lostRun {
 	if t.history == nil {
-		return taskHistory{}
+		return lostRun{}
 	}
-	return *t.history
+	return t.history.lost
 }
 
-// record returns the history of a task to be changed.
-func (t *task) record() *taskHistory {
+// changeHistory returns the history of a task to be changed.
+func (t *task) changeHistory() *taskHistory {
 	if t.history == nil {
 		t.history = &taskHistory{}
 	}
--- a/cluster/pool/waiting.go
+++ b/cluster/pool/waiting.go
@@ -142,5 +142,5 @@
 
 // isDelayed reports whether a task of a step may not be started again yet.
 func (st *step) isDelayed(now time.Time) bool {
-	return slices.ContainsFunc(st.tasks, func(t task) bool { return !t.done && now.Before(t.past().notBefore) })
+	return slices.ContainsFunc(st.tasks, func(t task) bool { return !t.done && t.isDelayed(now) })
 }
