daemon, gateway: bound what callers of goldcrestd serve can take

What callers saw: a daemon that was ended for its memory while many clients sent bodies of legal size that stopped short of their end, and no connection at all while others held every descriptor.

Cause: io.ReadAll for the bodies of requests, submissions, cancellations and release notes, decoding of any number of them at once, responses that were kept for clients that don't read, and a listener without limits. The limits of goldcrestd node were not used.

Change: clientlimit for both programs: a budget for headers, bodies, what is decoded from them and responses, limits of connections and headers, large bodies decoded one at a time, at most eight calls to a listing at once. The budget holds at least four of the largest bodies and answers that a service allows, so that a single request is served whatever the memory limit is.

Why it works: memory is taken from the budget before a buffer grows, late bodies and clients that don't read are closed for others, and nothing is read of a body that no handler wants.

--- a/cluster/daemon/daemon.go
+++ b/cluster/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/clientlimit"
 	"github.com/goldcrestshift/goldcrestshift/cluster/gateway"
 	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
 	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
@@ -60,6 +62,9 @@
 	loop           *loop
 	server         *http.Server
 	listener       net.Listener
+	// clients limits what callers may take; decoding is held while a body is decoded that takes much memory.
+	clients  *clientlimit.Guard
+	decoding sync.Mutex
 	// listingClient fetches the listings of the other daemons.
 	listingClient *http.Client
 
@@ -82,12 +87,13 @@
 func New(cfg Config) (*Daemon, error) {
 	d := &Daemon{cfg: cfg, now: time.Now, id: newDaemonID(cfg.Name)}
 	d.log = cfg.Log.With().Str("daemon", string(d.id)).Logger()
-	debug.SetMemoryLimit(int64(cfg.MemoryLimit))
+	debug.SetMemoryLimit(memoryTarget(cfg.MemoryLimit))
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
 	scope, closer, handler := metrics.New(d.log, metricsInterval)
 	d.metrics = scope
+	d.clients = clientlimit.NewGuard(clientlimit.GuardConfig{Limits: d.clientLimits(), Log: d.log, Metrics: scope})
 	d.closers = append(d.closers, func() { _ = closer.Close() })
 	d.invariants = invariant.New(invariant.Config{Log: d.log, Metrics: scope, OnViolation: cfg.OnViolation})
 	d.paidLink = paidlink.New(paidlink.Config{Self: cfg.Place.Region, Metrics: scope})
@@ -115,7 +121,7 @@
 func (d *Daemon) listen() error {
 	var err error
 	if d.listener = d.cfg.HTTPListener; d.listener == nil {
-		if d.listener, err = net.Listen("tcp", d.cfg.HTTPAddr.String()); err != nil {
+		if d.listener, err = clientlimit.Listen(d.cfg.HTTPAddr); err != nil {
 			return &Error{Op: "listen for HTTP", Kind: KindListen, Err: err}
 		}
 	}
@@ -159,9 +165,11 @@
 		Self: d.id, Now: d.now,
 		LastSeen: func(id cluster.DaemonID) time.Time { return d.peers.LastSeen(id) },
 	})
+	limits := d.clientLimits()
 	d.peers = peer.New(peer.Config{
 		Self:     peer.Hello{From: d.id, Place: d.cfg.Place, PeerAddr: d.cfg.PeerAddr, HTTPAddr: d.cfg.HTTPAddr},
 		Listener: d.cfg.PeerListener,
+		MaxConns: limits.PeerConns, MaxHandshakes: limits.PartialConns,
 		Log:      d.log,
 		Metrics:  d.metrics,
 		PaidLink: d.paidLink,
@@ -202,6 +210,7 @@
 	d.gateway = gateway.New(gateway.Config{
 		Self: d.id, Place: d.cfg.Place, Authorizer: d.rollout, Store: d.store, Journal: d.requestJournal, Sender: d.peers,
 		Refusal: toRefusal, Clock: d.now, Log: d.log, Metrics: d.metrics, Invariants: d.invariants, PaidLink: d.paidLink,
+		Clients: d.clients,
 	})
 }
 
--- a/cluster/daemon/jobs.go
+++ b/cluster/daemon/jobs.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -12,6 +10,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+	"github.com/goldcrestshift/goldcrestshift/cluster/clientlimit"
 	"github.com/goldcrestshift/goldcrestshift/cluster/rack"
 )
 
@@ -34,11 +33,17 @@
 	if !ok {
 		return
 	}
-	body, ok := readBody(w, r, maxJobBodyBytes)
+	var held clientlimit.Body
+	defer d.clients.Bodies.Close(&held)
+	body, ok := d.readBody(w, r, &held, maxJobBodyBytes)
 	if !ok {
 		return
 	}
-	request, err := api.DecodeJobRequest(body)
+	var request api.JobRequest
+	var err error
+	if !d.decode(w, &held, body, func() { request, err = api.DecodeJobRequest(body) }) {
+		return
+	}
 	if err != nil {
 		writeRefusal(w, http.StatusBadRequest, err.Error())
 		return
@@ -129,11 +134,17 @@
 	if !ok {
 		return
 	}
-	body, ok := readBody(w, r, maxJobBodyBytes)
+	var held clientlimit.Body
+	defer d.clients.Bodies.Close(&held)
+	body, ok := d.readBody(w, r, &held, maxJobBodyBytes)
 	if !ok {
 		return
 	}
-	request, err := api.DecodeCancellation(body)
+	var request api.Cancellation
+	var err error
+	if !d.decode(w, &held, body, func() { request, err = api.DecodeCancellation(body) }) {
+		return
+	}
 	if err != nil {
 		writeRefusal(w, http.StatusBadRequest, err.Error())
 		return
@@ -219,18 +230,3 @@
 	}
 	writeRefusal(w, http.StatusNotFound, "no daemon knows a job "+id.String())
 }
-
-// readBody reads a body of at most limit bytes; if it is longer or reading fails, it writes a refusal and returns false.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err == nil {
-		return body, true
-	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeRefusal(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", limit))
-	} else {
-		writeRefusal(w, http.StatusBadRequest, "the body could not be read: "+err.Error())
-	}
-	return nil, false
-}
--- a/cluster/daemon/notes.go
+++ b/cluster/daemon/notes.go
@@ -13,6 +13,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+	"github.com/goldcrestshift/goldcrestshift/cluster/clientlimit"
 	"github.com/goldcrestshift/goldcrestshift/cluster/member"
 	"github.com/goldcrestshift/goldcrestshift/cluster/note"
 	"github.com/goldcrestshift/goldcrestshift/cluster/platform"
@@ -77,7 +78,9 @@
 
 // applyNote handles POST /v1/notes.
 func (d *Daemon) applyNote(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	req, ok := d.readNoteRequest(w, r)
+	var held clientlimit.Body
+	defer d.clients.Bodies.Close(&held)
+	req, ok := d.readNoteRequest(w, r, &held)
 	if !ok {
 		return
 	}
@@ -103,7 +106,9 @@
 		writeRefusal(w, http.StatusNotFound, "a note can be checked, planned or applied")
 		return
 	}
-	req, ok := d.readNoteRequest(w, r)
+	var held clientlimit.Body
+	defer d.clients.Bodies.Close(&held)
+	req, ok := d.readNoteRequest(w, r, &held)
 	if !ok {
 		return
 	}
@@ -119,8 +124,9 @@
 	writeJSON(w, http.StatusOK, plan)
 }
 
-// readNoteRequest reads a note from an operator's request; if it can't, it writes the refusal and returns false.
-func (d *Daemon) readNoteRequest(w http.ResponseWriter, r *http.Request) (note.Request, bool) {
+// readNoteRequest reads a note from an operator's request; if it can't, it writes the refusal and returns false. The caller
+// closes held.
+func (d *Daemon) readNoteRequest(w http.ResponseWriter, r *http.Request, held *clientlimit.Body) (note.Request, bool) {
 	if !d.authorizeOperator(w, r) {
 		return note.Request{}, false
 	}
@@ -128,7 +134,7 @@
 		writeProblem(w, api.Problem{Status: http.StatusServiceUnavailable, Detail: "the daemon has not joined the cell", Run: api.RunNo}, staleRetryAfter)
 		return note.Request{}, false
 	}
-	text, ok := readBody(w, r, note.MaxTextBytes)
+	text, ok := d.readBody(w, r, held, note.MaxTextBytes)
 	if !ok {
 		return note.Request{}, false
 	}
@@ -136,7 +142,11 @@
 	if file == "" {
 		file = "note"
 	}
-	parsed, err := note.Parse(file, text)
+	var parsed *note.Note
+	var err error
+	if !d.decode(w, held, text, func() { parsed, err = note.Parse(file, text) }) {
+		return note.Request{}, false
+	}
 	if err != nil {
 		writeNoteError(w, err)
 		return note.Request{}, false
--- a/cluster/daemon/server.go
+++ b/cluster/daemon/server.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/api"
+	"github.com/goldcrestshift/goldcrestshift/cluster/clientlimit"
 	"github.com/goldcrestshift/goldcrestshift/cluster/rack"
 )
 
@@ -17,8 +18,11 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout is longer than the idle timeout of common load balancers, so
 	// that the load balancer and not the daemon closes an idle connection.
-	idleTimeout    = 90 * time.Second
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 90 * time.Second
+	// maxHeaderBytes limits the header of a request. The server adds 4 KiB.
+	maxHeaderBytes = 16 << 10
+	// maxMetricsReads is the most readings of the metrics at once, each of which collects all of them.
+	maxMetricsReads = 4
 )
 
 // serviceMethods are the HTTP methods that requests to services may use.
@@ -33,26 +37,26 @@
 	r := httprouter.New()
 	r.HandleOPTIONS = false
 	r.POST("/v1/queues/:queue/jobs", d.submitJob)
-	r.GET("/v1/queues/:queue/jobs/:job", d.showJob)
+	r.Handler(http.MethodGet, "/v1/queues/:queue/jobs/:job", d.listing(d.showJob))
 	r.DELETE("/v1/queues/:queue/jobs/:job", d.cancelJob)
-	r.GET("/v1/queues/:queue/jobs/:job/explain", d.explainJob)
+	r.Handler(http.MethodGet, "/v1/queues/:queue/jobs/:job/explain", d.listing(d.explainJob))
 	r.POST("/v1/queues/:queue/cancellations", d.cancelJobs)
 	for _, m := range serviceMethods {
 		r.Handle(m, "/v1/services/:service/*path", d.serveService)
 	}
-	r.GET("/v1/local", d.listLocal)
-	r.GET("/v1/jobs", d.listJobs)
-	r.GET("/v1/workers", d.listWorkers)
-	r.GET("/v1/teams", d.listTeams)
+	r.Handler(http.MethodGet, "/v1/local", d.listing(d.listLocal))
+	r.Handler(http.MethodGet, "/v1/jobs", d.listing(d.listJobs))
+	r.Handler(http.MethodGet, "/v1/workers", d.listing(d.listWorkers))
+	r.Handler(http.MethodGet, "/v1/teams", d.listing(d.listTeams))
 	r.GET("/v1/upstreams", d.listUpstreams)
 	r.GET("/v1/status", d.showStatus)
 	r.POST("/v1/notes", d.applyNote)
 	r.POST("/v1/notes/:action", d.previewNote)
-	r.GET("/v1/notes", d.listNotes)
+	r.Handler(http.MethodGet, "/v1/notes", d.listing(d.listNotes))
 	r.GET("/v1/notes/:version", d.showNote)
 	r.GET("/livez", d.serveLiveness)
 	r.GET("/readyz", d.serveReadiness)
-	r.Handler(http.MethodGet, "/metrics", metrics)
+	r.Handler(http.MethodGet, "/metrics", clientlimit.Buffered(maxMetricsReads, metrics))
 	r.NotFound = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		writeRefusal(w, http.StatusNotFound, "there is no such path")
 	})
@@ -63,8 +67,12 @@
 		d.log.Error().Interface("panic", v).Str("path", req.URL.Path).Msg("daemon: request handler panicked")
 		writeProblem(w, api.Problem{Status: http.StatusInternalServerError, Run: api.RunUnknown}, 0)
 	}
+	listener := d.wrapListener()
+	d.listener = listener
 	d.server = &http.Server{
-		Handler:           r,
+		Handler:           clientlimit.SkipUnread(r),
+		ConnState:         listener.ConnState,
+		ConnContext:       clientlimit.ConnContext,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
--- a/cluster/daemon/settings.go
+++ b/cluster/daemon/settings.go
@@ -64,7 +64,7 @@
 	LogConsole bool
 	// DrainTimeout limits the whole shutdown.
 	DrainTimeout time.Duration
-	// MemoryLimit is the soft memory limit of the process.
+	// MemoryLimit is the memory of the process; the Go runtime and the limits for callers stay below it.
 	MemoryLimit cluster.Bytes
 	// OperatorToken is the bearer token that operators' calls must carry; if it is empty, no token is needed.
 	OperatorToken string
@@ -84,7 +84,7 @@
 	flags.String(SettingLogLevel, "info", "lowest level that is logged: debug, info, warn or error")
 	flags.String(SettingLogFormat, "json", "format of log lines: json or console")
 	flags.Duration(SettingDrainTimeout, DefaultDrainTimeout, "longest time to hand over racks and finish running requests at shutdown")
-	flags.Int64(SettingMemoryLimit, int64(DefaultMemoryLimit/cluster.MiB), "soft memory limit of the process in MiB")
+	flags.Int64(SettingMemoryLimit, int64(DefaultMemoryLimit/cluster.MiB), "memory of the process in MiB, from which the limits for callers follow")
 	flags.String(SettingOperatorToken, "", "bearer token that operators' calls need; the same on all daemons; none if empty")
 	flags.Uint64(SettingSeed, 0, "seed of the random source; 0 selects a random seed")
 }
--- a/cluster/daemon/watch.go
+++ b/cluster/daemon/watch.go
@@ -58,6 +58,8 @@
 		}
 	}
 	d.peers.SetPeers(peers)
+	d.updateBodyMemory()
+	d.clients.Report()
 	d.gateway.SetMembers(gatewayMembers)
 	if d.membersKnown() {
 		d.loop.post(&rack.MembersChanged{Live: d.presumedLive()})
--- a/cluster/gateway/config.go
+++ b/cluster/gateway/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -11,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/clientlimit"
 	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
 	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
 	"github.com/goldcrestshift/goldcrestshift/cluster/paidlink"
@@ -98,6 +100,8 @@
 	Metrics    tally.Scope
 	Invariants *invariant.Recorder
 	PaidLink   *paidlink.Counter
+	// Clients limits the memory of the requests and their responses; nil means that it is not limited.
+	Clients *clientlimit.Guard
 }
 
 func (c Config) withDefaults() Config {
@@ -128,5 +132,8 @@
 	if c.Metrics == nil {
 		c.Metrics = tally.NoopScope
 	}
+	if c.Clients == nil {
+		c.Clients = clientlimit.NewGuard(clientlimit.GuardConfig{Limits: clientlimit.Limits{BodyBytes: math.MaxInt64}, Log: c.Log, Metrics: c.Metrics})
+	}
 	return c
 }
--- a/cluster/gateway/serve.go
+++ b/cluster/gateway/serve.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/clientlimit"
 	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
 )
 
@@ -42,6 +42,9 @@
 	mayHaveRun bool
 	// sends counts the attempts that sent at least one byte to a runner.
 	sends int
+	// held is the memory of the body and the response, heldHeader that of the header.
+	held       clientlimit.Body
+	heldHeader clientlimit.Body
 }
 
 // ServeService routes one request to a runner of the service and writes the response.
@@ -55,6 +58,8 @@
 		return
 	}
 	defer g.endWork()
+	defer g.cfg.Clients.Bodies.Close(&c.held)
+	defer g.cfg.Clients.Bodies.Close(&c.heldHeader)
 	resp, p := g.serve(w, r, c)
 	g.report(c, resp, p, g.cfg.Clock().Sub(startedAt))
 	closeConn := g.drainingFlag.Load()
@@ -92,7 +97,7 @@
 	if p := g.prepare(r, c); p != nil {
 		return nil, p
 	}
-	if p := readBody(w, r, c); p != nil {
+	if p := g.readBody(w, r, c); p != nil {
 		return nil, p
 	}
 	parent := r.Context()
@@ -112,6 +117,10 @@
 		g.cfg.Invariants.Require(p.run != runStatusNo || !c.mayHaveRun, invariant.NotRun, "request %s may have been run", c.id)
 	}
 	g.cfg.Invariants.Require(c.idempotent || c.sends <= 1, invariant.AtMostOnce, "request %s was sent %d times", c.id, c.sends)
+	if p == nil && !g.cfg.Clients.HoldResponse(ctx, &c.held, int64(cap(c.body)+cap(resp.body))) {
+		g.cfg.Clients.Refused(clientlimit.FrontListener, "no memory for the response")
+		return nil, unknownRunProblem(http.StatusGatewayTimeout, "answer dropped", "there is no memory for it")
+	}
 	return resp, p
 }
 
@@ -192,33 +201,60 @@
 	g.cfg.Invariants.Require(key != nil && key.Team == c.team, invariant.KeyTeam, "request for team %s without a key of it", c.team)
 }
 
-// readBody reads the request body within the route's size limit and the request deadline.
-func readBody(w http.ResponseWriter, r *http.Request, c *call) *problem {
+// readBody reads the request body within the route's size limit, the request deadline and the memory for bodies.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call) *problem {
+	now := time.Now()
+	if !g.cfg.Clients.Bodies.Open(now, &c.heldHeader, headerBytes(r.Header)) || !g.cfg.Clients.Bodies.Finish(now, &c.heldHeader, headerBytes(r.Header)) {
+		return g.bodyProblem(&clientlimit.Error{Op: "read header", Kind: clientlimit.KindNoMemory}, 0)
+	}
 	limit := int64(c.snapshot.Services[c.service].MaxBody)
 	if limit <= 0 {
 		limit = int64(DefaultMaxBody)
 	}
-	if r.ContentLength > limit {
-		return notRunProblem(http.StatusRequestEntityTooLarge, "body too large", "the limit is %d bytes", limit)
+	reader := clientlimit.BodyReader{Bodies: g.cfg.Clients.Bodies, Held: &c.held, MaxBytes: limit, Deadline: c.deadline}
+	body, err := reader.Read(w, r)
+	if err == nil && !g.cfg.Clients.Bodies.Finish(time.Now(), &c.held, int64(cap(body))) {
+		err = &clientlimit.Error{Op: "read body", Kind: clientlimit.KindNoMemory}
 	}
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil
+	var refused *clientlimit.Error
+	if errors.As(err, &refused) {
+		return g.bodyProblem(refused, limit)
 	}
-	// Writers without deadline support, such as test recorders, have no slow callers.
-	controller := http.NewResponseController(w)
-	if controller.SetReadDeadline(c.deadline) == nil {
-		defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
+	if len(body) > 0 {
+		c.body = body
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
+	return nil
+}
+
+// headerFieldBytes is the memory of a header field without its text.
+const headerFieldBytes = 64
+
+// headerBytes returns the memory of a header.
+func headerBytes(h http.Header) int64 {
+	size := 0
+	for name, values := range h {
+		size += headerFieldBytes + len(name)
+		for _, v := range values {
+			size += headerFieldBytes + len(v)
+		}
+	}
+	return int64(size)
+}
+
+// bodyProblem describes a request whose body is not accepted.
+func (g *Gateway) bodyProblem(err *clientlimit.Error, limit int64) *problem {
+	switch err.Kind {
+	case clientlimit.KindTooLarge:
 		return notRunProblem(http.StatusRequestEntityTooLarge, "body too large", "the limit is %d bytes", limit)
-	case err != nil:
+	case clientlimit.KindEnded:
 		return notRunProblem(http.StatusBadRequest, "body incomplete", "%v", err)
 	}
-	c.body = body
-	return nil
+	g.cfg.Clients.Refused(clientlimit.FrontListener, err.Limit())
+	p := notRunProblem(err.Status(), "body not accepted", "%v", err)
+	if err.Status() == http.StatusServiceUnavailable {
+		p.withRetryAfter(0)
+	}
+	return p
 }
 
 // route sends a request to runners until one responds or no retry is allowed.
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -143,7 +143,9 @@
 }
 
 // isDelayed reports whether a task may not be started again yet.
-func (t *task) isDelayed(now time.Time) bool { return t.history != nil && now.Before(t.history.notBefore) }
+func (t *task) isDelayed(now time.Time) bool {
+	return t.history != nil && now.Before(t.history.notBefore)
+}
 
 // checkpoint returns the checkpoint from which the next run resumes; empty if there is none.
 func (t *task) checkpoint() string {
--- a/goldcrestd/cluster_test.go
+++ b/goldcrestd/cluster_test.go
@@ -80,7 +80,12 @@
 
 // startProgram runs a built program until the test ends.
 func (c *testCluster) startProgram(program string, args ...string) *process {
-	p := &process{cmd: exec.Command(filepath.Join(c.binDir, program), args...), exited: make(chan struct{}), log: &bytes.Buffer{}}
+	return c.startCommand(exec.Command(filepath.Join(c.binDir, program), args...))
+}
+
+// startCommand runs a command until the test ends.
+func (c *testCluster) startCommand(cmd *exec.Cmd) *process {
+	p := &process{cmd: cmd, exited: make(chan struct{}), log: &bytes.Buffer{}}
 	p.cmd.Stderr = p.log
 	c.is.NoErr(p.cmd.Start())
 	go func() {
@@ -92,7 +97,7 @@
 		<-p.exited
 		if c.t.Failed() {
 			tail := p.log.Bytes()
-			c.t.Logf("last log lines of %s:\n%s", program, tail[max(0, len(tail)-6000):])
+			c.t.Logf("last log lines of %s:\n%s", cmd, tail[max(0, len(tail)-6000):])
 		}
 	})
 	return p
