node: test crowds beside accepted jobs and during a takeover

Cause: the limits were tested each by itself. Together they could still exceed the memory of the VM, as the budget for bodies does not know how much the accepted jobs take, least of all while a successor loads them.

--- a/goldcrestd/node/jobcrowd_test.go
+++ b/goldcrestd/node/jobcrowd_test.go
@@ -39,6 +39,9 @@
 	Takeover bool `json:"takeover"`
 	// Daemons is the number of daemons of the cell; the last one gets the calls. Zero means one.
 	Daemons int `json:"daemons"`
+	// Beside is a group of crowds.json that comes to the daemon once it has accepted jobs, and while it loads those of its
+	// predecessor.
+	Beside string `json:"beside"`
 	// Accepted means that each job must be accepted.
 	Accepted bool `json:"accepted"`
 }
@@ -197,6 +200,7 @@
 		t.Errorf("%d of %d jobs were accepted", statuses[http.StatusOK], n)
 	}
 	cluster.waitForOwner(entry)
+	defer c.runBeside(t, entry)()
 	if c.Takeover {
 		usages[entry].Stop()
 		entry.checkUsage(t, usages[entry])
@@ -205,6 +209,7 @@
 		entry = cluster.startProcess("vm-successor")
 		daemons = []*daemonProcess{entry}
 		usages[entry] = crowd.Watch(entry.cmd.Process.Pid, entry.addrs)
+		defer c.runBeside(t, entry)()
 		cluster.waitForOwner(entry)
 	}
 	c.checkAnswers(t, entry, refused)
@@ -214,6 +219,26 @@
 	}
 }
 
+// runBeside runs the crowds that come beside the jobs, and returns a function that ends them.
+func (c *jobCrowd) runBeside(t *testing.T, daemon *daemonProcess) (leave func()) {
+	if c.Beside == "" {
+		return func() {}
+	}
+	cases, err := crowd.Load("testdata/crowds.json", c.Beside)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var leaves []func()
+	for i := range cases {
+		leaves = append(leaves, cases[i].Run(daemon.target()))
+	}
+	return func() {
+		for _, leave := range leaves {
+			leave()
+		}
+	}
+}
+
 // waitForOwner waits until the owner of the pool has handled the jobs that were accepted before: it counts those of the queue
 // only between its steps, and a count may be pendingAge old.
 func (c *testCluster) waitForOwner(daemon *daemonProcess) {
@@ -268,5 +293,8 @@
 // Guards against daemons that accept jobs for which the owner of their pool has no memory.
 func TestCrowdOfJobsPassedToOwner(t *testing.T) { runJobCrowds(t, "passedOn") }
 
+// Guards against limits that hold each by itself and not together, also while the jobs of a predecessor are loaded.
+func TestCrowdBesideAcceptedJobs(t *testing.T) { runJobCrowds(t, "beside") }
+
 // Guards against a limit that refuses a job although it is within the limits of a single job.
-func TestLargestJobsAreAcceptedInCalm(t *testing.T) { runJobCrowds(t, "largest") }
+func TestCrowdLimitsAcceptLargestJobs(t *testing.T) { runJobCrowds(t, "largest") }
