rack: bound the memory of the jobs of callers

What callers saw: a daemon of goldcrestd serve that is ended for its memory after callers submitted whole legal jobs with many tasks.

Cause: the controller counted no job; an active one takes some hundred bytes a task on the daemon that owns its racks.

Why it works: every daemon reads the rows of all jobs of the cell, so that each knows what it may have to run, and reserves the memory of its own submissions until their rows arrive.

--- a/cluster/daemon/daemon.go
+++ b/cluster/daemon/daemon.go
@@ -193,7 +193,7 @@
 	}
 	random := rand.New(rand.NewPCG(seed, 1))
 	controller := rack.New(rack.Config{
-		Self: d.id, Place: d.cfg.Place, Random: random.Float64, Log: d.log, Metrics: d.metrics, Invariants: d.invariants,
+		Self: d.id, Place: d.cfg.Place, Random: random.Float64, MaxJobMemory: d.clientLimits().JobBytes, Log: d.log, Metrics: d.metrics, Invariants: d.invariants,
 	})
 	d.loop = newLoop(loopConfig{
 		Controller: controller, Store: d.store, RackService: d.client, Journal: d.controlJournal,
--- a/cluster/rack/controller.go
+++ b/cluster/rack/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
 	"github.com/goldcrestshift/goldcrestshift/cluster/invariant"
+	"github.com/goldcrestshift/goldcrestshift/cluster/jobquota"
 	"github.com/goldcrestshift/goldcrestshift/cluster/journal"
 	"github.com/goldcrestshift/goldcrestshift/cluster/peer"
 	"github.com/goldcrestshift/goldcrestshift/cluster/placement"
@@ -41,15 +42,19 @@
 	// Retention is how long the row of a job that ended is kept; zero means 10 minutes.
 	Retention time.Duration
 	// Random returns a number in [0, 1) that spreads retries; it is called from Step only. Nil means no spreading.
-	Random     func() float64
-	Log        zerolog.Logger
-	Metrics    tally.Scope
-	Invariants *invariant.Recorder
+	Random func() float64
+	// MaxJobMemory limits the memory of the jobs of callers; zero means no limit.
+	MaxJobMemory cluster.Bytes
+	Log          zerolog.Logger
+	Metrics      tally.Scope
+	Invariants   *invariant.Recorder
 }
 
 // Controller is the control state machine of one daemon. Its methods must be called by one goroutine at a time.
 type Controller struct {
 	cfg Config
+	// quota counts the memory of the jobs of the cell, as any of them may get tasks on the racks of this daemon.
+	quota *jobquota.Account
 	// now is the time of the current step; started is set by the first step.
 	now     time.Time
 	started bool
@@ -132,6 +137,7 @@
 		config:            cluster.Assemble(0, nil),
 		racks:             map[cluster.RackID]*rack{},
 		jobs:              map[cluster.JobID]*job{},
+		quota:             jobquota.New(cfg.MaxJobMemory).Open(),
 		remoteAssignments: map[string]remoteAssignment{},
 		grants:            map[cluster.TeamName]*teamGrants{},
 		health:            placement.NewHealthTracker(placement.HealthConfig{}),
--- a/cluster/rack/job.go
+++ b/cluster/rack/job.go
@@ -36,6 +36,7 @@
 	}
 	if row.Deleted {
 		delete(c.jobs, id)
+		c.quota.Remove(c.now, quotaName(id))
 		c.health.ForgetJob(id)
 		return
 	}
@@ -52,6 +53,7 @@
 	} else {
 		c.jobs[id] = j
 	}
+	c.countMemory(j)
 	c.trackGang(j)
 	c.applyJobChange(j)
 }
--- a/cluster/rack/submission.go
+++ b/cluster/rack/submission.go
@@ -56,6 +56,10 @@
 		c.emit(&SubmitResult{Token: e.Token, Job: id, Outcome: Refused, Reason: "a job with this id and another specification is being submitted"})
 		return
 	}
+	if !c.reserveMemory(e.Spec) {
+		c.emit(&SubmitResult{Token: e.Token, Job: id, Outcome: Unavailable, Reason: "the accepted jobs take all memory for jobs, or the part of it that the team may use"})
+		return
+	}
 	c.queueSubmission(&submission{spec: e.Spec, submittedAt: e.SubmittedAt, callers: []submitCaller{caller}})
 }
 
--- a/goldcrestd/crowd_test.go
+++ b/goldcrestd/crowd_test.go
@@ -6,10 +6,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/goldcrestshift/goldcrestshift/cluster"
+	"github.com/goldcrestshift/goldcrestshift/cluster/api"
 	"github.com/goldcrestshift/goldcrestshift/goldcrestd/crowd"
 )
 
@@ -92,6 +94,48 @@
 	}
 }
 
+// acceptedJobs is the number of whole jobs that are accepted in TestCrowdOfAcceptedJobs, each with the most tasks.
+const (
+	acceptedJobs = 300
+	// acceptedJobCalls is the number of calls after which no more jobs are submitted.
+	acceptedJobCalls = 1500
+)
+
+// Guards against accepted jobs that take memory without a bound.
+func TestCrowdOfAcceptedJobs(t *testing.T) {
+	c := newTestCluster(t, 1, testNote)
+	daemon, addrs := c.startLimitedDaemon()
+	c.waitUntil("the daemon is ready", func() bool { return c.get(daemon.url+"/readyz", nil) == nil })
+	c.waitUntil("a request is served before the crowd comes", func() bool { return c.sendOrdinary(daemon) == http.StatusOK })
+	// The daemon that is left owns all racks.
+	c.daemons[0].signal(t, syscall.SIGKILL)
+	<-c.daemons[0].exited
+	c.waitUntil("a job is accepted before the crowd comes", func() bool {
+		status, _ := c.send(http.MethodPost, daemon.url+"/v1/queues/batch/jobs", testSecret, nil, []byte(strings.Replace(ordinaryJob, "ID", "before", 1)))
+		return status == http.StatusCreated || status == http.StatusOK
+	})
+	pid := daemon.cmd.Process.Pid
+	usage := crowd.Watch(pid, addrs)
+	accepted, refused := 0, 0
+	for end := time.Now().Add(crowdPatience); accepted < acceptedJobs && accepted+refused < acceptedJobCalls && time.Now().Before(end); {
+		job := strings.Replace(strings.Replace(ordinaryJob, "ID", fmt.Sprintf("crowd-%d", accepted), 1), `"tasks":1`, fmt.Sprintf(`"tasks":%d`, api.MaxTasks), 1)
+		job = strings.Replace(job, `"1s"]`, fmt.Sprintf(`"1s",%q]`, strings.Repeat("x", 16_000)), 1)
+		status, _ := c.send(http.MethodPost, daemon.url+"/v1/queues/batch/jobs", testSecret, nil, []byte(job))
+		if status == http.StatusCreated || status == http.StatusOK {
+			accepted++
+		} else {
+			refused++
+		}
+	}
+	c.waitUntil("an ordinary request is served", func() bool { return c.sendOrdinary(daemon) == http.StatusOK })
+	usage.Stop()
+	peak := crowd.PeakMemory(pid)
+	t.Logf("%d accepted, %d calls refused; memory %d KiB at its peak", accepted, refused, peak/cluster.KiB)
+	if peak == 0 || peak+usage.MaxUnread() >= crowdMemory {
+		t.Errorf("the daemon used %d KiB; its limit is %d KiB", peak/cluster.KiB, crowdMemory/cluster.KiB)
+	}
+}
+
 // ordinaryJob is a job whose identifier replaces ID.
 const ordinaryJob = `{"id":"ID","workload":"batch","tasks":1,"cpus":0.5,"memory":"512MiB","runTime":"1s","idempotent":true,"command":["1s"]}`
 
