--- a/cluster/cell/quota.go
+++ b/cluster/cell/quota.go
@@ -19,6 +19,9 @@
 	creditShare = 4
 	// creditRenewInterval is the shortest time between two requests for a new credit without a job that needs it.
 	creditRenewInterval = 200 * time.Millisecond
+	// minRequest is the least memory that is reserved for a job, as the peer port authenticates nobody and each request is
+	// remembered. No job takes less.
+	minRequest = cluster.KiB
 	// jobMemoryInterval is the time between two updates of the limit.
 	jobMemoryInterval = time.Second
 	// ownerReturn is when a client returns whose job needs the permission of an owner that does not answer, before it is
@@ -158,7 +161,7 @@
 	}
 	reply := memoryReply{Granted: true}
 	if r.ID != "" {
-		reply.Granted, reply.ReturnIn = owned.quota.Reserve(time.Now(), cluster.JobName(r.ID), cluster.TeamName(r.Team), cluster.Bytes(max(0, r.Size)))
+		reply.Granted, reply.ReturnIn = owned.quota.Reserve(time.Now(), cluster.JobName(r.ID), cluster.TeamName(r.Team), max(minRequest, cluster.Bytes(r.Size)))
 	}
 	reply.Credit = int64(d.jobs.Credit(creditShare * int(d.daemonCount.Load())))
 	return reply, nil
--- a/cluster/daemon/clients.go
+++ b/cluster/daemon/clients.go
@@ -25,6 +25,13 @@
 	// grow to three times its size by the replacement of bytes that are not UTF-8.
 	decodeBytesPerByte  = 6
 	decodeBytesPerComma = 48
+	// maxCountedFDs is above the descriptors that any limit uses.
+	maxCountedFDs = 1 << 20
+	// minBodies is the number of the largest bodies and responses that there is memory for.
+	minBodies = 4
+	// bodyRetryAfter is the Retry-After in seconds of a request for whose body there is no memory: slow bodies are closed
+	// for others after less than that.
+	bodyRetryAfter = "1"
 )
 
 // clientLimits returns the limits of this process for its clients.
@@ -41,13 +48,6 @@
 	return limits
 }
 
-const (
-	// maxCountedFDs is above the descriptors that any limit uses.
-	maxCountedFDs = 1 << 20
-	// minBodies is the number of the largest bodies and responses that there is memory for.
-	minBodies = 4
-)
-
 // updateBodyMemory sets the memory for bodies and responses. Operators may allow larger ones for a service.
 func (d *Daemon) updateBodyMemory() {
 	snapshot := d.rollout.Snapshot()
@@ -113,12 +113,8 @@
 	writeRefusal(w, refused.Status(), refused.Error())
 }
 
-// bodyRetryAfter is the Retry-After in seconds of a request for whose body there is no memory: slow bodies are closed for
-// others after less than that.
-const bodyRetryAfter = "1"
-
-// listing limits the calls to a listing at once, and counts the memory of its responses.
-func (d *Daemon) listing(list httprouter.Handle) http.Handler {
+// limitListing limits the calls to a listing at once, and counts the memory of its responses.
+func (d *Daemon) limitListing(list httprouter.Handle) http.Handler {
 	return d.clients.Buffered(maxListings, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		list(w, r, httprouter.ParamsFromContext(r.Context()))
 	}))
