--- a/cluster/clientlimit/guard.go
+++ b/cluster/clientlimit/guard.go
@@ -142,7 +142,7 @@
 		if time.Now().After(end) {
 			return false
 		}
-		if g.listeners[FrontListener].CloseStalled() {
+		if front := g.listeners[FrontListener]; front != nil && front.CloseStalled() {
 			continue
 		}
 		select {
--- a/cluster/pool/ends.go
+++ b/cluster/pool/ends.go
@@ -248,17 +248,6 @@
 	}
 }
 
-// saveCheckpoint stores the checkpoint from which a task, or all members of a gang, resume.
-func (st *step) saveCheckpoint(index int, checkpoint string) {
-	if !st.spec.Gang {
-		st.tasks[index].changeHistory().checkpoint = checkpoint
-		return
-	}
-	for i := range st.tasks {
-		st.tasks[i].changeHistory().checkpoint = checkpoint
-	}
-}
-
 // taskDone marks a task as done; if one member of a gang is done, all of them are.
 func (s *Scheduler) taskDone(st *step, index int) {
 	if !st.spec.Gang {
--- a/cluster/pool/occurrence.go
+++ b/cluster/pool/occurrence.go
@@ -175,3 +175,18 @@
 	j.spec = j.spec.WithoutPayload()
 	s.cfg.Quota.Set(s.now, j.spec.ID, j.spec.Team, EndedJobMemory(j.spec))
 }
+
+// setDeadline sets the release time and the deadline of a step from the terms of its queue.
+func (s *Scheduler) setDeadline(st *step) {
+	st.releaseTime = st.scheduledStart
+	if st.releaseTime.IsZero() {
+		st.releaseTime = st.job.spec.AcceptedAt
+	}
+	st.deadline = s.deadline(st.job, st.releaseTime)
+}
+
+// deadline returns the deadline of an occurrence of a job.
+func (s *Scheduler) deadline(j *job, releaseTime time.Time) time.Time {
+	terms := s.terms(j)
+	return releaseTime.Add(time.Duration(terms.Stretch*float64(j.longestPath)) + terms.Target)
+}
--- a/cluster/pool/scheduler.go
+++ b/cluster/pool/scheduler.go
@@ -349,21 +349,6 @@
 	return workload.TaskID{Job: st.id.Job, Occurrence: st.id.Occurrence, Step: st.id.Step, Index: index}
 }
 
-// setDeadline sets the release time and the deadline of a step from the terms of its queue.
-func (s *Scheduler) setDeadline(st *step) {
-	st.releaseTime = st.scheduledStart
-	if st.releaseTime.IsZero() {
-		st.releaseTime = st.job.spec.AcceptedAt
-	}
-	st.deadline = s.deadline(st.job, st.releaseTime)
-}
-
-// deadline returns the deadline of an occurrence of a job.
-func (s *Scheduler) deadline(j *job, releaseTime time.Time) time.Time {
-	terms := s.terms(j)
-	return releaseTime.Add(time.Duration(terms.Stretch*float64(j.longestPath)) + terms.Target)
-}
-
 // stepOf returns the step of a task, or nil if there is no such task.
 func (s *Scheduler) stepOf(id workload.TaskID) *step {
 	j := s.jobs[id.Job]
--- a/cluster/pool/state.go
+++ b/cluster/pool/state.go
@@ -351,3 +351,14 @@
 	reserved    cluster.Resources
 	use         useState
 }
+
+// saveCheckpoint stores the checkpoint from which a task, or all members of a gang, resume.
+func (st *step) saveCheckpoint(index int, checkpoint string) {
+	if !st.spec.Gang {
+		st.tasks[index].changeHistory().checkpoint = checkpoint
+		return
+	}
+	for i := range st.tasks {
+		st.tasks[i].changeHistory().checkpoint = checkpoint
+	}
+}
--- a/goldcrestd/node/crowd_test.go
+++ b/goldcrestd/node/crowd_test.go
@@ -179,6 +179,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if len(cases) == 0 {
+		t.Fatalf("there is no case of the group %s", group)
+	}
 	for _, crowdCase := range cases {
 		t.Run(crowdCase.Name, func(t *testing.T) {
 			c := newTestCluster(t, 1)
