--- a/cluster/jobquota/ledger.go
+++ b/cluster/jobquota/ledger.go
@@ -30,7 +30,7 @@
 	limit cluster.Bytes
 	held  cluster.Bytes
 	teams map[cluster.TeamName]cluster.Bytes
-	// released is the memory that jobs released, with a weight that falls by 1/e in releaseTime, as of releasedAt.
+	// released is the memory that jobs released lately, as of releasedAt. It falls to zero in releaseTime without a release.
 	released   float64
 	releasedAt time.Time
 }
