review: show that accepted jobs are unknown to their callers after a route was renamed

Cause: GET and DELETE compare the name of the queue in the job with that of the route that the call matches. After a manifest that gives the same host, path prefix and service another route name, both answer 410 for a job that runs on.

--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -214,6 +214,48 @@
 	return broken, nil
 }
 
+// routeRenamed removes a route and adds one with another name in one manifest, with the same host, path prefix and service.
+func routeRenamed(c *cell, trouble bool) (string, error) {
+	q := route{"q", "q.example", "/q/", "svc"}
+	if err := c.addRunners("svc", 8, lasts(4*time.Second)); err != nil {
+		return "", err
+	}
+	c.manifest(1, q)
+	if err := c.addDaemons(3); err != nil {
+		return "", err
+	}
+	if err := c.awaitReady(); err != nil {
+		return "", err
+	}
+	const id = "5c0e7a21d94b36f8"
+	if !c.submit(q, id, chain(6, 4000), 0) {
+		return "", errNotAccepted
+	}
+	time.Sleep(visibleMS + time.Second)
+	if trouble {
+		c.manifest(2, route{"renamed", q.host, q.prefix, q.service})
+	}
+	time.Sleep(contactMS + time.Second)
+	broken := ""
+	for _, d := range c.daemons {
+		if c.state(d, q, id) == "410" {
+			broken = fmt.Sprintf("LOST: GET of an accepted job that nobody has cancelled is answered with 410 by daemon %d", d.index)
+		}
+	}
+	if broken == "" {
+		return "", nil
+	}
+	// A requester can't cancel the job either.
+	cancelled := c.call(c.daemons[1], http.MethodDelete, q.host, q.prefix+id, nil)
+	time.Sleep(cancelMS + 6*time.Second)
+	for _, e := range c.eventsOf(id) {
+		if cancelled.status == http.StatusGone && e.kind == "started" && e.at.After(cancelled.at.Add(cancelMS)) {
+			broken += fmt.Sprintf("; UNASKED: DELETE was answered with 410, and task %s was started %.1f s later", e.task, e.at.Sub(cancelled.at).Seconds())
+		}
+	}
+	return broken, nil
+}
+
 // bothServices moves a queue to another service while its job runs. Then a quarter of the parts of the table of the jobs is
 // down, and the request that handed the job in arrives again.
 func bothServices(c *cell, trouble bool) (string, error) {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -15,6 +15,7 @@
 	"pending-moved":  pendingMoved,
 	"both-services":  bothServices,
 	"replaced":       machinesReplaced,
+	"route-renamed":  routeRenamed,
 }
 
 const (
