--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -6,4 +6,4 @@
 for program in ../../target/goldcrestd ../../target/standin3; do
   [ -x "$program" ] || { echo "$program is missing"; exit 2; }
 done
-exec ../../target/standin3 queue-moved "$PWD/../../target/goldcrestd" record.txt
+exec ../../target/standin3 cancel-unknown "$PWD/../../target/goldcrestd" record.txt
--- a/review/standin3/cell.go
+++ b/review/standin3/cell.go
@@ -397,12 +397,11 @@
 
 // step is a step of a job.
 type step struct {
-	Count      int    `json:"count"`
-	CPU        int    `json:"cpu"`
-	MemMB      int    `json:"mem_mb"`
-	EstimateMS int    `json:"estimate_ms"`
-	After      []int  `json:"after,omitempty"`
-	Label      string `json:"required_label,omitempty"`
+	Count      int   `json:"count"`
+	CPU        int   `json:"cpu"`
+	MemMB      int   `json:"mem_mb"`
+	EstimateMS int   `json:"estimate_ms"`
+	After      []int `json:"after,omitempty"`
 }
 
 type jobBody struct {
@@ -457,15 +456,3 @@
 	}
 	return false
 }
-
-// ownerOf returns the daemon that wrote the ownership of a service last, by its name in the store's row.
-func (c *cell) ownerOf(service string) *daemon {
-	for _, r := range c.store.find(func(r *row) bool { return r.Table == "cell" && r.Part == service && r.Key == "owner" && !r.Removed }) {
-		for _, d := range c.daemons {
-			if bytes.Contains(r.Value, fmt.Appendf(nil, "%s@", d.name)) {
-				return d
-			}
-		}
-	}
-	return nil
-}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -11,11 +11,7 @@
 // A case returns what broke the rule, empty if it held, and an error if it couldn't run.
 var cases = map[string]func(c *cell, trouble bool) (string, error){
 	"cancel-unknown": cancelUnknown,
-	"queue-moved":    queueMoved,
-	"pending-moved":  pendingMoved,
-	"both-services":  bothServices,
 	"replaced":       machinesReplaced,
-	"route-renamed":  routeRenamed,
 }
 
 const (
--- a/review/standin3/runner.go
+++ b/review/standin3/runner.go
@@ -35,7 +35,6 @@
 	cpu               int64
 	addr              string
 	duration          func(task string) time.Duration
-	fails             func(task string) bool
 	notify            func(event)
 	store             *store
 
@@ -202,16 +201,12 @@
 	a := &activeRun{run: q.Run, began: time.Now(), duration: r.duration(q.Task)}
 	r.running[q.Task] = a
 	r.notify(event{time.Now(), "started", q.Task, q.Run, r.id})
-	how := "done"
-	if r.fails != nil && r.fails(q.Task) {
-		how = "failed"
-	}
 	a.timer = time.AfterFunc(a.duration, func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.expire()
 		if r.running[q.Task] == a {
-			r.end(q.Task, how)
+			r.end(q.Task, "done")
 		}
 	})
 	return ""
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -30,14 +30,10 @@
 	Remove       []row `json:"remove"`
 }
 
-// part returns the part that all entries of a transaction share, and false if they do not.
-func (t *transaction) part() (string, bool) {
+// hasOnePart reports whether all entries of a transaction share a part.
+func (t *transaction) hasOnePart() bool {
 	all := slices.Concat(t.Precondition, t.Puts, t.Remove)
-	if len(all) == 0 {
-		return "", false
-	}
-	same := !slices.ContainsFunc(all, func(r row) bool { return r.Part != all[0].Part })
-	return all[0].Part, same
+	return len(all) > 0 && !slices.ContainsFunc(all, func(r row) bool { return r.Part != all[0].Part })
 }
 
 type rowsReply struct {
@@ -63,8 +59,6 @@
 	started time.Time
 	// fateOf decides about a write; nil means that all are answered.
 	fateOf func(t *transaction) fate
-	// down selects the parts whose calls get 503; nil means none.
-	down func(table, part string) bool
 	// written counts the writes, lostWrites those without an answer.
 	written, lostWrites int
 }
@@ -86,16 +80,11 @@
 	s.fateOf = f
 }
 
-func (s *store) setDown(f func(table, part string) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.down = f
-}
-
-func (s *store) isDown(table, part string) bool {
+// writes returns the number of writes, and of those that lost their answer.
+func (s *store) writes() (written, lost int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.down != nil && s.down(table, part)
+	return s.written, s.lostWrites
 }
 
 // put writes a row as the operator and the runners do.
@@ -161,8 +150,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	part, ok := t.part()
-	if !ok {
+	if !t.hasOnePart() {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -171,10 +159,6 @@
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
-		if s.isDown(p.Table, part) {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
 	}
 	time.Sleep(commitTime)
 	s.mu.Lock()
@@ -218,10 +202,6 @@
 
 func (s *store) get(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
-	if s.isDown(q.Get("table"), q.Get("part")) {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
 	s.mu.Lock()
 	rows := s.selectRows(func(row *row) bool {
 		return row.Table == q.Get("table") && row.Part == q.Get("part") && !row.Removed && row.Key >= q.Get("from") &&
