review: show that strange methods of clients take a daemon beyond its memory

Cause: the front counts each call under the method that the client wrote, before any authorization, and the counters and histograms of the metrics are never dropped.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -12,6 +12,7 @@
 var cases = map[string]func(c *cell, trouble bool) (string, error){
 	"cancel-unknown": cancelUnknown,
 	"replaced":       machinesReplaced,
+	"odd-methods":    oddMethods,
 }
 
 const (
