cell: let any daemon own shards when no candidate is left

Callers saw submissions accepted with 200 that never ran, states that stayed "queued" and all workers idle, for good, after many VMs of a small cell had been replaced, or after a large cell had shrunk.

Cause: the rows of members were never deleted and were read as if their VMs were there. More than 16 candidates among them make a cell large, in which only candidates, every fourth VM by a hash of its name, could own shards. Six VMs have none among them in 18% of the cases. In a large cell the hubs could all be VMs that are gone, a daemon that had once found the cell large never followed the other members again, and daemons that saw a cell grow dropped the address of an owner that is no candidate.

Change: a daemon that is no candidate of a large cell claims a shard if no candidate that responds and reaches the store could, 2 to 4 s later. An owner counts each daemon that it has heard as a claimant, and writes the row of a candidate, which daemons read whatever size the cell has for them. Silent hubs are replaced. A row of another process counts as that of a later one only if it started later.

TestLargeCellKeepsCandidatesOnly asserted that a daemon that is no candidate of a large cell can't own shards, which is the fault.

--- a/cluster/cell/claim.go
+++ b/cluster/cell/claim.go
@@ -33,6 +33,7 @@
 		if time.Since(memoryUpdatedAt) >= jobMemoryInterval {
 			memoryUpdatedAt = time.Now()
 			d.updateJobMemory()
+			d.replaceSilentHubs()
 		}
 		if d.leaving.Load() || !d.store.reachable() {
 			d.restartClaimDelays()
@@ -78,7 +79,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	o := d.owners[id]
-	if d.ownedShards[id] != nil || !d.needsNewOwner(o) || !d.canOwnShards() {
+	if d.ownedShards[id] != nil || !d.needsNewOwner(o) || !d.mayClaim() {
 		delete(d.unownedSince, id)
 		return o, false
 	}
@@ -98,8 +99,24 @@
 	clear(d.unownedSince)
 }
 
-// canOwnShards reports whether this daemon may own shards; d.mu is held.
-func (d *Daemon) canOwnShards() bool { return isCandidate(d.cfg.VM) || !isLargeCell(d.members) }
+// isStandIn reports whether this daemon is no candidate of a large cell; d.mu is held.
+func (d *Daemon) isStandIn() bool {
+	return !isCandidate(d.cfg.VM) && !d.members[d.cfg.VM].candidate && isLargeCell(d.members)
+}
+
+// mayClaim reports whether this daemon may claim shards: it is no stand-in, or there is no candidate that could claim them.
+// d.mu is held.
+func (d *Daemon) mayClaim() bool {
+	if !d.isStandIn() {
+		return true
+	}
+	for _, m := range d.members {
+		if m.candidate && d.acceptsShards(m) && d.digests[cluster.DaemonID(m.ID)].StoreVisible {
+			return false
+		}
+	}
+	return true
+}
 
 // claimDelay returns how long this daemon leaves an unowned shard to daemons with a shorter store latency, with
 // fewer shards or with more cores. d.mu is held.
@@ -108,6 +125,11 @@
 	if d.hasMemberWithMoreCores() {
 		delay += fewerCoresClaimDelay
 	}
+	if d.isStandIn() {
+		const steps = 1000
+		position := vmHash(d.cfg.VM) / candidateModulus % steps
+		delay += standInClaimDelay + standInClaimSpread*time.Duration(position)/steps
+	}
 	return delay
 }
 
@@ -148,7 +170,7 @@
 	}
 	vm, _, _ := strings.Cut(o.row.Owner, daemonSeparator)
 	m, ok := d.members[vm]
-	return ok && m.ID != o.row.Owner
+	return ok && isLaterProcess(m.ID, o.row.Owner)
 }
 
 // claim writes this daemon as the owner of a shard, with the next epoch.
@@ -199,6 +221,7 @@
 	d.ownedShards[id] = owned
 	d.mu.Unlock()
 	d.wg.Go(owned.run)
+	d.wg.Go(d.writeCandidate)
 }
 
 // previousOwnerGrace returns for how long after a claim the previous owner may act. An owner that was heard again while
--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -39,6 +39,19 @@
 	cellFeedWait = 2 * time.Second
 	// memberFeedWait is the longest wait for a change in the feed of members that are not candidates.
 	memberFeedWait = 10 * time.Second
+	// cellSizeCheckInterval is the time between two checks whether a large cell has become small.
+	cellSizeCheckInterval = time.Second
+	// hubTimeout is how long a hub of a large cell may be silent before a daemon connects to another one in addition. A
+	// daemon that restarts is back within that time.
+	hubTimeout = 5 * time.Second
+	// memberCheckInterval is the time between two checks whether the member row of this daemon is in the store. One read a
+	// minute costs little beside the feeds.
+	memberCheckInterval = time.Minute
+	// memberSweepInterval is the time between two searches for members that are gone, and maxMissedSweeps the number of
+	// successive ones without a message of a member after which its row is deleted. A VM that is cut off or suspended for
+	// less than ten minutes keeps its row.
+	memberSweepInterval = time.Minute
+	maxMissedSweeps     = 10
 	// largeCellReadDelay is the mean delay between two reads of the feed of members and owners in a large cell.
 	largeCellReadDelay = 300 * time.Millisecond
 	// configFeedWait and jobFeedWait are the longest waits for a change in the other feeds. A read may not
@@ -91,6 +104,10 @@
 	// claimLatencyFactor multiplies the latency of the store in the delay of a claim, so that daemons near the
 	// store claim first.
 	claimLatencyFactor = 8
+	// standInClaimDelay delays the claim of a daemon that is no candidate of a large cell, which claims only while no
+	// candidate can. The delays of such daemons are spread over standInClaimSpread, as hundreds may claim the same shard.
+	standInClaimDelay  = 2 * time.Second
+	standInClaimSpread = 2 * time.Second
 	// fewerCoresClaimDelay delays a claim while a daemon with more cores may claim the shard.
 	fewerCoresClaimDelay = time.Second
 	// listInterval is the time between two reads of the list of workers.
--- a/cluster/cell/configreader.go
+++ b/cluster/cell/configreader.go
@@ -46,14 +46,14 @@
 	defer d.mu.Unlock()
 	large := isLargeCell(d.members)
 	wholeRegion := large && !isHub(d.members, d.cfg.VM)
-	self := configReader{vm: d.cfg.VM, cores: d.cfg.Cores, hub: large && isCandidate(d.cfg.VM)}
+	self := configReader{vm: d.cfg.VM, cores: d.cfg.Cores, hub: large && d.members[d.cfg.VM].candidate}
 	leaving := d.leaving.Load()
 	for vm, m := range d.members {
 		isNear := d.inSameZone(m) || wholeRegion && cluster.Region(m.Region) == d.cfg.Place.Region
 		if vm == d.cfg.VM || !isNear || !d.acceptsShards(m) || !qualifies(cluster.DaemonID(m.ID)) {
 			continue
 		}
-		other := configReader{vm: vm, cores: m.Cores, hub: large && isCandidate(vm)}
+		other := configReader{vm: vm, cores: m.Cores, hub: large && m.candidate}
 		if leaving || compareConfigReaders(other, self) < 0 {
 			return false
 		}
--- a/cluster/cell/configreader_test.go
+++ b/cluster/cell/configreader_test.go
@@ -113,7 +113,7 @@
 // the others.
 func TestLargeCellReadsConfigAtHubs(t *testing.T) {
 	rows := memberRows(300)
-	hubs := connectedMembers(rows, nil)
+	hubs := connectedMembers(rows, nil, responds)
 	isHub := func(vm string) bool {
 		return slices.ContainsFunc(hubs, func(m memberRow) bool { return m.ID == rows[vm].ID })
 	}
@@ -166,7 +166,7 @@
 					candidates = append(candidates, platform.Row{Key: memberKey(vm), Value: must(encode("test", &m))})
 				}
 			}
-			is.True(d.applyCellRows(candidates, true, isCandidate))
+			is.True(d.applyCellRows(candidates, true, cellTable))
 			waitUntil(t, func() bool {
 				d.mu.Lock()
 				defer d.mu.Unlock()
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -65,10 +65,13 @@
 	configEncodeMu sync.Mutex
 
 	mu sync.Mutex
-	// members holds the member rows by VM.
+	// memberRows holds the member rows by key, and members the latest of each VM.
+	memberRows  map[string]memberRow
 	members     map[string]memberRow
 	owners      map[shardID]ownership
 	ownedShards map[shardID]*ownedShard
+	// listedPeers holds the daemons that this one connects to, with the time since which it does.
+	listedPeers map[cluster.DaemonID]time.Time
 	// digests holds the latest digest of each other daemon.
 	digests map[cluster.DaemonID]peer.Digest
 	// presentIDs holds for each other VM the daemon that has sent the last ping. It differs from the member row while the
@@ -116,7 +119,7 @@
 	}
 	d := &Daemon{
 		cfg: cfg, calls: newCallTable(), startedAt: time.Now(), cellLoaded: make(chan struct{}),
-		members: map[string]memberRow{}, owners: map[shardID]ownership{}, ownedShards: map[shardID]*ownedShard{},
+		memberRows: map[string]memberRow{}, members: map[string]memberRow{}, owners: map[shardID]ownership{}, ownedShards: map[shardID]*ownedShard{},
 		digests: map[cluster.DaemonID]peer.Digest{}, heard: map[string]pool.HeardSpan{}, presentIDs: map[string]cluster.DaemonID{}, unownedSince: map[shardID]time.Time{}, configAnnounced: make(chan struct{}, 1),
 		storedStateReads: make(chan struct{}, maxStoredStateReads),
 		storedStateLimit: rate.NewLimiter(storedStateRate, storedStateRate),
@@ -147,7 +150,8 @@
 	})
 	d.cfg.Log.Info().Str("daemon", string(d.cfg.Self)).Stringer("peerAddr", d.cfg.PeerAddr).Msg("cell: started")
 	d.wg.Go(d.store.probeWhileUnreachable)
-	d.wg.Go(d.joinCell)
+	d.wg.Go(d.maintainMember)
+	d.wg.Go(d.sweepMembers)
 	d.wg.Go(d.followConfig)
 	d.wg.Go(d.fetchNewerConfig)
 	d.wg.Go(d.followCell)
@@ -216,9 +220,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var sameRegion, otherRegions []cluster.DaemonID
+	relays := func(id cluster.DaemonID) bool {
+		return id != d.cfg.Self && d.digests[id].StoreVisible && time.Since(d.transport.LastSeen(id)) <= peerTimeout
+	}
+	for vm, id := range d.presentIDs {
+		if _, ok := d.members[vm]; !ok && relays(id) {
+			// The row of the daemon is not read; its region is not known.
+			otherRegions = append(otherRegions, id)
+		}
+	}
 	for vm, m := range d.members {
 		id := d.presentID(vm, m)
-		if id == d.cfg.Self || !d.digests[id].StoreVisible || time.Since(d.transport.LastSeen(id)) > peerTimeout {
+		if !relays(id) {
 			continue
 		}
 		if cluster.Region(m.Region) == d.cfg.Place.Region {
@@ -256,46 +269,6 @@
 	}
 }
 
-// joinCell writes the member row of this daemon. The write checks the version of the row that it replaces: one of an
-// earlier process of the VM, which the store executes late, must not replace this one.
-func (d *Daemon) joinCell() {
-	row := memberRow{
-		ID: string(d.cfg.Self), Addr: d.cfg.PeerAddr.String(), Region: string(d.cfg.Place.Region), Zone: string(d.cfg.Place.Zone), Cores: d.cfg.Cores,
-		LinkRate: int64(d.cfg.LinkRate), ForwardsCalls: true, JobBytes: int64(d.cfg.MaxJobBytes),
-	}
-	data, err := encode("join", &row)
-	if err != nil {
-		d.cfg.Log.Error().Err(err).Msg("cell: member row can't be encoded")
-		return
-	}
-	for {
-		err := d.writeMember(data)
-		if err == nil {
-			d.cfg.Log.Info().Msg("cell: member row written")
-			return
-		}
-		d.cfg.Log.Warn().Err(err).Msg("cell: member row not written; retrying")
-		if !d.sleep(feedRetryDelay/2 + rand.N(feedRetryDelay)) {
-			return
-		}
-	}
-}
-
-// writeMember replaces the member row of the VM. A row that was written by a call without a reply is written again.
-func (d *Daemon) writeMember(data []byte) error {
-	key := memberKey(d.cfg.VM)
-	reply, err := d.store.Read(d.ctx, platform.ReadRequest{Keys: []string{key}})
-	if err != nil {
-		return err
-	}
-	check := platform.Check{Key: key}
-	for _, r := range reply.Rows {
-		check.Version = r.Version
-	}
-	_, err = d.store.Commit(d.ctx, platform.Txn{Checks: []platform.Check{check}, Puts: []platform.Put{{Key: key, Value: data}}})
-	return err
-}
-
 // rowFeed describes rows to follow.
 type rowFeed struct {
 	// name is used in log lines.
@@ -340,7 +313,7 @@
 	var loadOnce sync.Once
 	feed := rowFeed{name: "cell", prefixes: []string{cellTable}, changePrefix: cellTable, wait: cellFeedWait, timeout: storeTimeout}
 	d.followRows(d.ctx, feed, func(rows []platform.Row, full bool) {
-		large := d.applyCellRows(rows, full, isCandidate)
+		large := d.applyCellRows(rows, full, cellTable)
 		loadOnce.Do(func() { close(d.cellLoaded) })
 		if large {
 			d.sleep(largeCellReadDelay/2 + rand.N(largeCellReadDelay))
@@ -348,45 +321,59 @@
 	})
 }
 
-// followMembers maintains the members that are not candidates, except in a large cell, where their rows would
+// followMembers maintains the members that are not candidates, except while the cell is large, where their rows would
 // be most of what the daemons read from the store.
 func (d *Daemon) followMembers() {
-	ctx, stop := context.WithCancel(d.ctx)
-	defer stop()
 	select {
 	case <-d.cellLoaded:
-	case <-ctx.Done():
+	case <-d.ctx.Done():
 	}
-	d.mu.Lock()
-	large := isLargeCell(d.members)
-	d.mu.Unlock()
-	if large {
-		return
+	for d.ctx.Err() == nil {
+		if d.isLargeCell() {
+			d.sleep(cellSizeCheckInterval)
+			continue
+		}
+		d.followMembersWhileSmall()
 	}
+}
+
+func (d *Daemon) followMembersWhileSmall() {
+	ctx, stop := context.WithCancel(d.ctx)
+	defer stop()
 	feed := rowFeed{name: "members", prefixes: []string{membersTable}, changePrefix: membersTable, wait: memberFeedWait, timeout: storeTimeout}
 	d.followRows(ctx, feed, func(rows []platform.Row, full bool) {
-		if d.applyCellRows(rows, full, func(vm string) bool { return !isCandidate(vm) }) {
+		if d.applyCellRows(rows, full, membersTable) {
 			d.cfg.Log.Info().Msg("cell: the cell is large; following only its candidates")
 			stop()
 		}
 	})
 }
 
-// applyCellRows applies rows of the cell and returns whether the cell is large. Rows of a full read replace
-// those of all members whose VM is in the feed.
-func (d *Daemon) applyCellRows(rows []platform.Row, full bool, inFeed func(vm string) bool) bool {
+// isLargeCell reports whether the cell is large.
+func (d *Daemon) isLargeCell() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return isLargeCell(d.members)
+}
+
+// applyCellRows applies rows of the cell and returns whether the cell is large. Rows of a full read replace all member rows
+// of the table.
+func (d *Daemon) applyCellRows(rows []platform.Row, full bool, table string) bool {
 	d.mu.Lock()
 	if full {
-		maps.DeleteFunc(d.members, func(vm string, _ memberRow) bool { return inFeed(vm) })
+		maps.DeleteFunc(d.memberRows, func(key string, _ memberRow) bool { return strings.HasPrefix(key, table) })
 	}
 	for _, r := range rows {
 		if err := d.applyCellRow(r); err != nil {
 			d.cfg.Log.Error().Err(err).Str("row", r.Key).Msg("cell: row is left out")
 		}
 	}
+	d.members = mergeMembers(d.memberRows)
 	large := isLargeCell(d.members)
 	if large {
-		maps.DeleteFunc(d.members, func(vm string, _ memberRow) bool { return !isCandidate(vm) })
+		// These rows are not followed from now on.
+		maps.DeleteFunc(d.memberRows, func(key string, _ memberRow) bool { return strings.HasPrefix(key, membersTable) })
+		d.members = mergeMembers(d.memberRows)
 	}
 	peers := d.peerList()
 	d.mu.Unlock()
@@ -396,14 +383,14 @@
 
 func (d *Daemon) applyCellRow(r platform.Row) error {
 	name := rowName(r.Key)
-	if vm, ok := strings.CutPrefix(name, memberPrefix); ok {
+	if strings.HasPrefix(name, memberPrefix) {
 		if r.Deleted {
-			delete(d.members, vm)
+			delete(d.memberRows, r.Key)
 			return nil
 		}
-		row, err := decode[memberRow]("read member", r.Value)
+		row, err := decodeMember(r)
 		if err == nil {
-			d.members[vm] = row
+			d.memberRows[r.Key] = row
 		}
 		return err
 	}
@@ -442,18 +429,45 @@
 	for _, o := range d.owners {
 		owners[o.row.Owner] = true
 	}
-	for _, m := range connectedMembers(d.members, owners) {
+	now := time.Now()
+	listed := map[cluster.DaemonID]time.Time{}
+	for _, m := range connectedMembers(d.members, owners, func(m memberRow) bool { return d.isSilentPeer(m, now) }) {
+		id := cluster.DaemonID(m.ID)
+		if listed[id] = d.listedPeers[id]; listed[id].IsZero() {
+			listed[id] = now
+		}
 		addr, err := m.addr()
 		if err != nil {
 			d.cfg.Log.Error().Err(err).Msg("cell: member is left out")
 			continue
 		}
 		peers = append(peers, peer.Peer{
-			ID: cluster.DaemonID(m.ID), Addr: addr, Place: cluster.Place{Region: cluster.Region(m.Region), Zone: cluster.Zone(m.Zone)},
+			ID: id, Addr: addr, Place: cluster.Place{Region: cluster.Region(m.Region), Zone: cluster.Zone(m.Zone)},
 		})
 	}
+	d.listedPeers = listed
 	return peers
 }
 
+// isSilentPeer reports whether this daemon has tried for hubTimeout to connect to a member and does not hear it; d.mu is
+// held.
+func (d *Daemon) isSilentPeer(m memberRow, now time.Time) bool {
+	id := cluster.DaemonID(m.ID)
+	listedAt, ok := d.listedPeers[id]
+	return ok && id != d.cfg.Self && now.Sub(listedAt) > hubTimeout && now.Sub(d.transport.LastSeen(id)) > hubTimeout
+}
+
+// replaceSilentHubs connects to other candidates while hubs of a large cell are silent.
+func (d *Daemon) replaceSilentHubs() {
+	d.mu.Lock()
+	if !isLargeCell(d.members) {
+		d.mu.Unlock()
+		return
+	}
+	peers := d.peerList()
+	d.mu.Unlock()
+	d.transport.SetPeers(peers)
+}
+
 // errLeaving is the cause of calls that end because the daemon is leaving.
 var errLeaving = errors.New("the daemon is leaving")
--- a/cluster/cell/mandate.go
+++ b/cluster/cell/mandate.go
@@ -27,8 +27,8 @@
 	return ownerMandate{mu: &sync.Mutex{}, mandate: pool.NewMandate(ownedSince), held: true}
 }
 
-// claimants returns the other daemons that may claim a shard. In a large cell these are the candidates, and no others are
-// among the members.
+// claimants returns the other daemons that may claim a shard. In a large cell these are the candidates, which are its
+// members, and the daemons that have been heard, as any of them may stand in for the candidates.
 func (d *Daemon) claimants() []pool.Claimant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -38,6 +38,11 @@
 			list = append(list, pool.Claimant{VM: vm, Heard: d.heard[vm]})
 		}
 	}
+	for vm, heard := range d.heard {
+		if _, ok := d.members[vm]; !ok && vm != d.cfg.VM {
+			list = append(list, pool.Claimant{VM: vm, Heard: heard})
+		}
+	}
 	return list
 }
 
--- a/cluster/cell/mesh_test.go
+++ b/cluster/cell/mesh_test.go
@@ -17,11 +17,14 @@
 	rows := map[string]memberRow{}
 	for i := range n {
 		vm := fmt.Sprintf("vm-%d", i)
-		rows[vm] = memberRow{ID: vm + daemonSeparator + "1", Cores: 0.2 + 0.6*float64(i%2)}
+		rows[vm] = memberRow{ID: vm + daemonSeparator + "1", Cores: 0.2 + 0.6*float64(i%2), candidate: isCandidate(vm)}
 	}
 	return rows
 }
 
+// responds is the state of members that are not silent.
+func responds(memberRow) bool { return false }
+
 // Guards against a number of pings that grows with the square of the number of members, and against a daemon
 // that is not connected to the owner of a shard.
 func TestConnectedMembers(t *testing.T) {
@@ -35,7 +38,7 @@
 					owner = m.ID
 				}
 			}
-			list := connectedMembers(rows, map[string]bool{owner: true})
+			list := connectedMembers(rows, map[string]bool{owner: true}, responds)
 			if n < 64 {
 				is.Equal(len(list), n)
 				return
@@ -67,10 +70,10 @@
 		}
 	}
 	is.True(len(candidates) < 100)
-	is.True(!d.applyCellRows(candidates[:10], true, isCandidate))
-	is.True(!d.applyCellRows(others, true, func(vm string) bool { return !isCandidate(vm) }))
+	is.True(!d.applyCellRows(candidates[:10], true, cellTable))
+	is.True(!d.applyCellRows(others, true, membersTable))
 	is.Equal(len(d.members), 10+len(others))
-	is.True(d.applyCellRows(candidates[10:], false, isCandidate))
+	is.True(d.applyCellRows(candidates[10:], false, cellTable))
 	is.Equal(len(d.members), len(candidates))
-	is.Equal(d.canOwnShards(), isCandidate(d.cfg.VM))
+	is.Equal(d.isStandIn(), !isCandidate(d.cfg.VM))
 }
--- a/cluster/cell/quota.go
+++ b/cluster/cell/quota.go
@@ -241,8 +241,8 @@
 	d.mu.Lock()
 	limit, daemons := d.cfg.MaxJobBytes, max(1, len(d.members))
 	large := isLargeCell(d.members)
-	for vm, m := range d.members {
-		if m.JobBytes > 0 && d.acceptsShards(m) && (!large || isCandidate(vm)) {
+	for _, m := range d.members {
+		if m.JobBytes > 0 && d.acceptsShards(m) && (!large || m.candidate) {
 			limit = min(limit, cluster.Bytes(m.JobBytes))
 		}
 	}
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -18,8 +18,8 @@
 // Rows of a cell. A key is table/part/name; the rows of one transaction are in the same part of the store.
 //
 //	cell//division               the shard layout
-//	cell/<part>/member.<VM>      a running daemon on a candidate
-//	members/<part>/member.<VM>   a running daemon on another VM
+//	cell/<part>/member.<VM>      a daemon on a candidate
+//	members/<part>/member.<VM>   a daemon on another VM
 //	cell/<shard>/owner           the owner and the epoch of a shard
 //	progress/<shard>/sequence    the epoch and the generation of the last record
 //	progress/<shard>/workers     the workers that may have received requests from owners
@@ -50,13 +50,22 @@
 	jobParts = 64
 )
 
+// memberKey returns the key of the row that a daemon writes when it joins the cell.
 func memberKey(vm string) string {
-	table := membersTable
 	if isCandidate(vm) {
-		table = cellTable
+		return candidateKey(vm)
 	}
-	return table + "members-" + strconv.Itoa(int(vmHash(vm)/candidateModulus%memberParts)) + "/" + memberPrefix + vm
+	return membersTable + memberPart(vm) + memberPrefix + vm
 }
+
+// candidateKey returns the key of the row of a candidate. A daemon on another VM writes it in addition when it owns a shard.
+// Both rows of a VM are in the same part.
+func candidateKey(vm string) string { return cellTable + memberPart(vm) + memberPrefix + vm }
+
+func memberPart(vm string) string {
+	return "members-" + strconv.Itoa(int(vmHash(vm)/candidateModulus%memberParts)) + "/"
+}
+
 func ownerKey(id shardID) string { return cellTable + id.String() + "/owner" }
 
 // recordParts is the number of parts that may hold the records of a shard. While one is down, the other is
@@ -125,6 +134,9 @@
 	ForwardsCalls bool `msgpack:"f"`
 	// JobBytes is the memory for accepted jobs; zero if it is not limited or not known.
 	JobBytes int64 `msgpack:"m"`
+
+	// candidate means that the row is in the table of the candidates, which all daemons read.
+	candidate bool
 }
 
 // ownerRow is the owner row of a shard. Owner is empty after the owner has released the shard.
--- a/cluster/cell/shard.go
+++ b/cluster/cell/shard.go
@@ -163,7 +163,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	members := slices.SortedFunc(maps.Values(d.members), compareMembers)
-	if len(members) == 0 || !d.canOwnShards() {
+	if len(members) == 0 || !d.mayClaim() {
 		return false
 	}
 	if d.layoutMissingSince.IsZero() {
--- a/cluster/cell/shares_test.go
+++ b/cluster/cell/shares_test.go
@@ -66,6 +66,9 @@
 	for _, p := range txn.Puts {
 		s.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: s.version}
 	}
+	for _, key := range txn.Deletes {
+		delete(s.rows, key)
+	}
 	return s.version, nil
 }
 
--- a/cluster/pool/mandate.go
+++ b/cluster/pool/mandate.go
@@ -117,9 +117,14 @@
 		return
 	}
 	m.confirmedAt = sentAt
+	// Those that are no claimants any more are dropped.
+	gone := map[string]time.Time{}
 	for _, c := range claimants {
 		if sentAt.Sub(laterTime(c.Heard.Until, m.ownedSince)) >= goneAfter {
-			m.gone[c.VM] = c.Heard.Until
+			gone[c.VM] = c.Heard.Until
+		} else if heardAt, ok := m.gone[c.VM]; ok {
+			gone[c.VM] = heardAt
 		}
 	}
+	m.gone = gone
 }
