cell: withdraw a job that is cancelled before it is in the store

Callers got 504 for a submission and 410 for its cancellation, that there is no such job, and the job ran to its end seconds later.

Cause: the store may execute a call without a reply seconds later if its condition still holds. Cancel found the job in neither part of the store, answered, and left nothing that the late write of the submission would meet.

Change: the cancellation of a job that is in neither part writes a cancellation row to both, on the condition that the job is not there, before the answer. Each write of a job has the condition that there is no cancellation row in its part. The transactions of a part are executed one after another, so that either the submission is there first, and is cancelled, or it can't be written any more, whatever daemons live. A submission that arrives after the cancellation is refused at once with 410 and "not run", as it can't be told from a repeat that was on its way. The rows are limited for each daemon and team, what is beyond gets 429, and the owner of the shard deletes them after two minutes. A job takes three entries of a transaction now, so that a batch has 33 of them instead of 40.

--- a/cluster/cell/config.go
+++ b/cluster/cell/config.go
@@ -146,8 +146,8 @@
 	// intakeBatchDelay is how long submissions are collected for one transaction.
 	intakeBatchDelay = 2 * time.Millisecond
 	// maxIntakeJobs bounds the jobs of one transaction and maxIntakeBytes their size. A transaction may have
-	// 100 entries and 1 MB.
-	maxIntakeJobs  = 40
+	// 100 entries, of which a job takes three, and 1 MB.
+	maxIntakeJobs  = 33
 	maxIntakeBytes = 400 << 10
 	// maxQueuedSubmissions bounds the submissions that are queued for each part of the store at one daemon.
 	maxQueuedSubmissions = 2000
--- a/cluster/cell/daemon.go
+++ b/cluster/cell/daemon.go
@@ -42,6 +42,7 @@
 	maxJobBytes    atomic.Int64
 	daemonCount    atomic.Int64
 	memoryRefusals tally.Counter
+	withdrawals    *withdrawalLimiter
 	// forwarding sends calls to workers through other daemons, forwardServer makes those of other daemons.
 	forwarding    *callForwarding
 	forwardServer *forwardServer
@@ -131,6 +132,7 @@
 	d.advisor = newAdvisor(d)
 	d.admitter = newAdmitter(d)
 	d.jobs, d.credits = jobquota.New(cfg.MaxJobBytes), newJobCredits(d)
+	d.withdrawals = newWithdrawalLimiter(cfg.Metrics)
 	d.memoryRefusals = cfg.Metrics.Counter("job_memory_refusals_total")
 	d.updateJobMemory()
 	d.forwarding = newCallForwarding(d)
--- a/cluster/cell/error.go
+++ b/cluster/cell/error.go
@@ -23,11 +23,13 @@
 	KindOverloaded
 	// KindRejected means that a job was not accepted because of load and does not run; see Error.RetryAfter.
 	KindRejected
+	// KindCancelled means that a job was cancelled before it was accepted and does not run.
+	KindCancelled
 	// KindSetting means that a Config is invalid.
 	KindSetting
 )
 
-var kindNames = [...]string{"unavailable", "unknown", "not found", "malformed", "overloaded", "rejected", "setting"}
+var kindNames = [...]string{"unavailable", "unknown", "not found", "malformed", "overloaded", "rejected", "cancelled", "setting"}
 
 // Error is the error type of the package.
 type Error struct {
--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -205,7 +205,7 @@
 			continue
 		}
 		written[s.key] = true
-		txn.Checks = append(txn.Checks, platform.Check{Key: s.key})
+		txn.Checks = append(txn.Checks, platform.Check{Key: s.key}, platform.Check{Key: s.key + cancelSuffix})
 		put := platform.Put{Key: s.key, Value: s.data}
 		txn.Puts = append(txn.Puts, put)
 		putsByShard[s.shard] = append(putsByShard[s.shard], put)
@@ -267,37 +267,65 @@
 	return &Error{Op: "submit", Kind: KindUnavailable, RetryAfter: admission.OutageReturn(in.outageAge(), rand.Float64())}
 }
 
-// dropAccepted ends the submissions whose jobs are already in the store and returns the others.
+// dropAccepted ends the submissions whose jobs are already in the store or are cancelled, and returns the others.
 func (in *intake) dropAccepted(batch []*submission) (remaining []*submission, storeFailed bool) {
-	var req platform.ReadRequest
+	stored, err := in.readKeys(batch, "")
+	if err != nil {
+		return in.keepAfterConflict(batch, err)
+	}
+	var missing []*submission
 	for _, s := range batch {
-		req.Keys = append(req.Keys, s.key)
+		if !stored[s.key] {
+			missing = append(missing, s)
+			continue
+		}
+		in.d.cfg.Log.Info().Str("job", rowName(s.key)).Msg("cell: job is already in the store")
+		in.finish(s, nil)
 	}
-	reply, err := in.d.store.Read(in.d.ctx, req)
+	cancelled, err := in.readKeys(missing, cancelSuffix)
 	if err != nil {
-		// The conflict is with one of the jobs, which an earlier submission may have written.
-		for _, s := range batch {
-			s.unconfirmed = true
+		return in.keepAfterConflict(missing, err)
+	}
+	for _, s := range missing {
+		if !cancelled[s.key+cancelSuffix] {
+			remaining = append(remaining, s)
+			continue
 		}
-		in.d.cfg.Log.Info().Err(err).Int("jobs", len(batch)).Msg("cell: jobs can't be read after a conflict; retrying")
-		return batch, true
+		in.d.cfg.Log.Info().Str("job", rowName(s.key)).Msg("cell: job not written, as it is cancelled")
+		in.finish(s, &Error{Op: "submit", Kind: KindCancelled, Err: errWithdrawn})
 	}
+	return remaining, false
+}
+
+// readKeys returns which of the keys of submissions, with a suffix, are in the store.
+func (in *intake) readKeys(batch []*submission, suffix string) (map[string]bool, error) {
 	stored := map[string]bool{}
+	if len(batch) == 0 {
+		return stored, nil
+	}
+	var req platform.ReadRequest
+	for _, s := range batch {
+		req.Keys = append(req.Keys, s.key+suffix)
+	}
+	reply, err := in.d.store.Read(in.d.ctx, req)
 	for _, r := range reply.Rows {
 		stored[r.Key] = true
 	}
+	return stored, err
+}
+
+// keepAfterConflict returns submissions that can't be looked up after a conflict, which is with one of their jobs: an
+// earlier submission may have written it.
+func (in *intake) keepAfterConflict(batch []*submission, err error) (remaining []*submission, storeFailed bool) {
 	for _, s := range batch {
-		if stored[s.key] {
-			in.d.cfg.Log.Info().Str("job", rowName(s.key)).Msg("cell: job is already in the store")
-			in.finish(s, nil)
-			continue
-		}
-		remaining = append(remaining, s)
+		s.unconfirmed = true
 	}
-	return remaining, false
+	in.d.cfg.Log.Info().Err(err).Int("jobs", len(batch)).Msg("cell: jobs can't be read after a conflict; retrying")
+	return batch, true
 }
 
-// Cancel cancels a job of a team. An Error of kind KindNotFound means that there is no such job.
+// Cancel cancels a job of a team. An Error of kind KindNotFound means that there is no such job, and that none is written by
+// a submission that began before.
 func (d *Daemon) Cancel(ctx context.Context, id cluster.JobName, team cluster.TeamName, queue cluster.QueueName) error {
 	if d.shardCount() == 0 {
 		return &Error{Op: "cancel", Kind: KindUnavailable, Err: errNoLayout}
@@ -306,6 +334,15 @@
 	if err != nil {
 		return &Error{Op: "cancel", Kind: KindUnavailable, Err: err}
 	}
+	if job == nil {
+		written, err := d.withdraw(ctx, id, team)
+		if !written {
+			return err
+		}
+		if job, cancelled, err = d.readJob(ctx, id); err != nil {
+			return &Error{Op: "cancel", Kind: KindUnavailable, Err: err}
+		}
+	}
 	if job == nil || job.Team != team || job.Queue != queue {
 		return &Error{Op: "cancel", Kind: KindNotFound}
 	}
@@ -315,7 +352,7 @@
 	// Either part will do, as the owner follows both.
 	keys := jobKeys(d.shardCount(), id)
 	for i := 0; ctx.Err() == nil; i++ {
-		put := platform.Put{Key: keys[i%len(keys)] + cancelSuffix, Value: []byte{1}}
+		put := platform.Put{Key: keys[i%len(keys)] + cancelSuffix, Value: cancelledValue}
 		if _, err = d.store.Commit(ctx, platform.Txn{Puts: []platform.Put{put}}); err == nil {
 			d.cfg.Log.Info().Str("job", string(id)).Msg("cell: cancellation accepted")
 			d.announce(d.shardOf(job.Terms.Service, id), []platform.Put{put})
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -68,6 +68,7 @@
 	mandate     ownerMandate
 	evacuations evacuationState
 	loadReports loadReporter
+	withdrawn   withdrawnRows
 	// quota counts the memory of the jobs of the shard.
 	quota *jobquota.Account
 }
@@ -107,6 +108,7 @@
 	}
 	o.goroutines.Go(func() { o.followJobs(version) })
 	o.goroutines.Go(o.listWorkers)
+	o.goroutines.Go(o.deleteWithdrawnRows)
 	if o.d.cfg.UseHalfLife > 0 {
 		o.goroutines.Go(o.usage.run)
 	}
@@ -251,9 +253,11 @@
 	for _, r := range reply.Rows {
 		name := rowName(r.Key)
 		if r.Deleted {
+			o.withdrawn.forgetDeleted(r.Key)
 			continue
 		}
 		if id, ok := strings.CutSuffix(name, cancelSuffix); ok {
+			o.withdrawn.add(r, time.Now())
 			decoded.cancelled = append(decoded.cancelled, &pool.JobCancelled{ID: cluster.JobName(id)})
 			continue
 		}
--- a/cluster/cell/rows.go
+++ b/cluster/cell/rows.go
@@ -29,7 +29,7 @@
 //	shares/<service>/use-<index> the past use of the teams in a shard
 //	jobs/<part>/<id>             an accepted job of the first shard
 //	jobs-<index>/<part>/<id>     an accepted job of another shard
-//	jobs/<part>/<id>.cancel      a cancellation
+//	jobs/<part>/<id>.cancel      a cancellation of an accepted job, or of one that is not in the store
 //
 // The rows of a job whose part is down are written to its alternate part. An owner that finds a job in both
 // parts runs it once.
@@ -116,6 +116,14 @@
 	return []string{jobKey(shards, id), jobKeyInPart(shards, alternatePart(jobPart(id)), id)}
 }
 
+// The values of a cancellation row. A job can't be written while a cancellation row of it is in the part.
+var (
+	// cancelledValue cancels an accepted job.
+	cancelledValue = []byte{1}
+	// withdrawnValue cancels a job that was not in the part.
+	withdrawnValue = []byte{2}
+)
+
 // rowName returns the name in a key, which follows the last slash.
 func rowName(key string) string { return key[strings.LastIndexByte(key, '/')+1:] }
 
