soak: execute lost calls late and cancel unanswered submissions

Cause: the soak lost answers of the store only after the call was done, and its clients cancelled only jobs that had been accepted, so that it could not show a job that runs after its cancellation was answered with 410.

Half of the clients cancel a job whose submission got no answer. A job whose cancellation is answered with 410 must never have run and never run.

--- a/cluster/cell/withdraw_test.go
+++ b/cluster/cell/withdraw_test.go
@@ -216,3 +216,42 @@
 		is.Equal(len(o.withdrawn.expired(time.Now().Add(withdrawnTime))), 0) // nothing is kept in memory
 	})
 }
+
+// Guards against a job that runs after its submission was refused with "not run", as the write of an earlier submission at
+// another daemon was still to be executed.
+func TestRefusedJobIsNotWrittenLater(t *testing.T) {
+	for name, kind := range map[string]Kind{"the pool is full": KindRejected, "the store is not available": KindUnavailable} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				store := &lateStore{rowStore: &rowStore{rows: map[string]platform.Row{}}, delay: 5 * time.Second}
+				view := &feedStore{rowStore: store.rowStore}
+				daemons := []*Daemon{newTestDaemon(t, store), newTestDaemon(t, view)}
+				for _, d := range daemons {
+					defer d.wg.Wait()
+					defer d.stop()
+					d.cfg.Admission = true
+					d.store.probe()
+					for part := range jobParts {
+						d.wg.Go(func() { d.intake.run(part) })
+					}
+				}
+				submit := func(d *Daemon) error {
+					ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+					defer cancel()
+					return d.Submit(ctx, admissionJob())
+				}
+				is.True(IsKind(submit(daemons[0]), KindUnknown))
+				view.unavailable.Store(kind == KindUnavailable)
+				if kind == KindRejected {
+					daemons[1].admitter.receive(overloadReport(time.Now()))
+				}
+				err := submit(daemons[1])
+				time.Sleep(10 * time.Second)
+				reply, readErr := store.Read(t.Context(), platform.ReadRequest{Prefixes: []string{jobTablePrefix(0)}})
+				is.NoErr(readErr)
+				is.True(!IsKind(err, kind) || len(reply.Rows) == 0) // a refused job must not be in the store
+			})
+		})
+	}
+}
--- a/soak/check.go
+++ b/soak/check.go
@@ -29,6 +29,8 @@
 	restartedSinceDone map[string]map[string]bool
 	startedJobs        map[string]bool
 	submittedJobs      map[string]bool
+	// unknownJobs are the jobs whose cancellation was answered with "no such job".
+	unknownJobs map[string]bool
 	// evacuatedSince is since when each zone is evacuated; zero if it is not.
 	evacuatedSince map[string]time.Time
 	violations     []string
@@ -39,7 +41,7 @@
 	c := &checker{
 		queue: make(chan func(), maxQueuedObservations), queueDone: make(chan struct{}),
 		workers: map[string]*platformtest.Worker{}, liveRuns: map[string]map[string]uint64{}, doneTasks: map[string]bool{},
-		acknowledgedTasks: map[string]bool{}, restartedSinceDone: map[string]map[string]bool{}, startedJobs: map[string]bool{}, submittedJobs: map[string]bool{},
+		acknowledgedTasks: map[string]bool{}, restartedSinceDone: map[string]map[string]bool{}, startedJobs: map[string]bool{}, submittedJobs: map[string]bool{}, unknownJobs: map[string]bool{},
 		evacuatedSince: map[string]time.Time{},
 	}
 	go func() {
@@ -63,6 +65,16 @@
 // recordSubmission records a job before its first submission is sent.
 func (c *checker) recordSubmission(id string) { c.queue <- func() { c.submittedJobs[id] = true } }
 
+// recordUnknown records that the cancellation of a job was answered with "no such job". Such a job never runs.
+func (c *checker) recordUnknown(id string) {
+	c.queue <- func() {
+		c.unknownJobs[id] = true
+		if c.startedJobs[id] {
+			c.addViolation("job %s has run, and its cancellation is answered with 410", id)
+		}
+	}
+}
+
 // jobOfTask returns the job identifier in a task identifier.
 func jobOfTask(task string) string {
 	job, _, _ := strings.Cut(task, ".")
@@ -114,6 +126,9 @@
 	if !c.submittedJobs[jobOfTask(e.Task)] {
 		c.addViolation("task %s runs on %s, and nobody submitted its job", e.Task, worker)
 	}
+	if c.unknownJobs[jobOfTask(e.Task)] {
+		c.addViolation("task %s runs on %s after the cancellation of its job was answered with 410", e.Task, worker)
+	}
 	if c.acknowledgedTasks[e.Task] {
 		c.addViolation("task %s began again on %s after an acknowledged end as done", e.Task, worker)
 	}
--- a/soak/client.go
+++ b/soak/client.go
@@ -56,7 +56,9 @@
 	// submitAfter is the time from the start of the run to the first submission.
 	submitAfter    time.Duration
 	cancelOnAccept bool
-	steps          []step
+	// cancelUnanswered means that the client cancels the job if a submission gets no answer.
+	cancelUnanswered bool
+	steps            []step
 	// long means that its tasks run for longTaskDuration.
 	long bool
 
@@ -175,7 +177,12 @@
 // ctx has.
 func (c *client) runJob(ctx context.Context, j *job) {
 	c.checker.recordSubmission(j.id)
-	if !c.submit(ctx, j) {
+	accepted := c.submit(ctx, j)
+	if !accepted && j.cancelUnanswered && j.state() == jobUnconfirmed {
+		c.cancelJob(ctx, j)
+		return
+	}
+	if !accepted {
 		return
 	}
 	if j.cancelOnAccept {
@@ -204,7 +211,7 @@
 const maxRefusals = 5
 
 // submit sends a job until it is accepted and returns true then. It returns false
-// if the job is refused or ctx ends.
+// if the job is refused, if its client gives up or ctx ends.
 func (c *client) submit(ctx context.Context, j *job) bool {
 	refusals, unconfirmed := 0, false
 	for {
@@ -220,6 +227,9 @@
 			}
 		case status == 0 || status >= http.StatusInternalServerError:
 			unconfirmed = true
+			if j.cancelUnanswered {
+				return false
+			}
 		default:
 			c.checker.reportViolation("job %s is answered with %d: %s", j.id, status, body)
 			return false
@@ -234,6 +244,9 @@
 func (c *client) cancelJob(ctx context.Context, j *job) {
 	for waitCallInterval(ctx) {
 		status, _ := c.call(ctx, http.MethodDelete, j, "")
+		if status == http.StatusGone {
+			c.checker.recordUnknown(j.id)
+		}
 		if status/100 == 2 || status == http.StatusGone {
 			j.setState(jobCancelled)
 			return
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -31,6 +31,8 @@
 	completionTimeout = 90 * time.Second
 	// meanJobGap is the mean time between two submissions.
 	meanJobGap = 60 * time.Millisecond
+	// giveUpInterval is the mean number of jobs per job that its client cancels if its submission gets no answer.
+	giveUpInterval = 2
 	// quietJobGapFactor multiplies it in runs without other faults than those of
 	// workers, so that the leases of idle workers expire.
 	quietJobGapFactor = 8
@@ -193,6 +195,10 @@
 	for submitAfter := time.Duration(0); submitAfter < d.cfg.length; submitAfter += time.Duration(rnd.Int64N(int64(2 * jobGap))) {
 		jobs = append(jobs, newJob(rnd, submitAfter))
 	}
+	givesUp := newRand(d.cfg.seed, 10)
+	for _, j := range jobs {
+		j.cancelUnanswered = givesUp.IntN(giveUpInterval) == 0
+	}
 	wideJobs, burstTimes := newWideJobs(newRand(d.cfg.seed, 4), d.cfg.length, d.cfg.minPermitted())
 	jobs = append(jobs, wideJobs...)
 	if !d.cfg.workerFaultsOnly {
@@ -209,6 +215,7 @@
 	rnd := newRand(d.cfg.seed, 0)
 	schedule := newSchedule(rnd, d.cfg.length, d.cfg.daemons, d.cfg.workers)
 	schedule = append(schedule, newPeerAndPartFaults(newRand(d.cfg.seed, 1), d.cfg.length, d.cfg.daemons)...)
+	schedule = append(schedule, newLateTransactions(newRand(d.cfg.seed, 9), d.cfg.length)...)
 	schedule = append(schedule, newSideCuts(newRand(d.cfg.seed, 6), d.cfg.length, d.cfg.daemons, d.cfg.workers)...)
 	minEvacuation := time.Duration(0)
 	if d.cfg.workerFaultsOnly {
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -20,6 +20,11 @@
 	// between two faults of a series.
 	maxFaultDuration = 4 * time.Second
 	seriesInterval   = 700 * time.Millisecond
+	// lateShare is the share of the transactions that the store executes late and without an answer during such a fault,
+	// and minLateness and maxLateness bound by how much.
+	lateShare   = 0.35
+	minLateness = time.Second
+	maxLateness = 6 * time.Second
 	// maxLostReplies limits the replies of the store that one fault drops.
 	maxLostReplies = 12
 )
@@ -73,6 +78,26 @@
 	return list
 }
 
+// newLateTransactions returns faults in which the store loses calls and executes them seconds later.
+func newLateTransactions(rnd *rand.Rand, length time.Duration) []fault {
+	var list []fault
+	for start := time.Second; start < length; start += maxFaultDuration + time.Duration(rnd.Int64N(int64(4*time.Second))) {
+		duration := time.Duration(rnd.Int64N(int64(maxFaultDuration)))
+		lateness := rand.New(rand.NewPCG(rnd.Uint64(), rnd.Uint64()))
+		list = append(list, fault{start, fmt.Sprintf("store loses calls and executes them late for %s", duration), func(d *deployment) {
+			d.store.DelayTransactions(func() time.Duration {
+				if lateness.Float64() >= lateShare {
+					return 0
+				}
+				return minLateness + time.Duration(lateness.Int64N(int64(maxLateness-minLateness)))
+			})
+			time.Sleep(duration)
+			d.store.DelayTransactions(nil)
+		}})
+	}
+	return list
+}
+
 // partGroups is the number of groups into which the parts of the store are hashed;
 // at most half of the groups are down at once.
 const partGroups = 8
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -57,7 +57,7 @@
 		for _, f := range slices.Concat(
 			newSchedule(newRand(5, 0), time.Minute, 4, 8), newPeerAndPartFaults(newRand(5, 1), time.Minute, 4),
 			newWorkerListFaults(newRand(5, 2), time.Minute, 8, spareWorkers, burstTimes), newConfigChanges(newRand(5, 3), time.Minute),
-			newStartFaults(newRand(5, 5), time.Minute, 8), newSideCuts(newRand(5, 6), time.Minute, 4, 8),
+			newStartFaults(newRand(5, 5), time.Minute, 8), newSideCuts(newRand(5, 6), time.Minute, 4, 8), newLateTransactions(newRand(5, 9), time.Minute),
 			newEvacuations(newRand(5, 8), time.Minute, 0),
 		) {
 			list = append(list, fmt.Sprint(f.start, f.name))
