soak: remove most daemons for good during a run

Cause: the number of daemons was the same throughout a run, so that the soak could not show a large cell that shrinks to a few VMs.

Clients call only those that are left. The bound on the end of the jobs contains the delay of a daemon that stands in for the candidates. Seed 9200, whose jobs ran after their cancellation was answered with 410, is a case of TestSoak.

--- a/soak/bound.go
+++ b/soak/bound.go
@@ -14,6 +14,8 @@
 	// the jobs, whose feed may wait that long.
 	ownerTimeout = 1600 * time.Millisecond
 	claimDelay   = time.Second
+	// standInDelay is the longest further delay of a daemon that claims in place of the candidates of a large cell.
+	standInDelay = 4 * time.Second
 	loadDuration = 2 * time.Second
 	// previousOwnerGrace is how long a previous owner may send requests, if it was heard
 	// while the claim was written, and clockSkew the difference of the clocks of two daemons.
@@ -76,6 +78,10 @@
 // plain ones, of which one for each permitted worker runs at a time. Tasks that run for long run beside the others.
 func completionBound(cfg *config, plainSteps, wideSteps int) time.Duration {
 	workers, parallel := cfg.workers+spareWorkers, cfg.minPermitted()
-	return min(completionTimeout, recoveryBound+adviceTimeoutMargin+pollBound+longTaskDuration+
+	recovery := recoveryBound
+	if cfg.remaining > 0 {
+		recovery += standInDelay
+	}
+	return min(completionTimeout, recovery+adviceTimeoutMargin+pollBound+longTaskDuration+
 		time.Duration((plainSteps+parallel-1)/parallel)*stepBound(plainAdvice, workers, taskDuration)+time.Duration(wideSteps)*stepBound(wideAdvice, workers, wideTaskDuration))
 }
--- a/soak/client.go
+++ b/soak/client.go
@@ -131,20 +131,25 @@
 
 // client sends each call to a random daemon and reuses its connections.
 type client struct {
-	httpClient  *http.Client
-	clientAddrs []string
-	checker     *checker
+	httpClient *http.Client
+	processes  []*process
+	checker    *checker
 }
 
-func newClient(clientAddrs []string, c *checker) *client {
-	return &client{httpClient: &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}, clientAddrs: clientAddrs, checker: c}
+func newClient(processes []*process, c *checker) *client {
+	return &client{httpClient: &http.Client{Transport: &http.Transport{}, Timeout: callTimeout}, processes: processes, checker: c}
 }
 
 // call sends a request about a job and returns the status and the body of the
 // response, or status 0 if there was none.
 func (c *client) call(ctx context.Context, method string, j *job, body string) (int, string) {
-	addr := c.clientAddrs[rand.IntN(len(c.clientAddrs))]
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+j.prefix+j.id, strings.NewReader(body))
+	var present []*process
+	for _, p := range c.processes {
+		if !p.removed.Load() {
+			present = append(present, p)
+		}
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+present[rand.IntN(len(present))].clientAddr+j.prefix+j.id, strings.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -52,7 +52,9 @@
 	// length is the period in which faults are injected and jobs are submitted.
 	length  time.Duration
 	daemons int
-	workers int
+	// remaining is the number of daemons that are left after the others have been removed for good; 0 removes none.
+	remaining int
+	workers   int
 	// shardWorkers is the maximum number of workers per shard; 0 means one shard for
 	// even seeds and three for odd ones.
 	shardWorkers int
@@ -216,6 +218,7 @@
 	schedule := newSchedule(rnd, d.cfg.length, d.cfg.daemons, d.cfg.workers)
 	schedule = append(schedule, newPeerAndPartFaults(newRand(d.cfg.seed, 1), d.cfg.length, d.cfg.daemons)...)
 	schedule = append(schedule, newLateTransactions(newRand(d.cfg.seed, 9), d.cfg.length)...)
+	schedule = append(schedule, newRemovals(newRand(d.cfg.seed, 11), d.cfg.length, d.cfg.daemons, d.cfg.remaining)...)
 	schedule = append(schedule, newSideCuts(newRand(d.cfg.seed, 6), d.cfg.length, d.cfg.daemons, d.cfg.workers)...)
 	minEvacuation := time.Duration(0)
 	if d.cfg.workerFaultsOnly {
@@ -226,12 +229,10 @@
 	schedule = append(schedule, newWorkerListFaults(newRand(d.cfg.seed, 2), d.cfg.length, d.cfg.workers, spareWorkers, burstTimes)...)
 	schedule = append(schedule, newConfigChanges(newRand(d.cfg.seed, 3), d.cfg.length)...)
 	schedule = append(schedule, newStartFaults(newRand(d.cfg.seed, 5), d.cfg.length, d.cfg.workers)...)
-	var clientAddrs []string
 	for _, p := range d.processes {
-		clientAddrs = append(clientAddrs, p.clientAddr)
 		d.daemonGroup.Go(p.run)
 	}
-	c := newClient(clientAddrs, d.checker)
+	c := newClient(d.processes, d.checker)
 	if err := d.waitReady(ctx, c); err != nil {
 		return nil, err
 	}
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -25,6 +25,10 @@
 	lateShare   = 0.35
 	minLateness = time.Second
 	maxLateness = 6 * time.Second
+	// removedAtOnce is the number of daemons that are removed at the same time, and removalInterval the longest time until
+	// the next ones are.
+	removedAtOnce   = 8
+	removalInterval = 500 * time.Millisecond
 	// maxLostReplies limits the replies of the store that one fault drops.
 	maxLostReplies = 12
 )
@@ -98,6 +102,24 @@
 	return list
 }
 
+// newRemovals returns the faults that remove all but some of the daemons for good in the middle of a run, a few at a time,
+// with SIGTERM or SIGKILL. Those that are left are chosen at random.
+func newRemovals(rnd *rand.Rand, length time.Duration, daemons, remaining int) []fault {
+	if remaining == 0 {
+		return nil
+	}
+	var list []fault
+	start := length / 3
+	for i, n := range rnd.Perm(daemons)[:daemons-remaining] {
+		sig := []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL}[rnd.IntN(2)]
+		if i%removedAtOnce == 0 {
+			start += time.Duration(rnd.Int64N(int64(removalInterval)))
+		}
+		list = append(list, fault{start, fmt.Sprintf("remove daemon %d (%s)", n, sig), func(d *deployment) { d.processes[n].remove(sig) }})
+	}
+	return list
+}
+
 // partGroups is the number of groups into which the parts of the store are hashed;
 // at most half of the groups are down at once.
 const partGroups = 8
--- a/soak/process.go
+++ b/soak/process.go
@@ -51,6 +51,8 @@
 	cmd           *exec.Cmd
 	exited        chan struct{}
 	stopRequested bool
+	// removed means that the daemon is not started again and gets no calls.
+	removed atomic.Bool
 	// loopDone is closed when run has returned.
 	loopDone chan struct{}
 	// failure is the last exit that no signal of this program explains, or an error
@@ -187,6 +189,19 @@
 	}
 }
 
+// remove ends the daemon for good.
+func (p *process) remove(sig syscall.Signal) {
+	p.removed.Store(true)
+	p.mu.Lock()
+	p.stopRequested = true
+	p.mu.Unlock()
+	if sig == syscall.SIGTERM {
+		p.terminate()
+		return
+	}
+	p.signal(sig)
+}
+
 // stop stops the daemon without a restart and returns its failure.
 func (p *process) stop() error {
 	p.mu.Lock()
--- a/soak/rootcmd.go
+++ b/soak/rootcmd.go
@@ -18,6 +18,7 @@
 	seedsFlag        = "seeds"
 	lengthFlag       = "length"
 	daemonsFlag      = "daemons"
+	remainingFlag    = "remaining"
 	runnersFlag      = "runners"
 	linkFlag         = "link-mbps"
 	logsFlag         = "logs"
@@ -43,6 +44,7 @@
 	cmd.Flags().Int(seedsFlag, 1, "number of runs, with consecutive seeds")
 	cmd.Flags().Duration(lengthFlag, 15*time.Second, "period in which faults are injected and jobs are submitted")
 	cmd.Flags().Int(daemonsFlag, 4, "number of daemons")
+	cmd.Flags().Int(remainingFlag, 0, "number of daemons that are left after the others have been removed for good during the run; 0 removes none")
 	cmd.Flags().Int(runnersFlag, 8, "number of runners (workers of the platform)")
 	cmd.Flags().Int(shardWorkersFlag, 0, "maximum number of runners per shard; 0 means one shard for even seeds and three for odd ones")
 	cmd.Flags().Bool(runnerFaultsFlag, false, "leave out the faults of single daemons, connections and the store, and most jobs that are not wide")
@@ -54,7 +56,7 @@
 func runRootCmd(cmd *cobra.Command, _ []string) error {
 	flags := cmd.Flags()
 	cfg := config{out: cmd.OutOrStdout()}
-	var errs [9]error
+	var errs [10]error
 	var seeds int
 	cfg.seed, errs[0] = flags.GetUint64(seedFlag)
 	seeds, errs[1] = flags.GetInt(seedsFlag)
@@ -65,12 +67,16 @@
 	cfg.shardWorkers, errs[6] = flags.GetInt(shardWorkersFlag)
 	cfg.workerFaultsOnly, errs[7] = flags.GetBool(runnerFaultsFlag)
 	cfg.linkMbps, errs[8] = flags.GetFloat64(linkFlag)
+	cfg.remaining, errs[9] = flags.GetInt(remainingFlag)
 	if err := errors.Join(errs[:]...); err != nil {
 		return err
 	}
 	if seeds < 1 || cfg.daemons < 1 || cfg.workers < 1 || cfg.length <= 0 {
 		return fmt.Errorf("--%s, --%s, --%s and --%s must be positive", seedsFlag, daemonsFlag, runnersFlag, lengthFlag)
 	}
+	if cfg.remaining < 0 || cfg.remaining >= cfg.daemons && cfg.remaining > 0 {
+		return fmt.Errorf("--%s must be lower than --%s and not negative", remainingFlag, daemonsFlag)
+	}
 	if cfg.linkMbps < 0 {
 		return fmt.Errorf("--%s must not be negative", linkFlag)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,7 @@
 		{seed: 1007, length: 12 * time.Second, cause: "an owner that was asked for a share while it loaded its shard and the request waited for each other"},
 		{seed: 4000, length: 12 * time.Second, cause: "a worker refused the repeat of a start and carried out the first request later"},
 		{seed: 7},
+		{seed: 9200, length: 12 * time.Second, cause: "the store wrote a job after its cancellation was answered with 410"},
 		{seed: 11, length: 12 * time.Second, runnerFaultsOnly: true, cause: "evacuations of zones had no effect"},
 	} {
 		t.Run(fmt.Sprint(c.seed), func(t *testing.T) {
@@ -58,6 +59,7 @@
 			newSchedule(newRand(5, 0), time.Minute, 4, 8), newPeerAndPartFaults(newRand(5, 1), time.Minute, 4),
 			newWorkerListFaults(newRand(5, 2), time.Minute, 8, spareWorkers, burstTimes), newConfigChanges(newRand(5, 3), time.Minute),
 			newStartFaults(newRand(5, 5), time.Minute, 8), newSideCuts(newRand(5, 6), time.Minute, 4, 8), newLateTransactions(newRand(5, 9), time.Minute),
+			newRemovals(newRand(5, 11), time.Minute, 72, 6),
 			newEvacuations(newRand(5, 8), time.Minute, 0),
 		) {
 			list = append(list, fmt.Sprint(f.start, f.name))
