cell: split the withdrawal of a job

Cause: read as a newcomer, one function limited, wrote and retried the withdrawal, and its result depended on a flag that two loops set.

Change: writeWithdrawal writes the row of one part and says whether an attempt may have succeeded; no behavior.

Result: the tests of withdrawals pass under the race detector.

--- a/cluster/cell/withdraw.go
+++ b/cluster/cell/withdraw.go
@@ -100,27 +100,15 @@
 		d.withdrawals.refused.Inc(1)
 		return false, &Error{Op: "cancel", Kind: KindOverloaded, Err: errWithdrawals, RetryAfter: admission.SpreadReturn(withdrawalReturn, rand.Float64())}
 	}
-	unknown := false
-	for _, key := range jobKeys(d.shardCount(), id) {
-		txn := platform.Txn{Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{{Key: key + cancelSuffix, Value: withdrawnValue}}}
-		for {
-			_, err := d.store.Commit(ctx, txn)
-			if err == nil {
-				// The submissions of the other part may still be written.
-				unknown = true
-				break
-			}
-			if platform.IsKind(err, platform.KindConflict) {
-				return true, nil
-			}
-			unknown = unknown || platform.IsKind(err, platform.KindUnknown)
-			d.sleep(retryDelay)
-			if ctx.Err() == nil && d.ctx.Err() == nil {
-				continue
-			}
-			if unknown {
-				return false, &Error{Op: "cancel", Kind: KindUnknown, Err: err}
-			}
+	for i, key := range jobKeys(d.shardCount(), id) {
+		switch err := d.writeWithdrawal(ctx, key); {
+		case err == nil:
+		case platform.IsKind(err, platform.KindConflict):
+			return true, nil
+		case i > 0 || platform.IsKind(err, platform.KindUnknown):
+			// The row of one part is there, or may be.
+			return false, &Error{Op: "cancel", Kind: KindUnknown, Err: err}
+		default:
 			return false, &Error{Op: "cancel", Kind: KindUnavailable, Err: err}
 		}
 	}
@@ -129,6 +117,29 @@
 	return false, &Error{Op: "cancel", Kind: KindNotFound}
 }
 
+// writeWithdrawal writes the cancellation row of a job to a part that does not have the job, and retries until it is written,
+// there is a conflict or ctx ends. The error is of kind KindUnknown if one of the attempts may have succeeded.
+func (d *Daemon) writeWithdrawal(ctx context.Context, key string) error {
+	txn := platform.Txn{Checks: []platform.Check{{Key: key}}, Puts: []platform.Put{{Key: key + cancelSuffix, Value: withdrawnValue}}}
+	var unknown error
+	for {
+		_, err := d.store.Commit(ctx, txn)
+		if err == nil || platform.IsKind(err, platform.KindConflict) {
+			return err
+		}
+		if platform.IsKind(err, platform.KindUnknown) {
+			unknown = err
+		}
+		if d.sleep(retryDelay) && ctx.Err() == nil {
+			continue
+		}
+		if unknown != nil {
+			return unknown
+		}
+		return err
+	}
+}
+
 // withdrawnRows holds the rows of withdrawn jobs until their owner deletes them.
 type withdrawnRows struct {
 	mu   sync.Mutex
