--- a/cluster/cell/loadjobs.go
+++ b/cluster/cell/loadjobs.go
@@ -53,6 +53,16 @@
 	return o.readJobPart(part)
 }
 
+// readJobs reads all parts of the jobs. It keeps nothing of a read that fails: while the shard runs, its owner deletes
+// the rows of ended jobs and forgets them, and would run a job again whose row was read before.
+func (o *ownedShard) readJobs() (platform.ReadReply, error) {
+	parts, err := newPartReads(jobParts, o.readJobPart).readMissing()
+	if err != nil {
+		return platform.ReadReply{}, err
+	}
+	return mergeReplies(parts), nil
+}
+
 func (o *ownedShard) requestJobPart(reader cluster.DaemonID, r loadRequest) (platform.ReadReply, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, callTimeout+storeTimeout)
 	defer cancel()
--- a/cluster/cell/lostcandidates_test.go
+++ b/cluster/cell/lostcandidates_test.go
@@ -24,6 +24,20 @@
 	Candidates, Others, CutOff int
 }
 
+// readCases returns the cases in a file of testdata.
+func readCases[T any](t *testing.T, name string) []T {
+	t.Helper()
+	data, err := os.ReadFile("testdata/" + name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var cases []T
+	if err := json.Unmarshal(data, &cases); err != nil {
+		t.Fatal(err)
+	}
+	return cases
+}
+
 // vmNames returns the first n names of VMs that are candidates or that are not.
 func vmNames(n int, candidates bool) []string {
 	var names []string
@@ -55,15 +69,7 @@
 // Guards against a cell that no daemon schedules for good after many VMs were replaced or removed: the rows of the VMs that
 // are gone made it a large one, in which only certain VMs could own shards.
 func TestCellIsOwnedAfterCandidatesAreLost(t *testing.T) {
-	data, err := os.ReadFile("testdata/lost-candidates.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []lostCandidates
-	if err := json.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
+	for _, c := range readCases[lostCandidates](t, "lost-candidates.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
--- a/cluster/cell/membersweep_test.go
+++ b/cluster/cell/membersweep_test.go
@@ -1,9 +1,7 @@
 package cell
 
 import (
-	"encoding/json"
 	"fmt"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,15 +27,7 @@
 
 // Guards against the deletion of the rows of members that are there or that other daemons have to connect to.
 func TestSweepKeepsRowsOfPresentMembers(t *testing.T) {
-	data, err := os.ReadFile("testdata/member-sweeps.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []memberSweepCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
+	for _, c := range readCases[memberSweepCase](t, "member-sweeps.json") {
 		t.Run(c.Name, func(t *testing.T) {
 			is := is.New(t)
 			d := newTestDaemon(t, &slowStore{})
--- a/cluster/cell/ownedshard.go
+++ b/cluster/cell/ownedshard.go
@@ -216,16 +216,6 @@
 		Int("workers", len(workers)).Dur("took", time.Since(o.ownedSince)).Msg("cell: shard loaded")
 }
 
-// readJobs reads all parts of the jobs. It keeps nothing of a read that fails: while the shard runs, its owner deletes
-// the rows of ended jobs and forgets them, and would run a job again whose row was read before.
-func (o *ownedShard) readJobs() (platform.ReadReply, error) {
-	parts, err := newPartReads(jobParts, o.readJobPart).readMissing()
-	if err != nil {
-		return platform.ReadReply{}, err
-	}
-	return mergeReplies(parts), nil
-}
-
 // jobRows holds the events of rows of jobs that were read as of a version.
 type jobRows struct {
 	accepted, cancelled []pool.Event
--- a/cluster/cell/withdraw_test.go
+++ b/cluster/cell/withdraw_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -20,12 +18,14 @@
 	"github.com/goldcrestshift/goldcrestshift/cluster/workload"
 )
 
-// withdrawalCase is a case of testdata/withdrawals.json: calls for one job at two daemons, one after another.
-type withdrawalCase struct {
+// submissionCase is a case of testdata/withdrawals.json or refused-submissions.json: calls for one job at two daemons, one
+// after another.
+type submissionCase struct {
 	Name  string
 	Steps []struct {
 		// Do is "submit", "cancel", "wait", "count", or a fault: "delay writes" of jobs by Time, which get no reply, until the
-		// next call ends; "write before next": the job is written before the next transaction; "stop part".
+		// next submission ends; "write before next": the job is written before the next transaction; "stop part"; "stop
+		// store" for a daemon; "fill pool".
 		Do     string
 		Daemon int
 		Team   cluster.TeamName
@@ -70,43 +70,52 @@
 	return s.rowStore.Commit(ctx, txn)
 }
 
+// storeView is the lateStore as one daemon sees it.
+type storeView struct {
+	*lateStore
+	// away makes the store refuse the transactions of the daemon.
+	away bool
+}
+
+func (s *storeView) Commit(ctx context.Context, txn platform.Txn) (cluster.Version, error) {
+	if s.away {
+		return 0, &platform.Error{Op: "test", Kind: platform.KindUnavailable}
+	}
+	return s.lateStore.Commit(ctx, txn)
+}
+
 func kindOf(err error) string {
 	var failure *Error
-	switch {
-	case err == nil:
-		return "accepted"
-	case errors.As(err, &failure):
+	if errors.As(err, &failure) {
 		return kindNames[failure.Kind]
 	}
-	return err.Error()
+	return map[bool]string{true: "accepted", false: "another error"}[err == nil]
 }
 
 // Guards against a job that runs after its cancellation was answered with "no such job", as the write of its submission was
 // still to be executed.
-func TestCancelledJobIsNotWrittenLater(t *testing.T) {
-	data, err := os.ReadFile("testdata/withdrawals.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var cases []withdrawalCase
-	if err := json.Unmarshal(data, &cases); err != nil {
-		t.Fatal(err)
-	}
-	for _, c := range cases {
-		t.Run(c.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { c.run(t) })
-		})
+func TestCancelledJobIsNotWrittenLater(t *testing.T) { playSubmissions(t, "withdrawals.json") }
+
+// Guards against a job that runs after its submission was refused with "not run", as the write of an earlier submission at
+// another daemon was still to be executed.
+func TestRefusedJobIsNotWrittenLater(t *testing.T) { playSubmissions(t, "refused-submissions.json") }
+
+func playSubmissions(t *testing.T, file string) {
+	for _, c := range readCases[submissionCase](t, file) {
+		t.Run(c.Name, func(t *testing.T) { synctest.Test(t, c.run) })
 	}
 }
 
-func (c *withdrawalCase) run(t *testing.T) {
+func (c *submissionCase) run(t *testing.T) {
 	const callTime = 3 * time.Second
 	is := is.New(t)
 	store := &lateStore{rowStore: &rowStore{rows: map[string]platform.Row{}}}
-	job := &workload.Job{ID: "5c0e7a21d94b36f8", Team: limitedTeam, Queue: "queue", Terms: workload.Terms{Service: "s"}, Steps: []workload.Step{{Tasks: 1}}}
+	job := admissionJob()
 	var daemons []*Daemon
-	for range 2 {
-		d := newTestDaemon(t, store)
+	var views [2]storeView
+	for i := range views {
+		views[i].lateStore = store
+		d := newTestDaemon(t, &views[i])
 		defer d.wg.Wait()
 		defer d.stop()
 		_, err := d.store.Read(t.Context(), platform.ReadRequest{}) // makes the store reachable
@@ -146,18 +155,21 @@
 			})
 		case "stop part":
 			store.setPartsUnreachable(strings.TrimSuffix(key, rowName(key)))
+		case "stop store":
+			views[step.Daemon].away = true
+		case "fill pool":
+			d.cfg.Admission = true
+			d.admitter.receive(overloadReport(time.Now()))
 		case "count":
-			jobs, cancellations := 0, 0
+			cancellations := 0
 			reply, err := store.Read(ctx, platform.ReadRequest{Prefixes: []string{jobTablePrefix(0)}})
 			is.NoErr(err)
 			for _, row := range reply.Rows {
 				if strings.HasSuffix(row.Key, cancelSuffix) {
 					cancellations++
-				} else {
-					jobs++
 				}
 			}
-			is.Equal(jobs, step.Jobs)
+			is.Equal(len(reply.Rows)-cancellations, step.Jobs)
 			is.Equal(cancellations, step.Cancellations)
 		default:
 			t.Fatalf("step %d: unknown step %q", i, step.Do)
@@ -216,42 +228,3 @@
 		is.Equal(len(o.withdrawn.expired(time.Now().Add(withdrawnTime))), 0) // nothing is kept in memory
 	})
 }
-
-// Guards against a job that runs after its submission was refused with "not run", as the write of an earlier submission at
-// another daemon was still to be executed.
-func TestRefusedJobIsNotWrittenLater(t *testing.T) {
-	for name, kind := range map[string]Kind{"the pool is full": KindRejected, "the store is not available": KindUnavailable} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				store := &lateStore{rowStore: &rowStore{rows: map[string]platform.Row{}}, delay: 5 * time.Second}
-				view := &feedStore{rowStore: store.rowStore}
-				daemons := []*Daemon{newTestDaemon(t, store), newTestDaemon(t, view)}
-				for _, d := range daemons {
-					defer d.wg.Wait()
-					defer d.stop()
-					d.cfg.Admission = true
-					d.store.probe()
-					for part := range jobParts {
-						d.wg.Go(func() { d.intake.run(part) })
-					}
-				}
-				submit := func(d *Daemon) error {
-					ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
-					defer cancel()
-					return d.Submit(ctx, admissionJob())
-				}
-				is.True(IsKind(submit(daemons[0]), KindUnknown))
-				view.unavailable.Store(kind == KindUnavailable)
-				if kind == KindRejected {
-					daemons[1].admitter.receive(overloadReport(time.Now()))
-				}
-				err := submit(daemons[1])
-				time.Sleep(10 * time.Second)
-				reply, readErr := store.Read(t.Context(), platform.ReadRequest{Prefixes: []string{jobTablePrefix(0)}})
-				is.NoErr(readErr)
-				is.True(!IsKind(err, kind) || len(reply.Rows) == 0) // a refused job must not be in the store
-			})
-		})
-	}
-}
