cell: count on claims of stand-ins only while few candidates respond

Cause (suspected): an owner of a large cell counted each daemon that it had heard as a claimant. While daemons are restarted in turn, one of them is always silent, so that the owner could lose its mandate in an outage of the store.

A daemon stands in for them only if it hears none that reaches the store. TestStandInsAreClaimantsWhileFewCandidatesRespond guards the other case.

--- a/cluster/cell/mandate.go
+++ b/cluster/cell/mandate.go
@@ -27,8 +27,13 @@
 	return ownerMandate{mu: &sync.Mutex{}, mandate: pool.NewMandate(ownedSince), held: true}
 }
 
+// minRespondingCandidates is the number of candidates of a large cell that must respond to an owner so that it does not
+// count on a claim of another daemon. Such a daemon claims only if it hears none of them, and candidates are spread over the
+// availability zones.
+const minRespondingCandidates = numHubs / 2
+
 // claimants returns the other daemons that may claim a shard. In a large cell these are the candidates, which are its
-// members, and the daemons that have been heard, as any of them may stand in for the candidates.
+// members, and while few of them respond also the daemons that have been heard, any of which may stand in for them.
 func (d *Daemon) claimants() []pool.Claimant {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -38,6 +43,9 @@
 			list = append(list, pool.Claimant{VM: vm, Heard: d.heard[vm]})
 		}
 	}
+	if isLargeCell(d.members) && d.respondingCandidates() >= minRespondingCandidates {
+		return list
+	}
 	for vm, heard := range d.heard {
 		if _, ok := d.members[vm]; !ok && vm != d.cfg.VM {
 			list = append(list, pool.Claimant{VM: vm, Heard: heard})
@@ -46,6 +54,17 @@
 	return list
 }
 
+// respondingCandidates returns the number of other candidates that respond; d.mu is held.
+func (d *Daemon) respondingCandidates() int {
+	n := 0
+	for vm, m := range d.members {
+		if m.candidate && vm != d.cfg.VM && time.Since(d.transport.LastSeen(d.presentID(vm, m))) < peerTimeout {
+			n++
+		}
+	}
+	return n
+}
+
 // prependMandate puts the event for a change of the mandate before the others, which may have leases renewed.
 func (o *ownedShard) prependMandate(batch []pool.Event, now time.Time) []pool.Event {
 	claimants := o.d.claimants()
--- a/cluster/cell/mandate_test.go
+++ b/cluster/cell/mandate_test.go
@@ -1,6 +1,7 @@
 package cell
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,3 +131,13 @@
 	is.Equal(o.prependMandate([]pool.Event{other}, now.Add(time.Minute)), []pool.Event{&pool.MandateChanged{}, other})
 	is.Equal(o.prependMandate([]pool.Event{other}, now.Add(time.Minute)), []pool.Event{other})
 }
+
+// Guards against an owner that does not count on a claim of a daemon that stands in for the candidates of a large cell, as
+// it doesn't read its row.
+func TestStandInsAreClaimantsWhileFewCandidatesRespond(t *testing.T) {
+	is := is.New(t)
+	_, d := newStoreDaemon(t)
+	d.members = memberRows(300)
+	d.heard["other"] = pool.HeardSpan{}.Extend(time.Now())
+	is.True(slices.ContainsFunc(d.claimants(), func(c pool.Claimant) bool { return c.VM == "other" }))
+}
