cell: look for cancellations only if a conflict has no other cause

Cause: after a conflict all keys of a batch are read one by one, and those of their cancellations were read as well. A single repeated job in a batch of 33 doubled the time in which a daemon far from the store answers the others.

Change: if the batch has jobs that are in the store, these are left out and the rest is written again. Only a conflict of a batch without such jobs is with a cancellation.

--- a/cluster/cell/intake.go
+++ b/cluster/cell/intake.go
@@ -282,6 +282,10 @@
 		in.d.cfg.Log.Info().Str("job", rowName(s.key)).Msg("cell: job is already in the store")
 		in.finish(s, nil)
 	}
+	if len(missing) < len(batch) {
+		// The conflict was with the others. Each key that is read takes a call.
+		return missing, false
+	}
 	cancelled, err := in.readKeys(missing, cancelSuffix)
 	if err != nil {
 		return in.keepAfterConflict(missing, err)
